Model the fleet in virtual time and check its history

Change: a discrete-event model of network, fabric, platform, back ends and callers drives the daemons' own core, with three simpler designs to compare.

--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -25,11 +25,12 @@
 
 using prometheus::MetricType;
 
-std::vector<Sample> single(double value) { return {{"", value}}; }
+std::vector<Sample> single(std::uint64_t value) { return {{"", static_cast<double>(value)}}; }
 
 template <typename Reason, std::size_t N>
 std::vector<Sample> byReason(const std::array<std::uint64_t, N>& counts) {
   std::vector<Sample> samples;
+  samples.reserve(N);
   for (std::size_t i = 0; i < N; ++i) {
     samples.push_back({toString(static_cast<Reason>(i)), static_cast<double>(counts[i])});
   }
--- a/src/sim/history_checker.h
+++ b/src/sim/history_checker.h
@@ -41,7 +41,8 @@
   std::size_t lateNewWork = 0;
   std::size_t configurationFaults = 0;
   std::int64_t slowestConfigurationMs = 0;
-  /// Largest number of sessions on one back end over the mean, by service, at the end of the run.
+  /// Largest number of sessions opened on one back end over the mean, by service. Back ends that
+  /// left during the run are not counted.
   std::map<std::string, double> imbalance;
   std::vector<Violation> violations;
 
--- /dev/null
+++ b/src/sim/simulated_backend.h
@@ -0,0 +1,71 @@
+/// @file
+/// A back end of the model: bounded connections, few slots, cold start, shedding; drops repeats.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/configuration.h"
+#include "sim/event_queue.h"
+#include "sim/history.h"
+#include "sim/scenario.h"
+#include "sim/work_messages.h"
+
+namespace cobaltgauge::sim {
+
+class SimulatedBackend {
+ public:
+  using Answer = std::function<void(std::size_t caller, const WorkAnswer&)>;
+  using Record = std::function<void(Event)>;
+
+  SimulatedBackend(EventQueue& queue, const ServiceSpec& service, std::string name,
+                   std::string zone, core::BackendAddress address, Answer answer, Record record);
+
+  /// Handles a packet that a daemon sent here by `routed`.
+  void onPacket(const core::BackendAddress& routed, const WorkRequest& request);
+
+  const std::string& name() const { return name_; }
+  const std::string& zone() const { return zone_; }
+  const core::BackendAddress& address() const { return address_; }
+  std::size_t sessions() const { return sessions_.size(); }
+  /// @return the time that each executed request waited for a slot.
+  const std::vector<core::Duration>& queueing() const { return queueing_; }
+
+ private:
+  struct Job {
+    WorkRequest request;
+    core::Time queuedAt{};
+  };
+  /// What was answered to a message; a repeat gets the same answer.
+  struct Answered {
+    bool finished = false;
+    WorkAnswer answer;
+  };
+
+  void open(const WorkRequest& request);
+  void submit(const WorkRequest& request);
+  void startJobs();
+  void finish(const Job& job);
+  void reply(const WorkRequest& request, WorkResult result);
+  void record(EventKind kind, const WorkRequest& request, const char* detail = "");
+
+  EventQueue& queue_;
+  ServiceSpec service_;
+  std::string name_;
+  std::string zone_;
+  core::BackendAddress address_;
+  Answer answer_;
+  Record record_;
+  core::Time startedAt_;
+  std::set<core::FlowKey> sessions_;
+  std::map<std::pair<core::FlowKey, std::uint32_t>, Answered> answered_;
+  std::deque<Job> waiting_;
+  std::size_t busy_ = 0;
+  std::vector<core::Duration> queueing_;
+};
+
+}  // namespace cobaltgauge::sim
--- /dev/null
+++ b/src/sim/simulated_daemon.cc
@@ -0,0 +1,52 @@
+#include "sim/simulated_daemon.h"
+
+#include <utility>
+
+namespace cobaltgauge::sim {
+namespace {
+
+/// Datagrams that a socket buffer holds for a suspended process.
+constexpr std::size_t kSocketBufferDatagrams = 4096;
+constexpr std::uint64_t kHashSeed = 0x9e3779b97f4a7c15;
+constexpr std::size_t kFlowTableEntries = 1U << 14U;
+
+core::BalancerOptions optionsFor(const core::MemberIdentity& identity, std::uint64_t process) {
+  core::BalancerOptions options;
+  options.self = identity;
+  options.process = process;
+  options.hashSeed = kHashSeed;
+  options.flowTableEntries = kFlowTableEntries;
+  return options;
+}
+
+}  // namespace
+
+SimulatedDaemon::SimulatedDaemon(EventQueue& queue, core::MemberIdentity identity,
+                                 std::uint64_t process, std::uint64_t seed, Variant variant,
+                                 core::ConfigurationCompiler& compiler)
+    : startedAt(queue.now()),
+      identity_(std::move(identity)),
+      random_(seed),
+      router_(makeRouter(variant, optionsFor(identity_, process), compiler, random_)) {}
+
+void SimulatedDaemon::deliver(std::function<void()> work) {
+  if (!alive_) {
+    return;
+  }
+  if (!frozen_) {
+    work();
+  } else if (inbox_.size() < kSocketBufferDatagrams) {
+    inbox_.push_back(std::move(work));
+  }
+}
+
+void SimulatedDaemon::wake() {
+  frozen_ = false;
+  while (!inbox_.empty()) {
+    const std::function<void()> work = std::move(inbox_.front());
+    inbox_.pop_front();
+    work();
+  }
+}
+
+}  // namespace cobaltgauge::sim
--- /dev/null
+++ b/src/sim/simulated_daemon.h
@@ -0,0 +1,61 @@
+/// @file
+/// One daemon process of the model: may run, be suspended or be dead.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sim/event_queue.h"
+#include "sim/packet_router.h"
+#include "sim/seeded_random.h"
+
+namespace cobaltgauge::sim {
+
+/// What happened to a daemon's control traffic.
+struct ControlTraffic {
+  std::uint64_t messages = 0;
+  std::uint64_t bytes = 0;  ///< Encoded frames, without UDP/IP headers.
+};
+
+class SimulatedDaemon {
+ public:
+  SimulatedDaemon(EventQueue& queue, core::MemberIdentity identity, std::uint64_t process,
+                  std::uint64_t seed, Variant variant, core::ConfigurationCompiler& compiler);
+
+  /// Hands work to the process: done now, kept while it is suspended, lost when it is dead.
+  void deliver(std::function<void()> work);
+
+  void freeze() { frozen_ = true; }
+  /// Runs everything that waited, in order, before any tick: a late wake-up acts on its old view.
+  void wake();
+  void kill() { alive_ = false; }
+
+  bool runs() const { return alive_ && !frozen_; }
+  bool isAlive() const { return alive_; }
+  bool isFrozen() const { return frozen_; }
+  PacketRouter& router() { return *router_; }
+  const PacketRouter& router() const { return *router_; }
+  const core::MemberIdentity& identity() const { return identity_; }
+  const std::string& name() const { return identity_.name; }
+  const std::string& zone() const { return identity_.zone; }
+
+  /// The fabric sends packets here until this time.
+  core::Time sprayedUntil{core::Duration::max()};
+  core::Time startedAt{};
+  core::Time leavingSince{};  ///< Zero while no planned stop was asked for.
+  core::Time nextRead{};
+  core::ConfigurationVersion reportedVersion = 0;
+  ControlTraffic traffic;
+
+ private:
+  core::MemberIdentity identity_;
+  SeededRandom random_;
+  std::unique_ptr<PacketRouter> router_;
+  std::deque<std::function<void()>> inbox_;
+  bool alive_ = true;
+  bool frozen_ = false;
+};
+
+}  // namespace cobaltgauge::sim
--- /dev/null
+++ b/src/sim/world.cc
@@ -0,0 +1,195 @@
+/// @file
+/// Set-up and summary of the simulated world.
+#include "sim/world.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+#include "core/hashing.h"
+
+namespace cobaltgauge::sim {
+namespace {
+
+constexpr std::uint16_t kControlPort = 7000;
+constexpr std::uint16_t kBackendPort = 8000;
+constexpr std::uint16_t kServicePort = 5683;
+constexpr std::uint16_t kCallerPort = 20000;
+constexpr core::Duration kFleetHeadStart = std::chrono::seconds(4);
+constexpr core::Duration kOpenSpread = std::chrono::seconds(3);
+/// Requests under way at the end get this long to finish.
+constexpr core::Duration kQuietEnd = std::chrono::seconds(20);
+
+/// @return 10.`network`.x.y with the number in the last two parts.
+core::IpAddress makeAddress(std::uint8_t network, std::uint32_t number) {
+  core::IpAddress address;
+  address.bytes = {10, network, static_cast<std::uint8_t>(number >> 8U),
+                   static_cast<std::uint8_t>(number & 0xffU)};
+  return address;
+}
+
+}  // namespace
+
+double RunResult::brokenPerMillion() const {
+  constexpr double kMillion = 1e6;
+  return report.sessions == 0 ? 0
+                              : kMillion * static_cast<double>(report.brokenSessions) /
+                                    static_cast<double>(report.sessions);
+}
+
+World::World(const Scenario& scenario)
+    : scenario_(scenario),
+      random_(scenario.seed),
+      codec_("simulation", "key of the simulation", core::kNoMember),
+      platform_(scenario.platformLag) {
+  for (const ZoneSpec& zone : scenario_.zones) {
+    regions_[zone.name] = zone.region;
+  }
+  buildServices();
+  publish();
+  for (const ZoneSpec& zone : scenario_.zones) {
+    for (std::size_t i = 0; i < zone.daemons; ++i) {
+      startDaemon(zone.name);
+    }
+  }
+  buildCallers();
+  for (const FaultSpec& fault : scenario_.faults) {
+    queue_.at(fault.at, [this, fault] { applyFault(fault); });
+  }
+}
+
+void World::buildServices() {
+  std::uint32_t serviceNumber = 0;
+  for (const ServiceSpec& spec : scenario_.services) {
+    ListedService service;
+    service.spec = spec;
+    service.policy = spec.policy;
+    service.virtualEndpoint = {makeAddress(90, ++serviceNumber), kServicePort};
+    platform_.services().push_back(service);
+  }
+  for (ListedService& service : platform_.services()) {
+    for (std::size_t i = 0; i < service.spec.backends; ++i) {
+      const std::string zone = scenario_.zones[i % scenario_.zones.size()].name;
+      const std::uint32_t number = nextBackendNumber_++;
+      const ListedBackend backend{service.spec.name + "-" + std::to_string(i + 1),
+                                  zone,
+                                  {makeAddress(91, number), kBackendPort},
+                                  1,
+                                  false};
+      service.backends.push_back(backend);
+      startBackend(service, backend);
+    }
+  }
+}
+
+SimulatedBackend& World::startBackend(ListedService& service, const ListedBackend& backend) {
+  const core::ServiceId id = core::serviceIdOf(service.spec.name);
+  const core::BackendAddress address{core::backendIdOf(id, backend.endpoint, backend.incarnation),
+                                     id, backend.endpoint, backend.incarnation};
+  const std::string zone = backend.zone;
+  backends_.push_back(std::make_unique<SimulatedBackend>(
+      queue_, service.spec, backend.name, zone, address,
+      [this, zone](std::size_t caller, const WorkAnswer& answer) {
+        answerCaller(caller, zone, answer);
+      },
+      [this](Event event) { record(std::move(event)); }));
+  backendsByEndpoint_[backend.endpoint] = backends_.back().get();
+  return *backends_.back();
+}
+
+World::DaemonPtr World::startDaemon(const std::string& zone) {
+  const std::uint32_t number = nextDaemonNumber_++;
+  core::MemberIdentity identity;
+  identity.name = zone + "-lb-" + std::to_string(number);
+  identity.id = core::memberIdOf(identity.name);
+  identity.zone = zone;
+  identity.region = regions_[zone];
+  identity.control = {makeAddress(92, number), kControlPort};
+  const auto daemon = std::make_shared<SimulatedDaemon>(
+      queue_, identity, random_.next(), random_.next(), scenario_.variant, compiler_);
+  daemons_.push_back(daemon);
+  daemonsByControl_[identity.control] = daemon;
+  const core::Duration phase = random_.between(core::Duration(0), core::kTickInterval);
+  queue_.after(phase, [this, daemon] { tickDaemon(daemon); });
+  return daemon;
+}
+
+void World::buildCallers() {
+  std::size_t index = 0;
+  for (const ListedService& service : platform_.services()) {
+    for (std::size_t i = 0; i < service.spec.sessions; ++i, ++index) {
+      const std::string zone = scenario_.zones[index % scenario_.zones.size()].name;
+      const core::FlowKey flow{service.spec.protocol,
+                               {makeAddress(93, static_cast<std::uint32_t>(index)), kCallerPort},
+                               service.virtualEndpoint};
+      callers_.push_back(std::make_unique<SimulatedCaller>(
+          queue_, random_, service.spec, index, zone, flow,
+          [this](const WorkRequest& request) { onCallerPacket(request); },
+          [this](Event event) { record(std::move(event)); }));
+      callers_.back()->stopAt(kFleetHeadStart + scenario_.duration);
+      callers_.back()->start(kFleetHeadStart + random_.between(core::Duration(0), kOpenSpread));
+    }
+  }
+}
+
+void World::record(EventKind kind, const std::string& actor, const std::string& detail) {
+  record({queue_.now().count() / 1000, kind, actor, "", "", "", detail});
+}
+
+RunResult World::run() {
+  queue_.runUntil(kFleetHeadStart + scenario_.duration + kQuietEnd);
+  return summarize();
+}
+
+RunResult World::summarize() {
+  RunResult result;
+  for (const ListedService& service : platform_.services()) {
+    std::size_t total = 0;
+    std::size_t largest = 0;
+    std::size_t count = 0;
+    for (const ListedBackend& listed : service.backends) {
+      if (!listed.leaving) {
+        const std::size_t sessions = backendsByEndpoint_.at(listed.endpoint)->sessions();
+        total += sessions;
+        largest = std::max(largest, sessions);
+        ++count;
+      }
+    }
+    result.finalImbalance[service.spec.name] =
+        total == 0 ? 0 : static_cast<double>(largest * count) / static_cast<double>(total);
+  }
+  std::vector<core::Duration> queueing;
+  for (const auto& backend : backends_) {
+    queueing.insert(queueing.end(), backend->queueing().begin(), backend->queueing().end());
+  }
+  if (!queueing.empty()) {
+    const std::size_t rank = queueing.size() * 99 / 100;
+    std::nth_element(queueing.begin(), queueing.begin() + static_cast<std::ptrdiff_t>(rank),
+                     queueing.end());
+    result.queueingP99Ms = std::chrono::duration<double, std::milli>(queueing[rank]).count();
+  }
+  double daemonSeconds = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t messages = 0;
+  std::size_t alive = 0;
+  for (const DaemonPtr& daemon : daemons_) {
+    daemonSeconds += std::chrono::duration<double>(queue_.now() - daemon->startedAt).count();
+    bytes += daemon->traffic.bytes;
+    messages += daemon->traffic.messages;
+    if (daemon->isAlive()) {
+      ++alive;
+      result.flowStateBytes += static_cast<double>(daemon->router().flowStateBytes(queue_.now()));
+    }
+  }
+  result.flowStateBytes /= static_cast<double>(std::max<std::size_t>(alive, 1));
+  result.controlBytesPerSecond = static_cast<double>(bytes) / daemonSeconds;
+  result.controlMessagesPerSecond = static_cast<double>(messages) / daemonSeconds;
+  result.drops = drops_;
+  result.events = queue_.executed();
+  result.packetsToPeers = packetsToPeers_;
+  result.packetsToBackends = packetsToBackends_;
+  result.report = checkHistory(history_, CheckerBounds{});
+  result.history = std::move(history_);
+  return result;
+}
+
+}  // namespace cobaltgauge::sim
--- /dev/null
+++ b/src/sim/world.h
@@ -0,0 +1,109 @@
+/// @file
+/// The simulated world: network, fabric, platform, daemons, back ends and callers in virtual time.
+/// Runs the daemons' own core and records a history for the checker.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/peer_codec.h"
+#include "sim/caching_compiler.h"
+#include "sim/event_queue.h"
+#include "sim/history_checker.h"
+#include "sim/scenario.h"
+#include "sim/seeded_random.h"
+#include "sim/simulated_backend.h"
+#include "sim/simulated_caller.h"
+#include "sim/simulated_daemon.h"
+#include "sim/simulated_platform.h"
+
+namespace cobaltgauge::sim {
+
+/// Figures of one run.
+struct RunResult {
+  CheckerReport report;
+  std::vector<Event> history;
+  /// Sessions per back end at the end, largest over mean, by service; leaving ones not counted.
+  std::map<std::string, double> finalImbalance;
+  double queueingP99Ms = 0;
+  double controlBytesPerSecond = 0;     ///< Sent, mean per daemon.
+  double controlMessagesPerSecond = 0;  ///< Sent, mean per daemon.
+  double flowStateBytes = 0;            ///< Mean per daemon at the end.
+  std::map<std::string, std::uint64_t> drops;
+  std::uint64_t events = 0;
+  std::uint64_t packetsToPeers = 0;
+  std::uint64_t packetsToBackends = 0;
+
+  double brokenPerMillion() const;
+};
+
+class World {
+ public:
+  explicit World(const Scenario& scenario);
+
+  /// Runs the scenario to its end and checks its history.
+  RunResult run();
+
+ private:
+  using DaemonPtr = std::shared_ptr<SimulatedDaemon>;
+
+  // Set-up (world.cc).
+  void buildServices();
+  void buildCallers();
+  DaemonPtr startDaemon(const std::string& zone);
+  SimulatedBackend& startBackend(ListedService& service, const ListedBackend& backend);
+
+  // Traffic (world_traffic.cc).
+  void tickDaemon(const DaemonPtr& daemon);
+  void readPlatform(const DaemonPtr& daemon);
+  void onCallerPacket(const WorkRequest& request);
+  void carryOut(const DaemonPtr& daemon, const core::Verdict& verdict, const WorkRequest& request,
+                core::MemberId ingress);
+  void flush(const DaemonPtr& daemon);
+  void transmit(const std::string& fromZone, const std::string& toZone,
+                std::function<void()> arrive);
+  void answerCaller(std::size_t caller, const std::string& fromZone, const WorkAnswer& answer);
+  DaemonPtr findByControl(const core::Endpoint& control) const;
+  bool isCut(const std::string& a, const std::string& b) const;
+  core::Duration delayBetween(const std::string& a, const std::string& b) const;
+
+  // Faults and operators (world_faults.cc).
+  void applyFault(const FaultSpec& fault);
+  void applyDaemonFault(const FaultSpec& fault);
+  void applyOperatorAction(const FaultSpec& fault);
+  void drainBackend(const std::string& name);
+  void addBackend(const std::string& serviceName);
+  void removeBackend(const std::string& name);
+  void reuseAddress(const std::string& name);
+  void publish();
+  DaemonPtr findDaemon(const std::string& name) const;
+
+  void record(EventKind kind, const std::string& actor, const std::string& detail);
+  void record(Event event) { history_.push_back(std::move(event)); }
+  RunResult summarize();
+
+  Scenario scenario_;
+  EventQueue queue_;
+  SeededRandom random_;
+  CachingCompiler compiler_;
+  net::PeerCodec codec_;
+  SimulatedPlatform platform_;
+  std::vector<DaemonPtr> daemons_;
+  std::map<core::Endpoint, DaemonPtr> daemonsByControl_;
+  std::vector<std::unique_ptr<SimulatedBackend>> backends_;
+  std::map<core::Endpoint, SimulatedBackend*> backendsByEndpoint_;
+  std::vector<std::unique_ptr<SimulatedCaller>> callers_;
+  std::map<std::string, std::string> regions_;
+  std::set<std::string> cutZones_;
+  std::vector<Event> history_;
+  std::map<std::string, std::uint64_t> drops_;
+  std::uint64_t packetsToPeers_ = 0;
+  std::uint64_t packetsToBackends_ = 0;
+  std::uint32_t nextDaemonNumber_ = 1;
+  std::uint32_t nextBackendNumber_ = 1;
+};
+
+}  // namespace cobaltgauge::sim
--- a/src/standin/options.cc
+++ b/src/standin/options.cc
@@ -29,6 +29,7 @@
                                       const std::vector<OptionSpec>& specs, int argc,
                                       const char* const* argv) {
   std::vector<poptOption> table;
+  table.reserve(specs.size() + 2);
   int index = 0;
   for (const OptionSpec& spec : specs) {
     table.push_back({spec.name, 0, POPT_ARG_STRING, nullptr, ++index, spec.documentation, "VALUE"});
