Make the completeness of a home's records explicit

Cause, from traces of broken sessions: (1) a daemon that joined while the platform was down took itself for the first of its fleet and called every bucket settled; (2) a joiner took its own step from a stale version to the present one for a move of buckets and guessed old back ends; (3) a replica without a copy of the home's records decided while the home was suspect; (4) a batch marked last could overtake an earlier one. Ruled out: wrong owners (all daemons agreed in the traces), lost reports (all were acknowledged). Change: silence proves nothing before a list of peers is known; a joiner has no past; each owner states its authority, and a home without complete records asks the members to list; transfers count their batches; the listing window is 1 s.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -68,6 +68,8 @@
     onTransfer(from, *transfer, now);
   } else if (const auto* records = std::get_if<RecordsMessage>(&message)) {
     homes_.onRecords(from, *records, now);
+  } else if (const auto* listing = std::get_if<ListingRequest>(&message)) {
+    homes_.onListingRequest(from, *listing, placements_, now);
   } else if (const auto* recordsAck = std::get_if<RecordsAck>(&message)) {
     outbox_.onAck(*recordsAck);
   } else if (const auto* hint = std::get_if<RouteHint>(&message)) {
@@ -121,7 +123,10 @@
   }
 }
 
-void Balancer::offerMemberSeeds(std::vector<MemberIdentity> seeds) {
+void Balancer::offerMemberSeeds(std::vector<MemberIdentity> seeds, Time now) {
+  if (seedsSince_ == Time{}) {
+    seedsSince_ = now;
+  }
   std::erase_if(seeds, [this](const MemberIdentity& seed) { return seed.id == options_.self.id; });
   membership_.setSeeds(std::move(seeds));
 }
@@ -160,8 +165,10 @@
     virtualAddresses_[{service.virtualEndpoint, service.protocol}] = &service;
     serviceRates_.insert_or_assign(service.id, RankedTokenBucket(service.limits.newFlowsPerSecond));
     const auto known = placements_.find(service.id);
-    ServicePlacement placement =
-        known == placements_.end() ? ServicePlacement(service.id) : std::move(known->second);
+    // A daemon that has not joined has no past: what it held before means nothing to its peers.
+    const bool fresh =
+        known == placements_.end() || membership_.selfState() == MemberState::kJoining;
+    ServicePlacement placement = fresh ? ServicePlacement(service.id) : std::move(known->second);
     moves[service.id] = placement.apply(service, configuration.digest.version, now);
     next.emplace(service.id, std::move(placement));
   }
@@ -187,7 +194,9 @@
   }
   const bool returned = !change.isNew && !change.restarted && change.before == MemberState::kDead &&
                         isReachable(change.after);
-  memberReturned_ = memberReturned_ || returned;
+  if (returned && change.id != options_.self.id) {
+    returnedMembers_.insert(change.id);
+  }
   (void)now;
 }
 
@@ -200,11 +209,12 @@
     eligible_ = std::move(eligible);
     homes_.onEligibleChanged(eligible_, placements_, now);
   }
-  if (std::exchange(memberReturned_, false)) {
+  const std::set<MemberId> returned = std::exchange(returnedMembers_, {});
+  if (!returned.empty()) {
     for (auto& [service, placement] : placements_) {
       placement.unsettleMoved();
     }
-    homes_.onMemberReturned(placements_, now);
+    homes_.onMembersReturned(returned, placements_, now);
   }
 }
 
@@ -229,6 +239,7 @@
   membership_.onResume(now);
   homes_.onResume(now);
   nextFencePing_ = now;
+  reportAfterFence_ = true;
 }
 
 void Balancer::onTick(Time now) {
@@ -240,7 +251,10 @@
   }
   fence_.onTick(now);
   if (fence_.isClosed()) {
-    fence_.openIfAlone(now, heardFromPeer_);
+    // Without a list of peers, silence proves nothing.
+    if (seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait) {
+      fence_.openIfAlone(now, heardFromPeer_);
+    }
     if (now >= nextFencePing_) {
       nextFencePing_ = now + kFencePingInterval;
       membership_.probeRandomPeers(kFenceFanout);
@@ -250,7 +264,11 @@
   applyPending(now);
   joinWhenReady(now);
   settleMembership(now);
-  homes_.onTick(now);
+  if (reportAfterFence_ && !fence_.isClosed()) {
+    reportAfterFence_ = false;
+    homes_.reportAll(placements_, now);
+  }
+  homes_.onTick(placements_, now);
   outbox_.onTick(now);
   if (now >= nextMaintenance_) {
     nextMaintenance_ = now + kMaintenanceInterval;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -92,7 +93,7 @@
   OfferResult offerConfiguration(ConfigurationDocument document, Time now);
 
   /// Offers the platform's list of machines; it may lag and is only a list of whom to contact.
-  void offerMemberSeeds(std::vector<MemberIdentity> seeds);
+  void offerMemberSeeds(std::vector<MemberIdentity> seeds, Time now);
 
   /// @return true where this daemon is one of its zone's readers of the platform, or on its own.
   bool shouldReadPlatform(Time now) const;
@@ -186,7 +187,9 @@
   Time nextMaintenance_{};
   bool heardFromPeer_ = false;
   bool membershipChanged_ = false;
-  bool memberReturned_ = false;
+  std::set<MemberId> returnedMembers_;
+  bool reportAfterFence_ = false;
+  Time seedsSince_{};
   bool leaving_ = false;
 };
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -22,7 +22,7 @@
 
 /// Longest time a home treats an unknown flow of a moved bucket as an old one. A back end that
 /// leaves receives no new flow after this plus the configuration spread time.
-inline constexpr Duration kListingWindow = 2000ms;
+inline constexpr Duration kListingWindow = 1000ms;
 
 /// Interval at which the core expects onTick.
 inline constexpr Duration kTickInterval = 50ms;
@@ -51,6 +51,8 @@
 
 /// How long a new home relays to the previous home while it waits for its records.
 inline constexpr Duration kHandoverWait = 2000ms;
+/// How long a home that lost its records waits for the members' listings.
+inline constexpr Duration kListingWait = 1000ms;
 
 /// A home calls a refusal "not run" only when it has owned the shard for longer than a caller
 /// retransmits: MAX_TRANSMIT_SPAN of RFC 7252, section 4.8.2.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -90,24 +90,35 @@
   BackendId backend = kNoBackend;
 };
 
-/// Why a batch of flow records is sent.
+/// Why flow records are sent.
 enum class RecordPurpose : std::uint8_t {
-  kListing,   ///< Ingress daemon to home: the old flows it knows in moved buckets.
-  kReplica,   ///< Home to replica.
-  kHandover,  ///< Former home to new home; ends the new home's wait when `complete`.
+  kListing,      ///< Ingress daemon to home: the old flows it knows in moved buckets.
+  kFullListing,  ///< Ingress daemon to home: all flows it knows that need a record.
+  kReplica,      ///< One owner to the other: new records.
+  kReplicaCopy,  ///< Home to replica: all its records.
+  kHandover,     ///< Former home to new home: all its records.
 };
 
-/// A batch of flow records of one shard. Reliable: resent until a RecordsAck arrives.
+/// One batch of a transfer of flow records of one shard. Reliable: resent until a RecordsAck
+/// arrives. Batches may arrive in any order; a transfer is complete when all of them did.
 struct RecordsMessage {
   std::uint64_t id = 0;
+  std::uint64_t transfer = 0;    ///< Unique per sender.
+  std::uint32_t batchCount = 1;  ///< Batches of this transfer.
   RecordPurpose purpose = RecordPurpose::kListing;
   ShardKey shard;
-  ConfigurationVersion version = 0;      ///< Placement version that the sender has applied.
-  bool complete = false;                 ///< Last batch of this sender for this version.
+  ConfigurationVersion version = 0;  ///< Placement version that the sender has applied.
+  bool authoritative = false;        ///< The sender's records were complete (copy and handover).
+  std::uint32_t windowMs = 0;        ///< Time left of the sender's listing window (handover).
   std::vector<BackendAddress> backends;  ///< Addresses of the back ends named in `records`.
   std::vector<FlowRecord> records;
 };
 
+/// A home without complete records asks a member for all flows it knows that need one.
+struct ListingRequest {
+  std::vector<ShardKey> shards;
+};
+
 /// Acknowledges one RecordsMessage.
 struct RecordsAck {
   std::uint64_t id = 0;
@@ -124,8 +135,9 @@
   ShardBitmap dirty{};
 };
 
-using PeerMessage = std::variant<Ping, Ack, PingRequest, MemberSync, ConfigurationRequest,
-                                 ConfigurationTransfer, RecordsMessage, RecordsAck, RouteHint>;
+using PeerMessage =
+    std::variant<Ping, Ack, PingRequest, MemberSync, ConfigurationRequest, ConfigurationTransfer,
+                 RecordsMessage, RecordsAck, RouteHint, ListingRequest>;
 
 /// A message on its way to a peer.
 struct OutgoingMessage {
--- /dev/null
+++ b/src/core/record_transfers.h
@@ -0,0 +1,58 @@
+/// @file
+/// Sends sets of flow records in batches and tells when a received set is whole.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/backend_directory.h"
+#include "core/membership.h"
+#include "core/messages.h"
+#include "core/outbox.h"
+
+namespace cobaltgauge::core {
+
+/// What a transfer says of itself besides its records.
+struct TransferHeader {
+  RecordPurpose purpose = RecordPurpose::kListing;
+  ShardKey shard;
+  ConfigurationVersion version = 0;
+  bool authoritative = false;
+  Duration windowRemaining{0};
+};
+
+class RecordTransfers {
+ public:
+  RecordTransfers(const Membership& membership, const BackendDirectory& directory, Outbox& outbox)
+      : membership_(membership), directory_(directory), outbox_(outbox) {}
+
+  /// Sends records reliably; at least one batch, also when there are none.
+  void send(MemberId to, const TransferHeader& header, const std::vector<FlowRecord>& records,
+            Time now);
+
+  /// Notes one received batch.
+  /// @return true exactly once per transfer, with the batch that makes it whole.
+  bool noteBatch(MemberId from, const RecordsMessage& message, Time now);
+
+  /// Forgets transfers that stopped half-way.
+  void forgetOld(Time now);
+
+ private:
+  struct Incoming {
+    std::set<std::uint64_t> batches;
+    bool whole = false;
+    Time since{};
+  };
+
+  RecordsMessage makeBatch(const TransferHeader& header, const std::vector<FlowRecord>& records,
+                           std::size_t first) const;
+
+  const Membership& membership_;
+  const BackendDirectory& directory_;
+  Outbox& outbox_;
+  std::map<std::pair<MemberId, std::uint64_t>, Incoming> incoming_;
+  std::uint64_t nextTransfer_ = 1;
+};
+
+}  // namespace cobaltgauge::core
--- a/src/core/shard_homes.h
+++ b/src/core/shard_homes.h
@@ -5,6 +5,7 @@
 
 #include <bitset>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "core/backend_directory.h"
@@ -12,12 +13,14 @@
 #include "core/home_selector.h"
 #include "core/membership.h"
 #include "core/outbox.h"
+#include "core/record_transfers.h"
 #include "core/service_placement.h"
 #include "core/shard_state.h"
 
 namespace cobaltgauge::core {
 
 using BucketSet = std::bitset<kBucketCount>;
+using ShardSet = std::bitset<kShardCount>;
 
 /// Placement of every service in force, by service.
 using PlacementMap = std::map<ServiceId, ServicePlacement>;
@@ -35,16 +38,22 @@
   /// homes and opens a window at the shards that this daemon owns.
   void onBucketsMoved(const ServicePlacement& placement, const BucketSet& moved, Time now);
 
-  /// A member that was given up came back (a cut healed, a process woke): flows of its time apart
-  /// may be unknown here, and ours unknown there.
-  void onMemberReturned(const PlacementMap& placements, Time now);
+  /// Members that were given up came back (a cut healed, a process woke): flows of their time
+  /// apart may be unknown here, and ours unknown there.
+  void onMembersReturned(const std::set<MemberId>& returned, const PlacementMap& placements,
+                         Time now);
 
   /// This process was suspended; its replicas know better until they hand the records back.
   void onResume(Time now);
 
+  /// Reports every flow that needs a record to the homes of all shards.
+  void reportAll(const PlacementMap& placements, Time now);
+
   void onMemberGone(MemberId member);
   void onRecords(MemberId from, const RecordsMessage& message, Time now);
-  void onTick(Time now);
+  void onListingRequest(MemberId from, const ListingRequest& request,
+                        const PlacementMap& placements, Time now);
+  void onTick(const PlacementMap& placements, Time now);
   void forgetBackend(BackendId backend);
 
   ShardOwners owners(const ShardKey& key) const;
@@ -70,29 +79,32 @@
   void setRecordIdle(Duration idle) { recordIdle_ = idle; }
 
  private:
-  using RecordList = std::vector<FlowRecord>;
-
   bool owns(const ShardKey& key) const;
+  bool isHome(const ShardKey& key) const;
   void onOwnersChanged(const ShardKey& key, const ShardOwners& before, const ShardOwners& after,
                        const ServicePlacement& placement, Time now);
   void becomeHome(const ShardKey& key, const ShardOwners& before, const ServicePlacement& placement,
                   Time now);
-  bool recordsMayBeLost(const ShardOwners& before, const ShardOwners& after,
-                        const ServicePlacement& placement, Time now) const;
+  /// Sends all records of a shard, as handover or as copy for a new replica.
+  void sendAll(MemberId to, RecordPurpose purpose, const ShardKey& key,
+               const ServicePlacement& placement, Time now);
+  void requestListings(const std::vector<ShardKey>& shards, const PlacementMap& placements,
+                       Time now);
+  std::set<MemberId> membersThatReport() const;
   void openWindow(const ShardKey& key, ConfigurationVersion version, Time closesAt);
-  void reportFlows(const ServicePlacement& placement, const BucketSet& buckets,
-                   const std::bitset<kShardCount>& shards, Time now);
-  void sendRecords(MemberId to, RecordPurpose purpose, const ShardKey& key,
-                   ConfigurationVersion version, const RecordList& records, Time now);
+  void reportFlows(const ServicePlacement& placement, RecordPurpose purpose,
+                   const BucketSet& buckets, const ShardSet& shards, Time now);
+  void onWholeTransfer(MemberId from, const RecordsMessage& message, ShardState& shard, Time now);
   bool isReachablePeer(MemberId member) const;
 
   const Membership& membership_;
   BackendDirectory& directory_;
   const FlowTable& flows_;
   Outbox& outbox_;
+  RecordTransfers transfers_;
   std::map<ShardKey, ShardOwners> owners_;
   std::map<ShardKey, ShardState> states_;
-  std::vector<MemberId> eligible_;
+  std::vector<ShardKey> listingsNeeded_;
   Duration recordIdle_{std::chrono::hours(1)};
   Time nextExpiry_{};
 };
--- a/src/core/shard_state.cc
+++ b/src/core/shard_state.cc
@@ -70,6 +70,22 @@
   return dirty;
 }
 
+void ShardState::awaitHandover(MemberId formerHome, Time until) {
+  authority_ = Authority::kAwaitsHandover;
+  formerHome_ = formerHome;
+  formerHomeGone_ = false;
+  handoverDeadline_ = until;
+}
+
+bool ShardState::handoverFailed(Time now) const {
+  return authority_ == Authority::kAwaitsHandover && (formerHomeGone_ || now >= handoverDeadline_);
+}
+
+void ShardState::awaitListing(std::set<MemberId> members, Time until) {
+  authority_ = Authority::kAwaitsListing;
+  listing_ = {std::move(members), until};
+}
+
 void ShardState::openWindow(ConfigurationVersion version, Time closesAt,
                             std::set<MemberId> awaited) {
   windowVersion_ = version;
@@ -81,24 +97,49 @@
   });
 }
 
-void ShardState::noteReport(MemberId member, ConfigurationVersion version) {
+Duration ShardState::windowRemaining(Time now) const {
+  return windowOpen(now) ? windowClosesAt_ - now : Duration::zero();
+}
+
+void ShardState::hold(const std::set<MemberId>& members, Time until) {
+  held_.members.insert(members.begin(), members.end());
+  held_.until = until;
+}
+
+void ShardState::noteReport(MemberId member, ConfigurationVersion version, bool full) {
   ConfigurationVersion& reported = reported_[member];
   reported = std::max(reported, version);
   if (version >= windowVersion_) {
     awaited_.erase(member);
+    held_.members.erase(member);
+  }
+  if (full) {
+    listing_.members.erase(member);
   }
 }
 
-void ShardState::awaitHandover(MemberId formerHome, Time until) {
-  formerHome_ = formerHome;
-  handoverDeadline_ = until;
+void ShardState::noteGone(MemberId member) {
+  awaited_.erase(member);
+  held_.members.erase(member);
+  listing_.members.erase(member);
+  formerHomeGone_ = formerHomeGone_ || member == formerHome_;
 }
 
 UnknownFlowRule ShardState::unknownFlowRule(Time now) const {
-  if (formerHome_ != kNoMember && now < handoverDeadline_) {
-    return UnknownFlowRule::kAskFormerHome;
+  switch (authority_) {
+    case Authority::kNone:
+      return UnknownFlowRule::kHold;
+    case Authority::kAwaitsHandover:
+      return UnknownFlowRule::kAskFormerHome;
+    case Authority::kAwaitsListing:
+      if (!listing_.isOver(now)) {
+        return UnknownFlowRule::kHold;
+      }
+      break;
+    case Authority::kComplete:
+      break;
   }
-  if (now < holdUntil_) {
+  if (!held_.isOver(now)) {
     return UnknownFlowRule::kHold;
   }
   return windowOpen(now) ? UnknownFlowRule::kAssumeOld : UnknownFlowRule::kIsNew;
--- a/src/core/shard_state.h
+++ b/src/core/shard_state.h
@@ -1,6 +1,6 @@
 /// @file
 /// What an owner (home or replica) knows about one shard: the flows that do not follow the current
-/// placement, and whether it may call an unknown flow new.
+/// placement, and whether that knowledge is complete enough to call an unknown flow new.
 #pragma once
 
 #include <map>
@@ -14,52 +14,74 @@
 
 namespace cobaltgauge::core {
 
+/// How complete an owner's records of a shard are.
+enum class Authority : std::uint8_t {
+  kNone,            ///< Not an owner, or a replica without a copy of the home's records.
+  kAwaitsHandover,  ///< The former home has the records and has not sent all of them.
+  kAwaitsListing,   ///< Records were lost; the members were asked to list what they know.
+  kComplete,        ///< Every flow that needs a record has one.
+};
+
 /// How an owner treats a flow that it has no record of.
 enum class UnknownFlowRule : std::uint8_t {
   kIsNew,          ///< Every old flow is recorded, so this one is new.
-  kAssumeOld,      ///< Listing is under way; the flow may be an old one of the previous back end.
+  kAssumeOld,      ///< Buckets moved just now; the flow may be an old one of the previous back end.
   kHold,           ///< Records may be missing and no safe guess exists; the sender must retry.
   kAskFormerHome,  ///< The former home has the records until its handover arrives.
 };
 
 class ShardState {
  public:
-  std::optional<BackendId> find(FlowFingerprint fingerprint) const;
+  // Records.
 
+  std::optional<BackendId> find(FlowFingerprint fingerprint) const;
   /// Adds a record; a record that exists stays, since the flow already lives there.
   /// @return true where the record is new.
   bool add(const FlowRecord& record, Time now);
-
   /// Marks a recorded flow as seen now.
   void touch(FlowFingerprint fingerprint, Time now);
-
   void forgetBackend(BackendId backend);
   void expire(Time now, Duration idle);
+  /// @return all records, sorted by fingerprint.
   std::vector<FlowRecord> allRecords() const;
   std::size_t recordCount() const { return records_.size(); }
   /// @return number of recorded flows on a back end.
   std::uint32_t flowsOn(BackendId backend) const;
+  /// @return the buckets that hold a record.
   ShardBitmap dirtyBuckets() const;
 
-  /// Begins a listing window: until every awaited member reported or `closesAt`, flows may be old.
-  void openWindow(ConfigurationVersion version, Time closesAt, std::set<MemberId> awaited);
-  /// Notes that a member has sent all old flows it knows, as of a placement version.
-  void noteReport(MemberId member, ConfigurationVersion version);
-  /// A member died or left; it will not report.
-  void noteGone(MemberId member) { awaited_.erase(member); }
-  bool windowOpen(Time now) const { return now < windowClosesAt_ && !awaited_.empty(); }
+  // Authority.
 
-  /// Until `until`, records may be missing that nobody can be asked for by name.
-  void hold(Time until) { holdUntil_ = until; }
-
-  /// Until the former home's handover arrives, or `until`, that daemon knows better.
+  Authority authority() const { return authority_; }
+  void setComplete() { authority_ = Authority::kComplete; }
+  /// The records are not known to be complete any more; nobody was asked yet.
+  void setUnknown() { authority_ = Authority::kNone; }
   void awaitHandover(MemberId formerHome, Time until);
-  void noteHandover() { formerHome_ = kNoMember; }
   MemberId formerHome() const { return formerHome_; }
+  /// @return true where the former home is gone or silent, so that a listing must replace it.
+  bool handoverFailed(Time now) const;
+  /// Waits for full listings of these members, at most until `until`.
+  void awaitListing(std::set<MemberId> members, Time until);
+
+  // Windows.
+
+  /// Buckets moved: until every awaited member reported, or `closesAt`, flows may be old.
+  void openWindow(ConfigurationVersion version, Time closesAt, std::set<MemberId> awaited);
+  bool windowOpen(Time now) const { return now < windowClosesAt_ && !awaited_.empty(); }
+  /// @return time until the window closes at the latest; zero while none is open.
+  Duration windowRemaining(Time now) const;
+  /// These members were out of reach; until they list their flows, or `until`, nothing is certain.
+  void hold(const std::set<MemberId>& members, Time until);
+
+  /// A member has sent all flows it knows that need a record, as of a placement version.
+  /// @param full true where it listed the whole shard, false where only the moved buckets.
+  void noteReport(MemberId member, ConfigurationVersion version, bool full);
+  /// A member died or left; it will not report.
+  void noteGone(MemberId member);
 
   UnknownFlowRule unknownFlowRule(Time now) const;
 
-  /// When the state was last owned; states of former owners are dropped later.
+  /// Until when a former owner goes on deciding.
   Time ownedUntil{};
   /// When this daemon became the shard's home.
   Time homeSince{};
@@ -69,16 +91,26 @@
     BackendId backend = kNoBackend;
     Time lastSeen{};
   };
+  /// Members whose report is awaited, at most until a time.
+  struct Waiting {
+    std::set<MemberId> members;
+    Time until{};
+
+    bool isOver(Time now) const { return members.empty() || now >= until; }
+  };
 
   std::unordered_map<FlowFingerprint, Record> records_;
   std::unordered_map<BackendId, std::uint32_t> flowsPerBackend_;
   std::map<MemberId, ConfigurationVersion> reported_;
+  Authority authority_ = Authority::kNone;
+  MemberId formerHome_ = kNoMember;
+  Time handoverDeadline_{};
+  bool formerHomeGone_ = false;
+  Waiting listing_;
+  Waiting held_;
   std::set<MemberId> awaited_;
   ConfigurationVersion windowVersion_ = 0;
   Time windowClosesAt_{};
-  Time holdUntil_{};
-  MemberId formerHome_ = kNoMember;
-  Time handoverDeadline_{};
 };
 
 }  // namespace cobaltgauge::core
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -152,7 +152,7 @@
     }
   }
   if (reading.machines) {
-    balancer_->offerMemberSeeds(std::move(reading.machines->machines));
+    balancer_->offerMemberSeeds(std::move(reading.machines->machines), now);
   }
   if (reading.failure != loggedFailure_) {
     loggedFailure_ = reading.failure;
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -23,7 +23,7 @@
 using PeerFrame =
     std::variant<core::Ping, core::Ack, core::PingRequest, core::MemberSync,
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
-                 core::RecordsAck, core::RouteHint, ForwardedPacket>;
+                 core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -62,12 +62,14 @@
   return std::tie(m.since, m.digest, m.changed, m.allNames);
 }
 auto fieldsOf(IsMessage<core::RecordsMessage> auto& m) {
-  return std::tie(m.id, m.purpose, m.shard, m.version, m.complete, m.backends, m.records);
+  return std::tie(m.id, m.transfer, m.batchCount, m.purpose, m.shard, m.version, m.authoritative,
+                  m.windowMs, m.backends, m.records);
 }
 auto fieldsOf(IsMessage<core::RecordsAck> auto& m) { return std::tie(m.id); }
 auto fieldsOf(IsMessage<core::RouteHint> auto& m) {
   return std::tie(m.fingerprint, m.backend, m.shard, m.version, m.shardIsFinal, m.dirty);
 }
+auto fieldsOf(IsMessage<core::ListingRequest> auto& m) { return std::tie(m.shards); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.protocolType, m.packet);
 }
--- a/src/sim/main.cc
+++ b/src/sim/main.cc
@@ -38,6 +38,7 @@
     scenario.seed = seed;
     scenario.variant = variant;
     scenario.services[0].sessionLifetime = std::chrono::seconds(15);
+    if (const char* t = getenv("TRACE")) scenario.traceSession = t;
     scenario.faults = generateFaults(scenario, seed);
     const RunResult result = World(scenario).run();
     broken += result.report.brokenSessions;
@@ -56,6 +57,7 @@
       }
     }
     if (first == last) {
+      for (const auto& line : result.trace) std::cerr << line << "\n";
       std::cout << formatReport(result.report);
       for (const auto& [k, v] : result.drops) std::cout << k << " " << v << "\n";
       std::cout << "events " << result.events << " ctl B/s " << result.controlBytesPerSecond
--- a/src/sim/packet_router.cc
+++ b/src/sim/packet_router.cc
@@ -29,8 +29,8 @@
   core::OfferResult offerConfiguration(core::ConfigurationDocument document, Time now) override {
     return balancer_.offerConfiguration(std::move(document), now);
   }
-  void offerMemberSeeds(std::vector<core::MemberIdentity> seeds) override {
-    balancer_.offerMemberSeeds(std::move(seeds));
+  void offerMemberSeeds(std::vector<core::MemberIdentity> seeds, Time now) override {
+    balancer_.offerMemberSeeds(std::move(seeds), now);
   }
   bool shouldReadPlatform(Time now) const override { return balancer_.shouldReadPlatform(now); }
   std::vector<core::OutgoingMessage> takeMessages() override { return balancer_.takeMessages(); }
@@ -88,7 +88,7 @@
     }
     return result;
   }
-  void offerMemberSeeds(std::vector<core::MemberIdentity>) override {}
+  void offerMemberSeeds(std::vector<core::MemberIdentity>, Time) override {}
   bool shouldReadPlatform(Time) const override { return true; }
   std::vector<core::OutgoingMessage> takeMessages() override { return {}; }
   core::ConfigurationVersion versionInForce() const override { return agent_.digest().version; }
--- a/src/sim/packet_router.h
+++ b/src/sim/packet_router.h
@@ -31,7 +31,7 @@
   virtual void onTick(core::Time now) = 0;
   virtual core::OfferResult offerConfiguration(core::ConfigurationDocument document,
                                                core::Time now) = 0;
-  virtual void offerMemberSeeds(std::vector<core::MemberIdentity> seeds) = 0;
+  virtual void offerMemberSeeds(std::vector<core::MemberIdentity> seeds, core::Time now) = 0;
   virtual bool shouldReadPlatform(core::Time now) const = 0;
   virtual std::vector<core::OutgoingMessage> takeMessages() = 0;
   virtual core::ConfigurationVersion versionInForce() const = 0;
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -84,7 +84,8 @@
   core::Duration platformLag{0};
   core::Duration platformPoll = std::chrono::milliseconds(500);
   core::Duration fabricLag = std::chrono::milliseconds(500);  ///< Until it notices a dead daemon.
-  core::Duration linger = std::chrono::milliseconds(1500);    ///< Of a planned stop.
+  std::string traceSession;  ///< Every decision about this session's packets is explained.
+  core::Duration linger = std::chrono::milliseconds(1500);  ///< Of a planned stop.
 };
 
 /// Cascadia Quote Desk: three halls in one region, rate-watch and packets.
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -184,6 +184,7 @@
   result.controlBytesPerSecond = static_cast<double>(bytes) / daemonSeconds;
   result.controlMessagesPerSecond = static_cast<double>(messages) / daemonSeconds;
   result.drops = drops_;
+  result.trace = std::move(trace_);
   result.events = queue_.executed();
   result.packetsToPeers = packetsToPeers_;
   result.packetsToBackends = packetsToBackends_;
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -33,6 +33,7 @@
   double controlMessagesPerSecond = 0;  ///< Sent, mean per daemon.
   double flowStateBytes = 0;            ///< Mean per daemon at the end.
   std::map<std::string, std::uint64_t> drops;
+  std::vector<std::string> trace;  ///< One line per decision about the traced session.
   std::uint64_t events = 0;
   std::uint64_t packetsToPeers = 0;
   std::uint64_t packetsToBackends = 0;
@@ -70,6 +71,12 @@
   bool isCut(const std::string& a, const std::string& b) const;
   core::Duration delayBetween(const std::string& a, const std::string& b) const;
 
+  // Explanations (world_trace.cc).
+  void trace(const SimulatedDaemon& daemon, const core::Verdict& verdict,
+             const WorkRequest& request);
+  std::string describe(const core::Verdict& verdict) const;
+  std::string backendName(const core::Balancer& balancer, core::BackendId id) const;
+
   // Faults and operators (world_faults.cc).
   void applyFault(const FaultSpec& fault);
   void applyDaemonFault(const FaultSpec& fault);
@@ -100,6 +107,7 @@
   std::set<std::string> cutZones_;
   std::vector<Event> history_;
   std::map<std::string, std::uint64_t> drops_;
+  std::vector<std::string> trace_;
   std::uint64_t packetsToPeers_ = 0;
   std::uint64_t packetsToBackends_ = 0;
   std::uint32_t nextDaemonNumber_ = 1;
--- a/src/sim/world_traffic.cc
+++ b/src/sim/world_traffic.cc
@@ -68,6 +68,9 @@
 
 void World::carryOut(const DaemonPtr& daemon, const core::Verdict& verdict,
                      const WorkRequest& request, core::MemberId ingress) {
+  if (request.session == scenario_.traceSession) {
+    trace(*daemon, verdict, request);
+  }
   if (const auto* forward = std::get_if<core::ForwardToBackend>(&verdict)) {
     ++packetsToBackends_;
     const auto target = backendsByEndpoint_.find(forward->backend.endpoint);
@@ -149,7 +152,7 @@
         machines.push_back(other->identity());
       }
     }
-    daemon->router().offerMemberSeeds(std::move(machines));
+    daemon->router().offerMemberSeeds(std::move(machines), now);
   }
 }
 
