Keep flows whole across skipped versions and healed cuts

Cause, from traces: (1) a daemon that missed a version could not see that a bucket had moved there and back, and called it settled; (2) a home that joined with a newer version than its predecessor opened no window; (3) after a cut, the first packets of the other side's flows came before that side's members were seen again, and a member of the older side still decided by its old version; (4) a member's death was believed on hearsay right after it had been heard. Ruled out: lost datagrams (same result with loss 0), flow table evictions (0). Change: a skipped version counts as a move of all buckets; records carry the version they are complete at; while a whole zone is lost, moved buckets keep giving unknown flows to the back end that the zone knows, and two watchers per zone look for it ten times a second; the first contact closes the fence until that side confirms the view. Probes every 300 ms, suspicion 1.2 s.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -107,18 +107,18 @@
 
 
 def platform_down(fleet):
-    fault(fleet, "platform goes down")
+    fault(fleet, "platform_down")
     fleet.processes["platform"].terminate()
     fleet.wait("platform", 10)
 
 
 def platform_stale(fleet):
-    fault(fleet, "platform comes back stale, with version 1")
+    fault(fleet, "platform_stale: it serves version 1 again")
     fleet.start_platform("configuration-1.json")
 
 
 def platform_fresh(fleet):
-    fault(fleet, "platform serves the present configuration again")
+    fault(fleet, "platform_up: it serves the present configuration")
     fleet.processes["platform"].terminate()
     fleet.wait("platform", 10)
     fleet.start_platform()
--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -67,7 +67,7 @@
   } else if (const auto* transfer = std::get_if<ConfigurationTransfer>(&message)) {
     onTransfer(from, *transfer, now);
   } else if (const auto* records = std::get_if<RecordsMessage>(&message)) {
-    homes_.onRecords(from, *records, now);
+    homes_.onRecords(from, *records, placements_, now);
   } else if (const auto* listing = std::get_if<ListingRequest>(&message)) {
     homes_.onListingRequest(from, *listing, placements_, now);
   } else if (const auto* recordsAck = std::get_if<RecordsAck>(&message)) {
@@ -83,7 +83,7 @@
   compareDigest(from, ack.configuration);
   const bool upToDate = ack.configuration.version <= agent_.digest().version;
   if (ack.subject == from && upToDate) {
-    fence_.onConfirmation(ack.sequence);
+    fence_.onConfirmation(from, ack.sequence);
   }
 }
 
@@ -169,7 +169,8 @@
     const bool fresh =
         known == placements_.end() || membership_.selfState() == MemberState::kJoining;
     ServicePlacement placement = fresh ? ServicePlacement(service.id) : std::move(known->second);
-    moves[service.id] = placement.apply(service, configuration.digest.version, now);
+    const bool skipped = configuration.digest.version > versionInForce_ + 1;
+    moves[service.id] = placement.apply(service, configuration.digest.version, now, skipped);
     next.emplace(service.id, std::move(placement));
   }
   const bool sameServices =
@@ -216,6 +217,30 @@
     }
     homes_.onMembersReturned(returned, placements_, now);
   }
+  settleSeparation(returned, now);
+}
+
+void Balancer::settleSeparation(const std::set<MemberId>& returned, Time now) {
+  const bool separated = membership_.members().hasLostZone(options_.self.zone);
+  if (separated && !separated_) {
+    for (auto& [service, placement] : placements_) {
+      placement.beginSeparation();
+    }
+  }
+  if (separated_ && !separated) {
+    for (auto& [service, placement] : placements_) {
+      placement.endSeparation();
+    }
+  }
+  if (separated_ && !returned.empty()) {
+    // The other side may have a newer configuration: nothing is forwarded until one of its members
+    // has confirmed this view.
+    fence_.closeUntilConfirmedBy(returned, now, membership_.nextSequence());
+    for (const MemberId member : returned) {
+      membership_.probe(member);
+    }
+  }
+  separated_ = separated;
 }
 
 void Balancer::joinWhenReady(Time now) {
@@ -252,9 +277,8 @@
   fence_.onTick(now);
   if (fence_.isClosed()) {
     // Without a list of peers, silence proves nothing.
-    if (seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait) {
-      fence_.openIfAlone(now, heardFromPeer_);
-    }
+    const bool knewPeers = seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait;
+    fence_.openIfAlone(now, heardFromPeer_ || !knewPeers);
     if (now >= nextFencePing_) {
       nextFencePing_ = now + kFencePingInterval;
       membership_.probeRandomPeers(kFenceFanout);
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -149,6 +149,7 @@
   void requestConfiguration(MemberId from, ConfigurationVersion have);
   void onMemberChange(const MemberChange& change, Time now);
   void settleMembership(Time now);
+  void settleSeparation(const std::set<MemberId>& returned, Time now);
   void afterOffer(OfferResult result);
   void applyPending(Time now);
   void applyPlacements(const Configuration& configuration, Time now);
@@ -189,6 +190,7 @@
   bool membershipChanged_ = false;
   std::set<MemberId> returnedMembers_;
   bool reportAfterFence_ = false;
+  bool separated_ = false;  ///< A whole zone cannot be reached.
   Time seedsSince_{};
   bool leaving_ = false;
 };
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -118,6 +118,9 @@
     case UnknownFlowRule::kHold:
       return Drop{DropReason::kHomeSyncing};
     case UnknownFlowRule::kAssumeOld:
+      if (context.placement.skippedVersions()) {
+        return Drop{DropReason::kHomeSyncing};
+      }
       if (previous != kNoBackend && directory_.find(previous) != nullptr &&
           context.packet.kind != PacketKind::kOpening) {
         homes_.record(context.shard, context.placement.version(), {{context.fingerprint, previous}},
@@ -126,6 +129,14 @@
       }
       break;
     case UnknownFlowRule::kIsNew:
+      if (const BackendId separated = context.placement.separated(context.bucket);
+          separated != kNoBackend && !directory_.isLeaving(separated) &&
+          context.packet.kind != PacketKind::kOpening) {
+        // The flow may be one of a zone that cannot be reached. A new flow does no harm there.
+        homes_.record(context.shard, context.placement.version(),
+                      {{context.fingerprint, separated}}, context.now);
+        return forward(context, separated, RouteReason::kHomeOldFlow);
+      }
       break;
   }
   return startFlow(context, RouteReason::kHomeNewFlow);
@@ -203,6 +214,12 @@
   hint.shardIsFinal = homes_.owners(context.shard).home == options_.self.id &&
                       shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew;
   hint.dirty = shard.dirtyBuckets();
+  for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
+    const std::size_t bucket = context.shard.shard * kBucketsPerShard + index;
+    if (context.placement.separated(bucket) != kNoBackend) {
+      hint.dirty[index / 64] |= std::uint64_t{1} << (index % 64);
+    }
+  }
   outbox_.send(ingress->identity.id, ingress->identity.control, hint);
   ++counters_.hintsSent;
 }
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -32,11 +32,13 @@
 
 /// How long a fenced daemon waits for a peer before it serves alone.
 inline constexpr Duration kFenceAloneWait = 3000ms;
+/// How long a daemon waits for the other side of a healed cut to confirm its view.
+inline constexpr Duration kHealConfirmationWait = 500ms;
 
 /// Membership protocol period, probe timeouts and suspicion time (SWIM, Das et al. 2002).
-inline constexpr Duration kProbeInterval = 500ms;
-inline constexpr Duration kDirectProbeTimeout = 150ms;
-inline constexpr Duration kSuspicionTimeout = 1500ms;
+inline constexpr Duration kProbeInterval = 300ms;
+inline constexpr Duration kDirectProbeTimeout = 100ms;
+inline constexpr Duration kSuspicionTimeout = 1200ms;
 inline constexpr Duration kMemberSyncInterval = 20s;
 /// Dead and left members are remembered this long, so that stale gossip cannot revive them.
 inline constexpr Duration kDeadMemberMemory = 600s;
@@ -52,7 +54,7 @@
 /// How long a new home relays to the previous home while it waits for its records.
 inline constexpr Duration kHandoverWait = 2000ms;
 /// How long a home that lost its records waits for the members' listings.
-inline constexpr Duration kListingWait = 1000ms;
+inline constexpr Duration kListingWait = 1500ms;
 
 /// A home calls a refusal "not run" only when it has owned the shard for longer than a caller
 /// retransmits: MAX_TRANSMIT_SPAN of RFC 7252, section 4.8.2.
--- a/src/core/fence.cc
+++ b/src/core/fence.cc
@@ -12,15 +12,29 @@
   closedSince_ = now;
   lastTick_ = now;
   firstSequence_ = firstSequence;
+  confirmers_.clear();
 }
 
-void Fence::onConfirmation(std::uint64_t sequence) {
-  if (sequence >= firstSequence_) {
+void Fence::closeUntilConfirmedBy(const std::set<MemberId>& confirmers, Time now,
+                                  std::uint64_t firstSequence) {
+  if (closed_ && confirmers_.empty()) {
+    return;  // Closed for a stronger reason.
+  }
+  close(now, firstSequence);
+  confirmers_ = confirmers;
+}
+
+void Fence::onConfirmation(MemberId from, std::uint64_t sequence) {
+  const bool mayConfirm = confirmers_.empty() || confirmers_.contains(from);
+  if (mayConfirm && sequence >= firstSequence_) {
     closed_ = false;
   }
 }
 
 void Fence::openIfAlone(Time now, bool heardFromPeer) {
+  if (closed_ && !confirmers_.empty() && now - closedSince_ >= kHealConfirmationWait) {
+    closed_ = false;
+  }
   if (closed_ && !heardFromPeer && now - closedSince_ >= kFenceAloneWait) {
     closed_ = false;
   }
--- a/src/core/fence.h
+++ b/src/core/fence.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 
 #include "core/types.h"
 
@@ -25,8 +26,12 @@
   /// that waited in a socket buffer prove nothing.
   void close(Time now, std::uint64_t firstSequence);
 
+  /// Closes the fence for a short time after a cut healed: only these members can confirm the view.
+  void closeUntilConfirmedBy(const std::set<MemberId>& confirmers, Time now,
+                             std::uint64_t firstSequence);
+
   /// A peer answered a probe, and this daemon is not behind the peer's configuration.
-  void onConfirmation(std::uint64_t sequence);
+  void onConfirmation(MemberId from, std::uint64_t sequence);
 
   /// Opens the fence after the bounded wait, counted from close().
   void openIfAlone(Time now, bool heardFromPeer);
@@ -35,6 +40,7 @@
   Time closedSince() const { return closedSince_; }
 
  private:
+  std::set<MemberId> confirmers_;  ///< Empty: any member may confirm.
   bool closed_ = true;
   bool started_ = false;
   Time closedSince_{};
--- a/src/core/member_list.cc
+++ b/src/core/member_list.cc
@@ -1,5 +1,6 @@
 #include "core/member_list.h"
 
+#include <algorithm>
 #include <tuple>
 
 #include "core/constants.h"
@@ -66,6 +67,19 @@
   return result;
 }
 
+bool MemberList::hasLostZone(const std::string& ownZone) const {
+  std::map<std::string, bool> zoneLives;
+  for (const auto& [id, member] : members_) {
+    if (member.identity.zone == ownZone || member.state == MemberState::kLeft) {
+      continue;
+    }
+    bool& lives = zoneLives[member.identity.zone];
+    lives = lives || isReachable(member.state);
+  }
+  return std::any_of(zoneLives.begin(), zoneLives.end(),
+                     [](const auto& zone) { return !zone.second; });
+}
+
 void MemberList::shiftStateTimes(Time now) {
   for (auto& [id, member] : members_) {
     member.stateSince = now;
--- a/src/core/member_list.h
+++ b/src/core/member_list.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/messages.h"
@@ -49,6 +50,10 @@
   /// @return ids of members that can be reached, this daemon excluded.
   std::vector<MemberId> reachable() const;
 
+  /// @return true where every member of some other zone is dead: a cut is more likely than so many
+  /// failures at once.
+  bool hasLostZone(const std::string& ownZone) const;
+
   /// Moves the time of every state change forward, after this process was suspended.
   void shiftStateTimes(Time now);
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "core/constants.h"
+#include "core/hashing.h"
+#include "core/home_selector.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -12,6 +14,12 @@
 constexpr std::uint64_t kRemoteProbeEvery = 4;
 /// How often one member that should exist but cannot be seen is contacted.
 constexpr Duration kContactInterval = 1000ms;
+/// The same while a whole zone is lost: the end of a cut must be noticed before its flows arrive.
+constexpr Duration kLostZoneContactInterval = 100ms;
+/// Daemons per zone that watch for the end of a cut.
+constexpr std::size_t kWatchersPerZone = 2;
+/// A member that was heard itself this recently is not believed to be dead on hearsay.
+constexpr Duration kRecentContact = 1000ms;
 
 void shuffle(std::vector<MemberId>& ids, Random& random) {
   for (std::size_t i = ids.size(); i > 1; --i) {
@@ -68,9 +76,24 @@
   return true;
 }
 
+bool Membership::contradictsRecentContact(const MemberUpdate& update, Time now) {
+  const auto contact = lastContact_.find(update.identity.id);
+  const bool recent = contact != lastContact_.end() && now - contact->second < kRecentContact;
+  if (update.state != MemberState::kDead || !recent) {
+    return false;
+  }
+  const Member* member = list_.find(update.identity.id);
+  if (member != nullptr && isReachable(member->state)) {
+    // Tells the member what is said of it, so that it refutes it.
+    outbox_.send(update.identity.id, member->identity.control,
+                 Ping{nextSequence_++, digest(), {selfUpdate(), update}});
+  }
+  return true;
+}
+
 void Membership::acceptAll(const std::vector<MemberUpdate>& updates, Time now) {
   for (const MemberUpdate& update : updates) {
-    if (!refuteIfAboutSelf(update, now)) {
+    if (!refuteIfAboutSelf(update, now) && !contradictsRecentContact(update, now)) {
       accept(update, now);
     }
   }
@@ -108,6 +131,13 @@
   return sequence;
 }
 
+void Membership::probe(MemberId member) {
+  const Member* target = list_.find(member);
+  if (target != nullptr) {
+    sendPing(*target);
+  }
+}
+
 void Membership::probeRandomPeers(std::size_t count) {
   std::vector<MemberId> peers = list_.reachable();
   std::erase(peers, self_.id);
@@ -140,6 +170,8 @@
   contactMissing(now);
   std::erase_if(relays_, [now](const Relay& relay) { return now - relay.sentAt > kProbeInterval; });
   list_.forgetOld(now);
+  std::erase_if(lastContact_,
+                [now](const auto& item) { return now - item.second > kRecentContact; });
 }
 
 void Membership::finishProbe(Time now) {
@@ -216,13 +248,20 @@
   if (now < nextContact_) {
     return;
   }
-  nextContact_ = now + kContactInterval;
-  std::vector<MemberIdentity> missing;
+  const bool watches =
+      list_.hasLostZone(self_.zone) &&
+      isAmongHighest(hashName("zone-watcher"), self_.id, peersInScope(true), kWatchersPerZone);
+  nextContact_ = now + (watches ? kLostZoneContactInterval : kContactInterval);
+  std::vector<MemberId> dead;
   for (const auto& [id, member] : list_.all()) {
     if (member.state == MemberState::kDead) {
-      missing.push_back(member.identity);
+      dead.push_back(id);
     }
   }
+  if (!dead.empty()) {
+    probe(dead[random_.below(dead.size())]);
+  }
+  std::vector<MemberIdentity> missing;
   for (const MemberIdentity& seed : seeds_) {
     if (list_.find(seed.id) == nullptr) {
       missing.push_back(seed);
@@ -243,6 +282,7 @@
 }
 
 void Membership::onPing(MemberId from, const Ping& ping, Time now) {
+  lastContact_[from] = now;
   acceptAll(ping.updates, now);
   const Member* sender = list_.find(from);
   if (sender != nullptr) {
@@ -252,6 +292,7 @@
 }
 
 void Membership::onAck(MemberId from, const Ack& ack, Time now) {
+  lastContact_[from] = now;
   acceptAll(ack.updates, now);
   if (probe_ && probe_->sequence == ack.sequence && probe_->target == ack.subject) {
     probe_.reset();
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -46,6 +47,9 @@
   /// Call after this process was suspended: timers that ran out meanwhile mean nothing.
   void onResume(Time now);
 
+  /// Sends a Ping to one member at once.
+  void probe(MemberId member);
+
   /// Sends a Ping to up to `count` random reachable peers at once.
   void probeRandomPeers(std::size_t count);
 
@@ -73,6 +77,7 @@
 
   void accept(const MemberUpdate& update, Time now);
   void acceptAll(const std::vector<MemberUpdate>& updates, Time now);
+  bool contradictsRecentContact(const MemberUpdate& update, Time now);
   bool refuteIfAboutSelf(const MemberUpdate& update, Time now);
   void finishProbe(Time now);
   void startProbe(Time now);
@@ -97,6 +102,7 @@
   std::vector<MemberIdentity> seeds_;
   std::optional<Probe> probe_;
   std::vector<Relay> relays_;
+  std::map<MemberId, Time> lastContact_;  ///< When a member was last heard itself.
   std::vector<MemberId> zoneRound_;
   std::vector<MemberId> remoteRound_;
   std::uint64_t probeCount_ = 0;
--- a/src/core/service_placement.cc
+++ b/src/core/service_placement.cc
@@ -21,7 +21,8 @@
     : service_(service), current_(kBucketCount, kNoBackend), previous_(kBucketCount, kNoBackend) {}
 
 std::bitset<kBucketCount> ServicePlacement::apply(const Service& service,
-                                                  ConfigurationVersion version, Time now) {
+                                                  ConfigurationVersion version, Time now,
+                                                  bool skipped) {
   std::bitset<kBucketCount> moved;
   std::vector<BackendId> next = buildMaglevTable(eligibleBackends(service));
   const bool first = version_ == 0;
@@ -42,7 +43,16 @@
     moved.set();
     settled_.reset();
   }
+  skipped_ = skipped && !first;
+  if (skipped_) {
+    moved.set();
+    settled_.reset();
+  }
+  if (first) {
+    movedVersion_ = version;
+  }
   if (moved.any()) {
+    movedVersion_ = version;
     movedAt_ = now;
     lastMoved_ = moved;
     everMoved_ = true;
@@ -60,6 +70,26 @@
   }
 }
 
+void ServicePlacement::beginSeparation() {
+  if (separatedTable_.empty()) {
+    separatedTable_ = current_;
+  }
+}
+
+void ServicePlacement::endSeparation() {
+  for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
+    if (separated(bucket) != kNoBackend) {
+      settled_.reset(bucket);
+    }
+  }
+  separatedTable_.clear();
+}
+
+BackendId ServicePlacement::separated(std::size_t bucket) const {
+  const bool differs = !separatedTable_.empty() && separatedTable_[bucket] != current_[bucket];
+  return differs ? separatedTable_[bucket] : kNoBackend;
+}
+
 void ServicePlacement::unsettleMoved() {
   for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
     if (previous_[bucket] != kNoBackend) {
--- a/src/core/service_placement.h
+++ b/src/core/service_placement.h
@@ -26,8 +26,11 @@
 
   /// Takes the back ends of a new configuration version. Buckets whose back end changes become
   /// unsettled and remember the earlier back end.
+  /// @param skipped true where this daemon never applied the version before this one: a bucket
+  ///   may have moved there and back, so every bucket counts as moved.
   /// @return the buckets that moved, as a set.
-  std::bitset<kBucketCount> apply(const Service& service, ConfigurationVersion version, Time now);
+  std::bitset<kBucketCount> apply(const Service& service, ConfigurationVersion version, Time now,
+                                  bool skipped = false);
 
   ServiceId service() const { return service_; }
   ConfigurationVersion version() const { return version_; }
@@ -44,9 +47,22 @@
   bool needsRecord(std::size_t bucket, BackendId backend) const {
     return tracked_ || current_[bucket] != backend;
   }
+  /// @return true where the last move hides versions whose back ends are not known here.
+  bool skippedVersions() const { return skipped_; }
+
+  /// Other zones became unreachable: remembers the present table, which their flows follow.
+  void beginSeparation();
+  /// The other zones are back and have listed their flows.
+  void endSeparation();
+  /// @return the back end of the bucket's flows in unreachable zones, kNoBackend where it is the
+  /// current one or no zone is unreachable.
+  BackendId separated(std::size_t bucket) const;
+
   /// When buckets last moved, and whether they ever did.
   Time movedAt() const { return movedAt_; }
   bool everMoved() const { return everMoved_; }
+  /// Version at which buckets last moved; the first version that this daemon held if none did.
+  ConfigurationVersion movedVersion() const { return movedVersion_; }
   std::size_t settledCount() const { return settled_.count(); }
 
   /// Declares every bucket settled; for the first daemons of a fleet, which have no past.
@@ -66,9 +82,12 @@
   std::vector<BackendId> previous_;
   std::bitset<kBucketCount> settled_;
   std::bitset<kBucketCount> lastMoved_;
+  std::vector<BackendId> separatedTable_;
+  bool skipped_ = false;
   bool tracked_ = false;
   bool everMoved_ = false;
   Time movedAt_{};
+  ConfigurationVersion movedVersion_ = 0;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/shard_homes.cc
+++ b/src/core/shard_homes.cc
@@ -107,10 +107,10 @@
   shard.homeSince = now;
   const bool recent = placement.everMoved() && now - placement.movedAt() < kRecentReport;
   if (before.home == kNoMember) {
-    shard.setComplete();
+    shard.setComplete(placement.version());
   } else if (isReachablePeer(before.home)) {
     shard.awaitHandover(before.home, now + kHandoverWait);
-  } else if (shard.authority() != Authority::kComplete || recent) {
+  } else if (!shard.isCompleteAt(placement.movedVersion()) || recent) {
     listingsNeeded_.push_back(key);
   }
   const Time closesAt = placement.movedAt() + kListingWindow;
--- a/src/core/shard_homes.h
+++ b/src/core/shard_homes.h
@@ -50,7 +50,8 @@
   void reportAll(const PlacementMap& placements, Time now);
 
   void onMemberGone(MemberId member);
-  void onRecords(MemberId from, const RecordsMessage& message, Time now);
+  void onRecords(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
+                 Time now);
   void onListingRequest(MemberId from, const ListingRequest& request,
                         const PlacementMap& placements, Time now);
   void onTick(const PlacementMap& placements, Time now);
@@ -94,7 +95,10 @@
   void openWindow(const ShardKey& key, ConfigurationVersion version, Time closesAt);
   void reportFlows(const ServicePlacement& placement, RecordPurpose purpose,
                    const BucketSet& buckets, const ShardSet& shards, Time now);
-  void onWholeTransfer(MemberId from, const RecordsMessage& message, ShardState& shard, Time now);
+  void onWholeTransfer(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
+                       Time now);
+  void onHandover(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
+                  Time now);
   bool isReachablePeer(MemberId member) const;
 
   const Membership& membership_;
--- a/src/core/shard_records.cc
+++ b/src/core/shard_records.cc
@@ -55,11 +55,11 @@
   }
   const std::set<MemberId> members = membersThatReport();
   for (const ShardKey& key : shards) {
-    states_[key].awaitListing(members, now + kListingWait);
+    const auto placement = placements.find(key.service);
     ShardSet own;
     own.set(key.shard);
-    const auto placement = placements.find(key.service);
     if (placement != placements.end()) {
+      states_[key].awaitListing(members, placement->second.movedVersion(), now + kListingWait);
       reportFlows(placement->second, RecordPurpose::kFullListing, BucketSet{}.set(), own, now);
     }
   }
@@ -102,7 +102,8 @@
   }
 }
 
-void ShardHomes::onRecords(MemberId from, const RecordsMessage& message, Time now) {
+void ShardHomes::onRecords(MemberId from, const RecordsMessage& message,
+                           const PlacementMap& placements, Time now) {
   const Member* sender = membership_.members().find(from);
   if (sender == nullptr || message.shard.shard >= kShardCount) {
     return;
@@ -131,12 +132,13 @@
     }
   }
   if (transfers_.noteBatch(from, message, now)) {
-    onWholeTransfer(from, message, shard, now);
+    onWholeTransfer(from, message, placements, now);
   }
 }
 
-void ShardHomes::onWholeTransfer(MemberId from, const RecordsMessage& message, ShardState& shard,
-                                 Time now) {
+void ShardHomes::onWholeTransfer(MemberId from, const RecordsMessage& message,
+                                 const PlacementMap& placements, Time now) {
+  ShardState& shard = states_[message.shard];
   switch (message.purpose) {
     case RecordPurpose::kListing:
     case RecordPurpose::kFullListing:
@@ -144,27 +146,37 @@
       break;
     case RecordPurpose::kReplicaCopy:
       if (message.authoritative && !isHome(message.shard)) {
-        shard.setComplete();
+        shard.setComplete(message.version);
       }
       break;
     case RecordPurpose::kHandover:
-      if (shard.authority() != Authority::kAwaitsHandover) {
-        break;
-      }
-      if (!message.authoritative) {
-        listingsNeeded_.push_back(message.shard);
-        break;
-      }
-      shard.setComplete();
-      if (message.windowMs > 0 && !shard.windowOpen(now)) {
-        shard.hold({from}, now + std::chrono::milliseconds(message.windowMs));
-      }
+      onHandover(from, message, placements, now);
       break;
     case RecordPurpose::kReplica:
       break;
   }
 }
 
+void ShardHomes::onHandover(MemberId from, const RecordsMessage& message,
+                            const PlacementMap& placements, Time now) {
+  ShardState& shard = states_[message.shard];
+  if (shard.authority() != Authority::kAwaitsHandover) {
+    return;
+  }
+  const auto placement = placements.find(message.shard.service);
+  // A former home that is behind could not know the flows of buckets that are yet to move.
+  const bool senderIsBehind =
+      placement != placements.end() && message.version < placement->second.movedVersion();
+  if (!message.authoritative || senderIsBehind) {
+    listingsNeeded_.push_back(message.shard);
+    return;
+  }
+  shard.setComplete(message.version);
+  if (message.windowMs > 0 && !shard.windowOpen(now)) {
+    shard.hold({from}, now + std::chrono::milliseconds(message.windowMs));
+  }
+}
+
 std::optional<BackendId> ShardHomes::findRecord(const ShardKey& key,
                                                 FlowFingerprint fingerprint) const {
   const auto it = states_.find(key);
--- a/src/core/shard_state.cc
+++ b/src/core/shard_state.cc
@@ -81,14 +81,24 @@
   return authority_ == Authority::kAwaitsHandover && (formerHomeGone_ || now >= handoverDeadline_);
 }
 
-void ShardState::awaitListing(std::set<MemberId> members, Time until) {
+void ShardState::setComplete(ConfigurationVersion version) {
+  authority_ = Authority::kComplete;
+  recordsVersion_ = version;
+}
+
+void ShardState::awaitListing(std::set<MemberId> members, ConfigurationVersion version,
+                              Time until) {
   authority_ = Authority::kAwaitsListing;
   listing_ = {std::move(members), until};
+  listingVersion_ = version;
+  recordsVersion_ = version;
+  fullyListed_.clear();
 }
 
 void ShardState::openWindow(ConfigurationVersion version, Time closesAt,
                             std::set<MemberId> awaited) {
   windowVersion_ = version;
+  recordsVersion_ = std::max(recordsVersion_, version);
   windowClosesAt_ = closesAt;
   awaited_ = std::move(awaited);
   std::erase_if(awaited_, [this](MemberId member) {
@@ -114,6 +124,10 @@
     held_.members.erase(member);
   }
   if (full) {
+    fullyListed_.insert(member);
+  }
+  // A member that listed by an older placement lists the rest when it applies the present one.
+  if (version >= listingVersion_ && fullyListed_.contains(member)) {
     listing_.members.erase(member);
   }
 }
--- a/src/core/shard_state.h
+++ b/src/core/shard_state.h
@@ -53,15 +53,20 @@
   // Authority.
 
   Authority authority() const { return authority_; }
-  void setComplete() { authority_ = Authority::kComplete; }
+  /// @param version placement version as of which the records are complete.
+  void setComplete(ConfigurationVersion version);
+  /// @return true where the records are complete as of at least this version.
+  bool isCompleteAt(ConfigurationVersion version) const {
+    return authority_ == Authority::kComplete && recordsVersion_ >= version;
+  }
   /// The records are not known to be complete any more; nobody was asked yet.
   void setUnknown() { authority_ = Authority::kNone; }
   void awaitHandover(MemberId formerHome, Time until);
   MemberId formerHome() const { return formerHome_; }
   /// @return true where the former home is gone or silent, so that a listing must replace it.
   bool handoverFailed(Time now) const;
-  /// Waits for full listings of these members, at most until `until`.
-  void awaitListing(std::set<MemberId> members, Time until);
+  /// Waits for full listings of these members as of `version`, at most until `until`.
+  void awaitListing(std::set<MemberId> members, ConfigurationVersion version, Time until);
 
   // Windows.
 
@@ -103,10 +108,13 @@
   std::unordered_map<BackendId, std::uint32_t> flowsPerBackend_;
   std::map<MemberId, ConfigurationVersion> reported_;
   Authority authority_ = Authority::kNone;
+  ConfigurationVersion recordsVersion_ = 0;
   MemberId formerHome_ = kNoMember;
   Time handoverDeadline_{};
   bool formerHomeGone_ = false;
   Waiting listing_;
+  ConfigurationVersion listingVersion_ = 0;
+  std::set<MemberId> fullyListed_;
   Waiting held_;
   std::set<MemberId> awaited_;
   ConfigurationVersion windowVersion_ = 0;
