Ask for listings by name and let joiners learn the whole fleet first

Cause, from traces: (1) members answered a home's request for a listing to the home of their own view, which was the dead one; (2) two joiners that knew only each other took the fleet for empty and called every bucket settled; (3) a home that woke late opened a listing window that the fleet had closed long ago. Ruled out: loss of the requests (repeating them alone changed nothing). Change: a listing goes to the asker and is asked for again until it comes; a joiner needs the member list of an established member, or three silent seconds, before its fence opens; a handover says whether the window is still open. Tried and taken back: assuming for 30 s that flows of moved buckets may be ones that only a dead daemon knew.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -151,7 +151,7 @@
     print("starting 5 daemons in 3 zones, 15 + 4 back ends", flush=True)
     fleet = build_fleet(root, directory)
     try:
-        time.sleep(2.5)
+        time.sleep(5)
         print(f"starting {WATCH_SESSIONS} + {PACKET_SESSIONS} standing sessions", flush=True)
         fleet.start_caller("desk", "rate-watch", "10.81.0", WATCH_SESSIONS, CALLER_SECONDS, 11)
         fleet.start_caller("agency", "packet", "10.82.0", PACKET_SESSIONS, CALLER_SECONDS, 12)
--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -40,8 +40,7 @@
       daemonRate_(options.newFlowsPerSecond) {
   homes_.setRecordIdle(options.flowIdleTimeout * kRecordIdleFactor);
   membership_.setDigestSource([this] { return agent_.digest(); });
-  membership_.setListener(
-      [this](const MemberChange& change, Time now) { onMemberChange(change, now); });
+  membership_.setListener([this](const MemberChange& change) { onMemberChange(change); });
 }
 
 void Balancer::onMessage(MemberId from, const PeerMessage& message, Time now) {
@@ -49,7 +48,6 @@
     resumeAfterSuspension(now);
   }
   lastHeard_ = now;
-  heardFromPeer_ = true;
   if (const auto* ping = std::get_if<Ping>(&message)) {
     membership_.onPing(from, *ping, now);
     compareDigest(from, ping->configuration);
@@ -59,6 +57,7 @@
     membership_.onPingRequest(from, *pingRequest, now);
   } else if (const auto* sync = std::get_if<MemberSync>(&message)) {
     membership_.onMemberSync(from, *sync, now);
+    synced_ = synced_ || membership_.isEstablished(from);
   } else if (const auto* request = std::get_if<ConfigurationRequest>(&message)) {
     const Member* sender = membership_.members().find(from);
     if (sender != nullptr) {
@@ -75,6 +74,7 @@
   } else if (const auto* hint = std::get_if<RouteHint>(&message)) {
     onHint(*hint, now);
   }
+  heardFromEstablished_ = heardFromEstablished_ || membership_.isEstablished(from);
   settleMembership(now);
 }
 
@@ -82,7 +82,9 @@
   membership_.onAck(from, ack, now);
   compareDigest(from, ack.configuration);
   const bool upToDate = ack.configuration.version <= agent_.digest().version;
-  if (ack.subject == from && upToDate) {
+  // Another joiner knows no more than this daemon does, and before the whole member list is known
+  // this daemon could take itself for the owner of everything.
+  if (ack.subject == from && upToDate && membership_.isEstablished(from) && synced_) {
     fence_.onConfirmation(from, ack.sequence);
   }
 }
@@ -188,7 +190,7 @@
   }
 }
 
-void Balancer::onMemberChange(const MemberChange& change, Time now) {
+void Balancer::onMemberChange(const MemberChange& change) {
   membershipChanged_ = true;
   if (!isReachable(change.after) || change.restarted) {
     homes_.onMemberGone(change.id);
@@ -198,7 +200,6 @@
   if (returned && change.id != options_.self.id) {
     returnedMembers_.insert(change.id);
   }
-  (void)now;
 }
 
 void Balancer::settleMembership(Time now) {
@@ -260,13 +261,29 @@
 void Balancer::resumeAfterSuspension(Time now) {
   ++counters_.suspensions;
   fence_.close(now, membership_.nextSequence());
-  heardFromPeer_ = false;
+  heardFromEstablished_ = false;
   membership_.onResume(now);
   homes_.onResume(now);
   nextFencePing_ = now;
   reportAfterFence_ = true;
 }
 
+void Balancer::tendFence(Time now) {
+  if (!fence_.isClosed()) {
+    return;
+  }
+  // Without a list of peers, silence proves nothing.
+  const bool knewPeers = seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait;
+  fence_.openIfAlone(now, heardFromEstablished_ || !knewPeers);
+  if (now >= nextFencePing_) {
+    nextFencePing_ = now + kFencePingInterval;
+    membership_.probeRandomPeers(kFenceFanout);
+    if (!synced_) {
+      membership_.requestSync();
+    }
+  }
+}
+
 void Balancer::onTick(Time now) {
   if (fence_.noticesSuspension(now)) {
     resumeAfterSuspension(now);
@@ -275,15 +292,7 @@
     fence_.close(now, membership_.nextSequence());
   }
   fence_.onTick(now);
-  if (fence_.isClosed()) {
-    // Without a list of peers, silence proves nothing.
-    const bool knewPeers = seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait;
-    fence_.openIfAlone(now, heardFromPeer_ || !knewPeers);
-    if (now >= nextFencePing_) {
-      nextFencePing_ = now + kFencePingInterval;
-      membership_.probeRandomPeers(kFenceFanout);
-    }
-  }
+  tendFence(now);
   membership_.onTick(now);
   applyPending(now);
   joinWhenReady(now);
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -136,6 +136,11 @@
   Verdict route(const PacketSummary& packet, const PeerArrival& arrival, Time now);
   Verdict routeUnknown(const Context& context);
   Verdict decideAsHome(const Context& context);
+  Verdict decideWhileListing(const Context& context);
+  Verdict decideAfterListing(const Context& context);
+  /// @return true where this side of a cut could not get the records of a shard.
+  bool lacksRecords(const ShardState& shard) const;
+  Verdict keepOnOldBackend(const Context& context, BackendId backend);
   Verdict passTo(MemberId peer, const Context& context);
   Verdict startFlow(const Context& context, RouteReason reason);
   std::optional<Refuse> refusalFor(const Context& context, BackendId backend);
@@ -147,7 +152,7 @@
   void onTransfer(MemberId from, const ConfigurationTransfer& transfer, Time now);
   void compareDigest(MemberId from, const ConfigurationDigest& digest);
   void requestConfiguration(MemberId from, ConfigurationVersion have);
-  void onMemberChange(const MemberChange& change, Time now);
+  void onMemberChange(const MemberChange& change);
   void settleMembership(Time now);
   void settleSeparation(const std::set<MemberId>& returned, Time now);
   void afterOffer(OfferResult result);
@@ -155,6 +160,7 @@
   void applyPlacements(const Configuration& configuration, Time now);
   void resumeAfterSuspension(Time now);
   void joinWhenReady(Time now);
+  void tendFence(Time now);
 
   /// Address under which callers reach a service.
   struct VirtualAddress {
@@ -186,7 +192,8 @@
   Time lastHeard_{};
   Time nextFencePing_{};
   Time nextMaintenance_{};
-  bool heardFromPeer_ = false;
+  bool heardFromEstablished_ = false;  ///< Since the fence closed.
+  bool synced_ = false;                ///< An established member has sent its whole member list.
   bool membershipChanged_ = false;
   std::set<MemberId> returnedMembers_;
   bool reportAfterFence_ = false;
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -111,35 +111,59 @@
     shard.touch(context.fingerprint, context.now);
     return forward(context, *recorded, RouteReason::kHomeRecord);
   }
-  const BackendId previous = context.placement.previous(context.bucket);
   switch (shard.unknownFlowRule(context.now)) {
     case UnknownFlowRule::kAskFormerHome:
       return passTo(shard.formerHome(), context);
     case UnknownFlowRule::kHold:
       return Drop{DropReason::kHomeSyncing};
     case UnknownFlowRule::kAssumeOld:
-      if (context.placement.skippedVersions()) {
-        return Drop{DropReason::kHomeSyncing};
-      }
-      if (previous != kNoBackend && directory_.find(previous) != nullptr &&
-          context.packet.kind != PacketKind::kOpening) {
-        homes_.record(context.shard, context.placement.version(), {{context.fingerprint, previous}},
-                      context.now);
-        return forward(context, previous, RouteReason::kHomeOldFlow);
-      }
-      break;
+      return decideWhileListing(context);
     case UnknownFlowRule::kIsNew:
-      if (const BackendId separated = context.placement.separated(context.bucket);
-          separated != kNoBackend && !directory_.isLeaving(separated) &&
-          context.packet.kind != PacketKind::kOpening) {
-        // The flow may be one of a zone that cannot be reached. A new flow does no harm there.
-        homes_.record(context.shard, context.placement.version(),
-                      {{context.fingerprint, separated}}, context.now);
-        return forward(context, separated, RouteReason::kHomeOldFlow);
-      }
       break;
   }
-  return startFlow(context, RouteReason::kHomeNewFlow);
+  return decideAfterListing(context);
+}
+
+Verdict Balancer::decideWhileListing(const Context& context) {
+  if (context.placement.skippedVersions()) {
+    return Drop{DropReason::kHomeSyncing};
+  }
+  const BackendId previous = context.placement.previous(context.bucket);
+  const bool canBeOld = previous != kNoBackend && directory_.find(previous) != nullptr &&
+                        context.packet.kind != PacketKind::kOpening;
+  return canBeOld ? keepOnOldBackend(context, previous)
+                  : startFlow(context, RouteReason::kHomeNewFlow);
+}
+
+Verdict Balancer::decideAfterListing(const Context& context) {
+  const ShardState& shard = homes_.state(context.shard);
+  const BackendId separated = context.placement.separated(context.bucket);
+  const BackendId previous = context.placement.previous(context.bucket);
+  BackendId old = separated;
+  const bool recordsLost = lacksRecords(shard);
+  if (old == kNoBackend && recordsLost) {
+    old = previous;
+  }
+  if (old == kNoBackend || context.packet.kind == PacketKind::kOpening) {
+    return startFlow(context, RouteReason::kHomeNewFlow);
+  }
+  // The flow may be one that only unreachable or dead daemons knew. A new flow does no harm on the
+  // old back end as long as that one takes new work.
+  if (!directory_.isLeaving(old)) {
+    return keepOnOldBackend(context, old);
+  }
+  return recordsLost ? Verdict(Drop{DropReason::kHomeSyncing})
+                     : startFlow(context, RouteReason::kHomeNewFlow);
+}
+
+bool Balancer::lacksRecords(const ShardState& shard) const {
+  return separated_ && shard.recordsMayBeMissing() && membership_.members().hasLostMost();
+}
+
+Verdict Balancer::keepOnOldBackend(const Context& context, BackendId backend) {
+  homes_.record(context.shard, context.placement.version(), {{context.fingerprint, backend}},
+                context.now);
+  return forward(context, backend, RouteReason::kHomeOldFlow);
 }
 
 Verdict Balancer::startFlow(const Context& context, RouteReason reason) {
@@ -212,7 +236,8 @@
   hint.shard = context.shard;
   hint.version = context.placement.version();
   hint.shardIsFinal = homes_.owners(context.shard).home == options_.self.id &&
-                      shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew;
+                      shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew &&
+                      !lacksRecords(shard);
   hint.dirty = shard.dirtyBuckets();
   for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
     const std::size_t bucket = context.shard.shard * kBucketsPerShard + index;
--- a/src/core/fence.h
+++ b/src/core/fence.h
@@ -34,6 +34,7 @@
   void onConfirmation(MemberId from, std::uint64_t sequence);
 
   /// Opens the fence after the bounded wait, counted from close().
+  /// @param heardFromPeer true where an established peer was heard since, or may exist unheard.
   void openIfAlone(Time now, bool heardFromPeer);
 
   bool isClosed() const { return closed_; }
--- a/src/core/member_list.cc
+++ b/src/core/member_list.cc
@@ -80,6 +80,13 @@
                      [](const auto& zone) { return !zone.second; });
 }
 
+bool MemberList::hasLostMost() const {
+  const auto dead = std::count_if(members_.begin(), members_.end(), [](const auto& item) {
+    return item.second.state == MemberState::kDead;
+  });
+  return static_cast<std::size_t>(dead) > reachable().size();
+}
+
 void MemberList::shiftStateTimes(Time now) {
   for (auto& [id, member] : members_) {
     member.stateSince = now;
--- a/src/core/member_list.h
+++ b/src/core/member_list.h
@@ -54,6 +54,10 @@
   /// failures at once.
   bool hasLostZone(const std::string& ownZone) const;
 
+  /// @return true where more members are dead than reachable: this daemon is likely on the smaller
+  /// side of a cut.
+  bool hasLostMost() const;
+
   /// Moves the time of every state change forward, after this process was suspended.
   void shiftStateTimes(Time now);
 
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -59,7 +59,7 @@
   }
   gossip_.add(update);
   if (listener_) {
-    listener_(*change, now);
+    listener_(*change);
   }
 }
 
@@ -131,6 +131,23 @@
   return sequence;
 }
 
+bool Membership::isEstablished(MemberId id) const {
+  const Member* member = list_.find(id);
+  return member != nullptr && isReachable(member->state) && member->state != MemberState::kJoining;
+}
+
+void Membership::requestSync() {
+  std::vector<MemberId> peers = list_.reachable();
+  std::erase(peers, self_.id);
+  std::vector<MemberId> established = peers;
+  std::erase_if(established, [this](MemberId id) { return !isEstablished(id); });
+  const std::vector<MemberId>& choice = established.empty() ? peers : established;
+  if (!choice.empty()) {
+    const Member* peer = list_.find(choice[random_.below(choice.size())]);
+    outbox_.send(peer->identity.id, peer->identity.control, MemberSync{true, allUpdates()});
+  }
+}
+
 void Membership::probe(MemberId member) {
   const Member* target = list_.find(member);
   if (target != nullptr) {
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -20,7 +20,7 @@
 
 class Membership {
  public:
-  using ChangeListener = std::function<void(const MemberChange&, Time)>;
+  using ChangeListener = std::function<void(const MemberChange&)>;
   using DigestSource = std::function<ConfigurationDigest()>;
 
   /// @param process nonce of this process; another one than that of any earlier process.
@@ -47,6 +47,13 @@
   /// Call after this process was suspended: timers that ran out meanwhile mean nothing.
   void onResume(Time now);
 
+  /// Asks a random established member for its whole member list; a joiner that knows only other
+  /// joiners asks one of those.
+  void requestSync();
+
+  /// @return true where this member has finished joining.
+  bool isEstablished(MemberId member) const;
+
   /// Sends a Ping to one member at once.
   void probe(MemberId member);
 
--- a/src/core/shard_homes.cc
+++ b/src/core/shard_homes.cc
@@ -148,7 +148,7 @@
       openWindow(key, placement.version(), now + kListingWindow);
     }
   }
-  reportFlows(placement, RecordPurpose::kListing, moved, shards, now);
+  reportFlows(placement, {RecordPurpose::kListing, moved, shards, kNoMember}, now);
 }
 
 void ShardHomes::onMembersReturned(const std::set<MemberId>& returned,
@@ -184,6 +184,7 @@
     }
   }
   requestListings(std::exchange(listingsNeeded_, {}), placements, now);
+  repeatListingRequests(now);
   if (now < nextExpiry_) {
     return;
   }
--- a/src/core/shard_homes.h
+++ b/src/core/shard_homes.h
@@ -93,8 +93,17 @@
                        Time now);
   std::set<MemberId> membersThatReport() const;
   void openWindow(const ShardKey& key, ConfigurationVersion version, Time closesAt);
-  void reportFlows(const ServicePlacement& placement, RecordPurpose purpose,
-                   const BucketSet& buckets, const ShardSet& shards, Time now);
+  /// Which of this daemon's flows to report, and to whom.
+  struct Report {
+    RecordPurpose purpose = RecordPurpose::kFullListing;
+    BucketSet buckets = BucketSet{}.set();
+    ShardSet shards = ShardSet{}.set();
+    MemberId receiver = kNoMember;  ///< kNoMember: each shard's home.
+  };
+
+  void reportFlows(const ServicePlacement& placement, const Report& report, Time now);
+  void sendListingRequest(const std::set<MemberId>& members, const std::vector<ShardKey>& shards);
+  void repeatListingRequests(Time now);
   void onWholeTransfer(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
                        Time now);
   void onHandover(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
@@ -111,6 +120,7 @@
   std::vector<ShardKey> listingsNeeded_;
   Duration recordIdle_{std::chrono::hours(1)};
   Time nextExpiry_{};
+  Time nextListingRepeat_{};
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/shard_records.cc
+++ b/src/core/shard_records.cc
@@ -10,31 +10,31 @@
 
 void ShardHomes::reportAll(const PlacementMap& placements, Time now) {
   for (const auto& [service, placement] : placements) {
-    reportFlows(placement, RecordPurpose::kFullListing, BucketSet{}.set(), ShardSet{}.set(), now);
+    reportFlows(placement, Report{}, now);
   }
 }
 
-void ShardHomes::reportFlows(const ServicePlacement& placement, RecordPurpose purpose,
-                             const BucketSet& buckets, const ShardSet& shards, Time now) {
+void ShardHomes::reportFlows(const ServicePlacement& placement, const Report& report, Time now) {
   std::array<std::vector<FlowRecord>, kShardCount> lists;
   flows_.forEach(now, [&](const FlowEntry& entry) {
     const std::size_t bucket = bucketOf(entry.fingerprint);
-    const bool listed = entry.service == placement.service() && buckets[bucket] &&
-                        shards[shardOf(bucket)] && placement.needsRecord(bucket, entry.backend);
+    const bool listed = entry.service == placement.service() && report.buckets[bucket] &&
+                        report.shards[shardOf(bucket)] &&
+                        placement.needsRecord(bucket, entry.backend);
     if (listed) {
       lists[shardOf(bucket)].push_back({entry.fingerprint, entry.backend});
     }
   });
   for (std::uint16_t shard = 0; shard < kShardCount; ++shard) {
     const ShardKey key{placement.service(), shard};
-    const MemberId home = owners(key).home;
-    if (!shards[shard] || home == kNoMember) {
+    const MemberId receiver = report.receiver == kNoMember ? owners(key).home : report.receiver;
+    if (!report.shards[shard] || receiver == kNoMember) {
       continue;
     }
-    if (home == membership_.self().id) {
+    if (receiver == membership_.self().id) {
       record(key, placement.version(), lists[shard], now);
     } else {
-      transfers_.send(home, {purpose, key, placement.version()}, lists[shard], now);
+      transfers_.send(receiver, {report.purpose, key, placement.version()}, lists[shard], now);
     }
   }
 }
@@ -56,16 +56,40 @@
   const std::set<MemberId> members = membersThatReport();
   for (const ShardKey& key : shards) {
     const auto placement = placements.find(key.service);
-    ShardSet own;
-    own.set(key.shard);
     if (placement != placements.end()) {
       states_[key].awaitListing(members, placement->second.movedVersion(), now + kListingWait);
-      reportFlows(placement->second, RecordPurpose::kFullListing, BucketSet{}.set(), own, now);
+      Report own;
+      own.shards.reset().set(key.shard);
+      own.receiver = membership_.self().id;
+      reportFlows(placement->second, own, now);
     }
   }
-  for (const MemberId member : members) {
-    const Endpoint& destination = membership_.members().find(member)->identity.control;
-    outbox_.send(member, destination, ListingRequest{shards});
+  sendListingRequest(members, shards);
+}
+
+void ShardHomes::sendListingRequest(const std::set<MemberId>& members,
+                                    const std::vector<ShardKey>& shards) {
+  for (const MemberId id : members) {
+    const Member* member = membership_.members().find(id);
+    if (member != nullptr) {
+      outbox_.send(id, member->identity.control, ListingRequest{shards});
+    }
+  }
+}
+
+void ShardHomes::repeatListingRequests(Time now) {
+  if (now < nextListingRepeat_) {
+    return;
+  }
+  nextListingRepeat_ = now + kResendInterval;
+  std::map<MemberId, std::vector<ShardKey>> pending;
+  for (const auto& [key, shard] : states_) {
+    for (const MemberId member : shard.missingListings(now)) {
+      pending[member].push_back(key);
+    }
+  }
+  for (const auto& [member, shards] : pending) {
+    sendListingRequest({member}, shards);
   }
 }
 
@@ -80,10 +104,11 @@
   for (const auto& [service, shards] : wanted) {
     const auto placement = placements.find(service);
     if (placement != placements.end()) {
-      reportFlows(placement->second, RecordPurpose::kFullListing, BucketSet{}.set(), shards, now);
+      // To the asker, not to the home: this daemon may not know yet that the asker is the home.
+      reportFlows(placement->second, {RecordPurpose::kFullListing, BucketSet{}.set(), shards, from},
+                  now);
     }
   }
-  (void)from;
 }
 
 void ShardHomes::record(const ShardKey& key, ConfigurationVersion version,
@@ -171,9 +196,11 @@
     listingsNeeded_.push_back(message.shard);
     return;
   }
+  const Duration remaining = std::chrono::milliseconds(message.windowMs);
+  shard.adoptWindow(message.version, now, remaining);
   shard.setComplete(message.version);
-  if (message.windowMs > 0 && !shard.windowOpen(now)) {
-    shard.hold({from}, now + std::chrono::milliseconds(message.windowMs));
+  if (remaining > Duration::zero() && !shard.windowOpen(now)) {
+    shard.hold({from}, now + remaining);
   }
 }
 
--- a/src/core/shard_state.cc
+++ b/src/core/shard_state.cc
@@ -97,6 +97,9 @@
 
 void ShardState::openWindow(ConfigurationVersion version, Time closesAt,
                             std::set<MemberId> awaited) {
+  if (isCompleteAt(version)) {
+    return;  // An owner that applied the version earlier has listed its flows and handed them over.
+  }
   windowVersion_ = version;
   recordsVersion_ = std::max(recordsVersion_, version);
   windowClosesAt_ = closesAt;
@@ -107,6 +110,12 @@
   });
 }
 
+void ShardState::adoptWindow(ConfigurationVersion version, Time now, Duration remaining) {
+  if (version >= windowVersion_) {
+    windowClosesAt_ = std::min(windowClosesAt_, now + remaining);
+  }
+}
+
 Duration ShardState::windowRemaining(Time now) const {
   return windowOpen(now) ? windowClosesAt_ - now : Duration::zero();
 }
@@ -132,6 +141,11 @@
   }
 }
 
+std::set<MemberId> ShardState::missingListings(Time now) const {
+  const bool waits = authority_ == Authority::kAwaitsListing && !listing_.isOver(now);
+  return waits ? listing_.members : std::set<MemberId>{};
+}
+
 void ShardState::noteGone(MemberId member) {
   awaited_.erase(member);
   held_.members.erase(member);
--- a/src/core/shard_state.h
+++ b/src/core/shard_state.h
@@ -73,6 +73,8 @@
   /// Buckets moved: until every awaited member reported, or `closesAt`, flows may be old.
   void openWindow(ConfigurationVersion version, Time closesAt, std::set<MemberId> awaited);
   bool windowOpen(Time now) const { return now < windowClosesAt_ && !awaited_.empty(); }
+  /// The former home knows the state of the window: it stays open this long, zero closes it.
+  void adoptWindow(ConfigurationVersion version, Time now, Duration remaining);
   /// @return time until the window closes at the latest; zero while none is open.
   Duration windowRemaining(Time now) const;
   /// These members were out of reach; until they list their flows, or `until`, nothing is certain.
@@ -83,6 +85,10 @@
   void noteReport(MemberId member, ConfigurationVersion version, bool full);
   /// A member died or left; it will not report.
   void noteGone(MemberId member);
+  /// @return members whose full listing is still awaited.
+  std::set<MemberId> missingListings(Time now) const;
+  /// @return true where no complete set of records could be obtained.
+  bool recordsMayBeMissing() const { return authority_ == Authority::kAwaitsListing; }
 
   UnknownFlowRule unknownFlowRule(Time now) const;
 
