Hold unknown flows while records may exist out of reach

Cause, from traces: (1) a home on the smaller side of a cut guessed a previous back end although the records were on the other side; (2) a replica decided for a suspect home while reports of a fresh move were on their way to that home; (3) a joiner alone in a cut-off zone took the fleet for new; (4) one dead daemon that was alone in its zone counted as a lost zone. Change: in these cases the unknown flow is dropped, to be retransmitted, until the records or the other side are back; a zone counts as lost from two dead members; an isolated joiner waits 30 s.

--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -130,6 +130,7 @@
     seedsSince_ = now;
   }
   std::erase_if(seeds, [this](const MemberIdentity& seed) { return seed.id == options_.self.id; });
+  hasSeeds_ = !seeds.empty();
   membership_.setSeeds(std::move(seeds));
 }
 
@@ -272,8 +273,11 @@
   if (!fence_.isClosed()) {
     return;
   }
-  // Without a list of peers, silence proves nothing.
-  const bool knewPeers = seedsSince_ != Time{} && now - seedsSince_ >= kFenceAloneWait;
+  // Without a list of peers, silence proves nothing; with one, it more likely means a cut.
+  const bool isolatedJoiner =
+      membership_.selfState() == MemberState::kJoining && hasSeeds_ && lastHeard_ == Time{};
+  const Duration wait = isolatedJoiner ? kFenceIsolatedWait : kFenceAloneWait;
+  const bool knewPeers = seedsSince_ != Time{} && now - seedsSince_ >= wait;
   fence_.openIfAlone(now, heardFromEstablished_ || !knewPeers);
   if (now >= nextFencePing_) {
     nextFencePing_ = now + kFencePingInterval;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -138,8 +138,8 @@
   Verdict decideAsHome(const Context& context);
   Verdict decideWhileListing(const Context& context);
   Verdict decideAfterListing(const Context& context);
-  /// @return true where this side of a cut could not get the records of a shard.
-  bool lacksRecords(const ShardState& shard) const;
+  /// @return true where records of the shard may exist that this daemon cannot have.
+  bool lacksRecords(const Context& context);
   Verdict keepOnOldBackend(const Context& context, BackendId backend);
   Verdict passTo(MemberId peer, const Context& context);
   Verdict startFlow(const Context& context, RouteReason reason);
@@ -198,6 +198,7 @@
   std::set<MemberId> returnedMembers_;
   bool reportAfterFence_ = false;
   bool separated_ = false;  ///< A whole zone cannot be reached.
+  bool hasSeeds_ = false;   ///< The platform named other daemons.
   Time seedsSince_{};
   bool leaving_ = false;
 };
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -136,28 +136,26 @@
 }
 
 Verdict Balancer::decideAfterListing(const Context& context) {
-  const ShardState& shard = homes_.state(context.shard);
-  const BackendId separated = context.placement.separated(context.bucket);
-  const BackendId previous = context.placement.previous(context.bucket);
-  BackendId old = separated;
-  const bool recordsLost = lacksRecords(shard);
-  if (old == kNoBackend && recordsLost) {
-    old = previous;
-  }
-  if (old == kNoBackend || context.packet.kind == PacketKind::kOpening) {
-    return startFlow(context, RouteReason::kHomeNewFlow);
-  }
-  // The flow may be one that only unreachable or dead daemons knew. A new flow does no harm on the
-  // old back end as long as that one takes new work.
-  if (!directory_.isLeaving(old)) {
-    return keepOnOldBackend(context, old);
+  if (lacksRecords(context)) {
+    return Drop{DropReason::kHomeSyncing};
   }
-  return recordsLost ? Verdict(Drop{DropReason::kHomeSyncing})
-                     : startFlow(context, RouteReason::kHomeNewFlow);
+  // While a zone is out of reach, the flow may be one that only that zone knows. A new flow does no
+  // harm on the old back end as long as that one takes new work.
+  const BackendId old = context.placement.separated(context.bucket);
+  const bool canBeOld = old != kNoBackend && !directory_.isLeaving(old) &&
+                        context.packet.kind != PacketKind::kOpening;
+  return canBeOld ? keepOnOldBackend(context, old) : startFlow(context, RouteReason::kHomeNewFlow);
 }
 
-bool Balancer::lacksRecords(const ShardState& shard) const {
-  return separated_ && shard.recordsMayBeMissing() && membership_.members().hasLostMost();
+bool Balancer::lacksRecords(const Context& context) {
+  const ShardState& shard = homes_.state(context.shard);
+  const bool cutOff = separated_ && membership_.members().hasLostMost();
+  if (shard.recordsMayBeMissing() && cutOff) {
+    return true;  // The records are on the other side.
+  }
+  // A replica does not get the members' reports; the home that did may be gone.
+  const bool isHome = homes_.owners(context.shard).home == options_.self.id;
+  return !isHome && context.placement.movedRecently(context.now);
 }
 
 Verdict Balancer::keepOnOldBackend(const Context& context, BackendId backend) {
@@ -237,7 +235,7 @@
   hint.version = context.placement.version();
   hint.shardIsFinal = homes_.owners(context.shard).home == options_.self.id &&
                       shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew &&
-                      !lacksRecords(shard);
+                      !lacksRecords(context);
   hint.dirty = shard.dirtyBuckets();
   for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
     const std::size_t bucket = context.shard.shard * kBucketsPerShard + index;
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -32,6 +32,8 @@
 
 /// How long a fenced daemon waits for a peer before it serves alone.
 inline constexpr Duration kFenceAloneWait = 3000ms;
+/// The same for a joiner that knows of peers and hears none: it is more likely cut off than first.
+inline constexpr Duration kFenceIsolatedWait = 30s;
 /// How long a daemon waits for the other side of a healed cut to confirm its view.
 inline constexpr Duration kHealConfirmationWait = 500ms;
 
@@ -53,6 +55,9 @@
 
 /// How long a new home relays to the previous home while it waits for its records.
 inline constexpr Duration kHandoverWait = 2000ms;
+/// Reports of a move acknowledged this recently may have died with the home, before its replica
+/// had them.
+inline constexpr Duration kRecentMove = 10s;
 /// How long a home that lost its records waits for the members' listings.
 inline constexpr Duration kListingWait = 1500ms;
 
--- a/src/core/member_list.cc
+++ b/src/core/member_list.cc
@@ -8,6 +8,9 @@
 namespace cobaltgauge::core {
 namespace {
 
+/// So many members of one zone must be dead before a cut is likelier than their failures.
+constexpr std::size_t kLostZoneMembers = 2;
+
 bool supersedes(const MemberUpdate& update, const Member& known) {
   return std::tie(update.incarnation, update.state) > std::tie(known.incarnation, known.state);
 }
@@ -68,16 +71,20 @@
 }
 
 bool MemberList::hasLostZone(const std::string& ownZone) const {
-  std::map<std::string, bool> zoneLives;
+  struct ZoneCount {
+    std::size_t reachable = 0;
+    std::size_t dead = 0;
+  };
+  std::map<std::string, ZoneCount> zones;
   for (const auto& [id, member] : members_) {
-    if (member.identity.zone == ownZone || member.state == MemberState::kLeft) {
-      continue;
-    }
-    bool& lives = zoneLives[member.identity.zone];
-    lives = lives || isReachable(member.state);
+    ZoneCount& zone = zones[member.identity.zone];
+    zone.reachable += isReachable(member.state) ? 1 : 0;
+    zone.dead += member.state == MemberState::kDead ? 1 : 0;
   }
-  return std::any_of(zoneLives.begin(), zoneLives.end(),
-                     [](const auto& zone) { return !zone.second; });
+  zones.erase(ownZone);
+  return std::any_of(zones.begin(), zones.end(), [](const auto& item) {
+    return item.second.reachable == 0 && item.second.dead >= kLostZoneMembers;
+  });
 }
 
 bool MemberList::hasLostMost() const {
--- a/src/core/shard_homes.cc
+++ b/src/core/shard_homes.cc
@@ -14,8 +14,6 @@
 constexpr Duration kRetireDelay = 500ms;
 /// State of shards that this daemon no longer owns is dropped after this time.
 constexpr Duration kFormerStateMemory = 30s;
-/// Reports acknowledged this recently may have died with the home, before the replica had them.
-constexpr Duration kRecentReport = 10s;
 constexpr Duration kExpiryInterval = 10s;
 
 }  // namespace
@@ -105,12 +103,11 @@
                             const ServicePlacement& placement, Time now) {
   ShardState& shard = states_[key];
   shard.homeSince = now;
-  const bool recent = placement.everMoved() && now - placement.movedAt() < kRecentReport;
   if (before.home == kNoMember) {
     shard.setComplete(placement.version());
   } else if (isReachablePeer(before.home)) {
     shard.awaitHandover(before.home, now + kHandoverWait);
-  } else if (!shard.isCompleteAt(placement.movedVersion()) || recent) {
+  } else if (!shard.isCompleteAt(placement.movedVersion()) || placement.movedRecently(now)) {
     listingsNeeded_.push_back(key);
   }
   const Time closesAt = placement.movedAt() + kListingWindow;
