Give the simulator a command line, scenario files and hollow fleets

Cause: trials ran from hard-coded scenarios; the users ask for side-by-side figures and for slopes towards 750 daemons.

--- a/src/core/home_selector.cc
+++ b/src/core/home_selector.cc
@@ -11,24 +11,28 @@
 
 }  // namespace
 
-ShardOwners selectOwners(const ShardKey& key, const std::vector<MemberId>& eligible) {
-  const std::uint64_t seed = (static_cast<std::uint64_t>(key.service) << 16U) | key.shard;
-  ShardOwners owners;
-  std::uint64_t homeScore = 0;
-  std::uint64_t replicaScore = 0;
+OwnerRanking::OwnerRanking(const ShardKey& key)
+    : seed_((static_cast<std::uint64_t>(key.service) << 16U) | key.shard) {}
+
+void OwnerRanking::add(MemberId member) {
+  const std::uint64_t score = scoreOf(seed_, member);
+  if (owners_.home == kNoMember || score > homeScore_) {
+    owners_.replica = owners_.home;
+    replicaScore_ = homeScore_;
+    owners_.home = member;
+    homeScore_ = score;
+  } else if (owners_.replica == kNoMember || score > replicaScore_) {
+    owners_.replica = member;
+    replicaScore_ = score;
+  }
+}
+
+OwnerRanking rankOwners(const ShardKey& key, const std::vector<MemberId>& eligible) {
+  OwnerRanking ranking(key);
   for (const MemberId member : eligible) {
-    const std::uint64_t score = scoreOf(seed, member);
-    if (owners.home == kNoMember || score > homeScore) {
-      owners.replica = owners.home;
-      replicaScore = homeScore;
-      owners.home = member;
-      homeScore = score;
-    } else if (owners.replica == kNoMember || score > replicaScore) {
-      owners.replica = member;
-      replicaScore = score;
-    }
+    ranking.add(member);
   }
-  return owners;
+  return ranking;
 }
 
 bool isAmongHighest(std::uint64_t key, MemberId member, const std::vector<MemberId>& eligible,
--- a/src/core/home_selector.h
+++ b/src/core/home_selector.h
@@ -25,9 +25,28 @@
   bool operator==(const ShardOwners&) const = default;
 };
 
+/// The two best daemons of a shard with their hashes, so that a daemon that joins is compared with
+/// two others instead of the whole fleet.
+class OwnerRanking {
+ public:
+  explicit OwnerRanking(const ShardKey& key);
+
+  /// Takes one more daemon into account.
+  void add(MemberId member);
+  const ShardOwners& owners() const { return owners_; }
+  /// @return true where the daemon is home or replica, so that its loss needs a new ranking.
+  bool ranks(MemberId member) const { return member == owners_.home || member == owners_.replica; }
+
+ private:
+  std::uint64_t seed_;
+  ShardOwners owners_;
+  std::uint64_t homeScore_ = 0;
+  std::uint64_t replicaScore_ = 0;
+};
+
 /// @param eligible the daemons that may own a shard.
-/// @return the two daemons with the highest hash for this shard.
-ShardOwners selectOwners(const ShardKey& key, const std::vector<MemberId>& eligible);
+/// @return the ranking of a shard over all of them.
+OwnerRanking rankOwners(const ShardKey& key, const std::vector<MemberId>& eligible);
 
 /// @return true where `member` is among the `count` highest of `eligible` for the key.
 bool isAmongHighest(std::uint64_t key, MemberId member, const std::vector<MemberId>& eligible,
--- a/src/core/shard_homes.cc
+++ b/src/core/shard_homes.cc
@@ -3,6 +3,7 @@
 #include "core/shard_homes.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/constants.h"
@@ -27,8 +28,8 @@
       transfers_(membership, directory, outbox) {}
 
 ShardOwners ShardHomes::owners(const ShardKey& key) const {
-  const auto it = owners_.find(key);
-  return it == owners_.end() ? ShardOwners{} : it->second;
+  const auto it = rankings_.find(key);
+  return it == rankings_.end() ? ShardOwners{} : it->second.owners();
 }
 
 bool ShardHomes::isHome(const ShardKey& key) const {
@@ -59,21 +60,47 @@
   return known != nullptr && isReachable(known->state);
 }
 
+ShardOwners ShardHomes::updateRanking(const ShardKey& key, const std::vector<MemberId>& added,
+                                      const std::vector<MemberId>& removed) {
+  const auto known = rankings_.find(key);
+  if (known == rankings_.end()) {
+    rankings_.emplace(key, rankOwners(key, eligible_));
+    return {};
+  }
+  OwnerRanking& ranking = known->second;
+  const ShardOwners before = ranking.owners();
+  const bool lostOwner = std::any_of(removed.begin(), removed.end(),
+                                     [&ranking](MemberId member) { return ranking.ranks(member); });
+  if (lostOwner) {
+    ranking = rankOwners(key, eligible_);
+    return before;
+  }
+  for (const MemberId member : added) {
+    ranking.add(member);
+  }
+  return before;
+}
+
 void ShardHomes::onEligibleChanged(const std::vector<MemberId>& eligible,
                                    const PlacementMap& placements, Time now) {
-  std::map<ShardKey, ShardOwners> next;
+  std::vector<MemberId> added;
+  std::vector<MemberId> removed;
+  std::set_difference(eligible.begin(), eligible.end(), eligible_.begin(), eligible_.end(),
+                      std::back_inserter(added));
+  std::set_difference(eligible_.begin(), eligible_.end(), eligible.begin(), eligible.end(),
+                      std::back_inserter(removed));
+  eligible_ = eligible;
+  std::erase_if(rankings_, [&placements](const auto& item) {
+    return !placements.contains(item.first.service);
+  });
   for (const auto& [service, placement] : placements) {
     for (std::uint16_t shard = 0; shard < kShardCount; ++shard) {
       const ShardKey key{service, shard};
-      next[key] = selectOwners(key, eligible);
-    }
-  }
-  const std::map<ShardKey, ShardOwners> previous = std::exchange(owners_, std::move(next));
-  for (const auto& [key, after] : owners_) {
-    const auto before = previous.find(key);
-    const ShardOwners earlier = before == previous.end() ? ShardOwners{} : before->second;
-    if (!(earlier == after)) {
-      onOwnersChanged(key, earlier, after, placements.at(key.service), now);
+      const ShardOwners before = updateRanking(key, added, removed);
+      const ShardOwners after = owners(key);
+      if (!(before == after)) {
+        onOwnersChanged(key, before, after, placement, now);
+      }
     }
   }
   requestListings(std::exchange(listingsNeeded_, {}), placements, now);
@@ -159,7 +186,8 @@
 }
 
 void ShardHomes::onResume(Time now) {
-  for (const auto& [key, current] : owners_) {
+  for (const auto& [key, ranking] : rankings_) {
+    const ShardOwners& current = ranking.owners();
     if (current.home == membership_.self().id && current.replica != kNoMember) {
       states_[key].awaitHandover(current.replica, now + kHandoverWait);
     } else if (current.replica == membership_.self().id) {
@@ -175,8 +203,8 @@
 }
 
 void ShardHomes::onTick(const PlacementMap& placements, Time now) {
-  for (const auto& [key, current] : owners_) {
-    if (current.home == membership_.self().id && states_[key].handoverFailed(now)) {
+  for (const auto& [key, shard] : states_) {
+    if (isHome(key) && shard.handoverFailed(now)) {
       listingsNeeded_.push_back(key);
     }
   }
--- a/src/core/shard_homes.h
+++ b/src/core/shard_homes.h
@@ -82,6 +82,9 @@
  private:
   bool owns(const ShardKey& key) const;
   bool isHome(const ShardKey& key) const;
+  /// Brings one shard's ranking up to date. @return the owners before.
+  ShardOwners updateRanking(const ShardKey& key, const std::vector<MemberId>& added,
+                            const std::vector<MemberId>& removed);
   void onOwnersChanged(const ShardKey& key, const ShardOwners& before, const ShardOwners& after,
                        const ServicePlacement& placement, Time now);
   void becomeHome(const ShardKey& key, const ShardOwners& before, const ServicePlacement& placement,
@@ -115,7 +118,8 @@
   const FlowTable& flows_;
   Outbox& outbox_;
   RecordTransfers transfers_;
-  std::map<ShardKey, ShardOwners> owners_;
+  std::map<ShardKey, OwnerRanking> rankings_;
+  std::vector<MemberId> eligible_;  ///< Sorted; what `rankings_` was made from.
   std::map<ShardKey, ShardState> states_;
   std::vector<ShardKey> listingsNeeded_;
   Duration recordIdle_{std::chrono::hours(1)};
--- a/src/standin/options.cc
+++ b/src/ctl/command_options.cc
@@ -1,4 +1,4 @@
-#include "standin/options.h"
+#include "ctl/command_options.h"
 
 #include <popt.h>
 
@@ -9,7 +9,7 @@
 
 #include "net/address.h"
 
-namespace cobaltgauge::standin {
+namespace cobaltgauge::ctl {
 namespace {
 
 constexpr int kUsageError = 2;
@@ -25,9 +25,9 @@
 
 }  // namespace
 
-std::optional<Options> Options::parse(const std::string& command,
-                                      const std::vector<OptionSpec>& specs, int argc,
-                                      const char* const* argv) {
+std::optional<CommandOptions> CommandOptions::parse(const std::string& command,
+                                                    const std::vector<OptionSpec>& specs, int argc,
+                                                    const char* const* argv) {
   std::vector<poptOption> table;
   table.reserve(specs.size() + 2);
   int index = 0;
@@ -39,7 +39,7 @@
   table.push_back(POPT_TABLEEND);
   const std::unique_ptr<std::remove_pointer_t<poptContext>, FreeContext> context(
       poptGetContext(command.c_str(), argc, const_cast<const char**>(argv), table.data(), 0));
-  Options options;
+  CommandOptions options;
   for (const OptionSpec& spec : specs) {
     options.values_[spec.name] = spec.defaultValue;
   }
@@ -60,12 +60,17 @@
       return std::nullopt;
     }
   }
+  while (const char* argument = poptGetArg(context.get())) {
+    options.arguments_.emplace_back(argument);
+  }
   return options;
 }
 
-std::string Options::text(const std::string& name) const { return values_.at(name); }
+bool CommandOptions::has(const std::string& name) const { return values_.at(name) != kNone; }
+
+std::string CommandOptions::text(const std::string& name) const { return values_.at(name); }
 
-std::uint64_t Options::number(const std::string& name) const {
+std::uint64_t CommandOptions::number(const std::string& name) const {
   const std::string& value = values_.at(name);
   std::uint64_t number = 0;
   const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
@@ -75,7 +80,7 @@
   return number;
 }
 
-core::Endpoint Options::endpoint(const std::string& name) const {
+core::Endpoint CommandOptions::endpoint(const std::string& name) const {
   const std::optional<core::Endpoint> endpoint = net::parseEndpoint(values_.at(name));
   if (!endpoint) {
     die(name, values_.at(name), "ADDRESS:PORT");
@@ -83,4 +88,4 @@
   return *endpoint;
 }
 
-}  // namespace cobaltgauge::standin
+}  // namespace cobaltgauge::ctl
--- a/src/sim/main.cc
+++ b/src/sim/main.cc
@@ -1,27 +1,157 @@
 /// @file
-/// Entry point of cobaltgauge-sim.
+/// Entry point of cobaltgauge-sim: run, sweep, check, report, capacity.
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "ctl/command_options.h"
+#include "sim/capacity.h"
 #include "sim/fault_generator.h"
 #include "sim/history_checker.h"
+#include "sim/scenario_loader.h"
+#include "sim/sweep.h"
 #include "sim/world.h"
 
 namespace {
 
 using namespace cobaltgauge::sim;
+using cobaltgauge::ctl::CommandOptions;
+using cobaltgauge::ctl::kNone;
+using cobaltgauge::ctl::OptionSpec;
 
 constexpr int kUsageError = 2;
+constexpr const char* kUsage =
+    "usage: cobaltgauge-sim COMMAND\n"
+    "  run SCENARIO       one run; prints what the history checker finds\n"
+    "  sweep SCENARIO     many seeds and designs side by side; prints JSON or a table\n"
+    "  check HISTORY...   checks recorded histories\n"
+    "  report RESULT...   makes an HTML report from sweep results\n"
+    "  capacity           measures hollow fleets of growing size\n"
+    "Each command explains its flags with --help.\n";
 
-int checkFiles(const std::vector<std::string>& paths) {
+int fail(const std::string& reason) {
+  std::cerr << "cobaltgauge-sim: " << reason << "\n";
+  return kUsageError;
+}
+
+std::optional<Scenario> loadOnly(const CommandOptions& options) {
+  if (options.arguments().size() != 1) {
+    fail("exactly one scenario file is expected");
+    return std::nullopt;
+  }
+  ScenarioLoader loader;
+  std::optional<Scenario> scenario = loader.loadFile(options.arguments().front());
+  if (!scenario) {
+    fail(loader.lastReason());
+  }
+  return scenario;
+}
+
+int runCommand(int argc, const char* const* argv) {
+  const auto options = CommandOptions::parse(
+      "cobaltgauge-sim run",
+      {{"seed", "seed instead of the scenario's", kNone},
+       {"variant", "design instead of the scenario's", kNone},
+       {"random-faults", "yes: faults from the seed instead of the scenario's", "no"},
+       {"history", "file to write the history to", kNone},
+       {"trace", "session whose routing is explained on standard error", kNone}},
+      argc, argv);
+  auto scenario = options ? loadOnly(*options) : std::nullopt;
+  if (!scenario) {
+    return kUsageError;
+  }
+  if (options->has("seed")) {
+    scenario->seed = options->number("seed");
+  }
+  if (options->has("variant")) {
+    const auto variant = variantFromName(options->text("variant"));
+    if (!variant) {
+      return fail("--variant: must be modulo, table, cached_table or cobaltgauge");
+    }
+    scenario->variant = *variant;
+  }
+  if (options->has("trace")) {
+    scenario->traceSession = options->text("trace");
+  }
+  if (options->text("random-faults") == "yes") {
+    scenario->faults = generateFaults(*scenario, scenario->seed);
+  }
+  const RunResult result = World(*scenario).run();
+  for (const std::string& line : result.trace) {
+    std::cerr << line << "\n";
+  }
+  if (options->has("history")) {
+    HistoryWriter writer;
+    if (!writer.open(options->text("history"))) {
+      return fail(options->text("history") + ": cannot be written");
+    }
+    for (const Event& event : result.history) {
+      writer.write(event);
+    }
+  }
+  std::cout << formatReport(result.report);
+  for (const auto& [reason, count] : result.drops) {
+    std::cout << "packets " << reason << ": " << count << "\n";
+  }
+  return result.report.ok() ? 0 : 1;
+}
+
+int sweepCommand(int argc, const char* const* argv) {
+  const std::string threads = std::to_string(std::max(1U, std::thread::hardware_concurrency()));
+  const auto options = CommandOptions::parse(
+      "cobaltgauge-sim sweep",
+      {{"first-seed", "first seed", "1"},
+       {"last-seed", "last seed", "20"},
+       {"variant", "one design, or all", "all"},
+       {"random-faults", "yes: faults from each seed instead of the scenario's", "no"},
+       {"threads", "runs at the same time", threads.c_str()},
+       {"format", "json or table", "table"}},
+      argc, argv);
+  const auto scenario = options ? loadOnly(*options) : std::nullopt;
+  if (!scenario) {
+    return kUsageError;
+  }
+  SweepOptions sweepOptions;
+  sweepOptions.firstSeed = options->number("first-seed");
+  sweepOptions.lastSeed = options->number("last-seed");
+  sweepOptions.threads = options->number("threads");
+  sweepOptions.randomFaults = options->text("random-faults") == "yes";
+  if (options->text("variant") == "all") {
+    sweepOptions.variants.assign(kAllVariants.begin(), kAllVariants.end());
+  } else if (const auto variant = variantFromName(options->text("variant"))) {
+    sweepOptions.variants = {*variant};
+  } else {
+    return fail("--variant: must be all, modulo, table, cached_table or cobaltgauge");
+  }
+  const auto summaries = sweep(*scenario, sweepOptions);
+  const bool json = options->text("format") == "json";
+  std::cout << (json ? summariesToJson(*scenario, summaries) : formatSummaries(summaries));
+  for (const VariantSummary& summary : summaries) {
+    if (!json && summary.variant == Variant::kCobaltgauge && !summary.badSeeds.empty()) {
+      std::cout << "seeds of cobaltgauge with violations:";
+      for (const std::uint64_t seed : summary.badSeeds) {
+        std::cout << " " << seed;
+      }
+      std::cout << "\n";
+    }
+  }
+  return 0;
+}
+
+int checkCommand(int argc, const char* const* argv) {
+  const auto options = CommandOptions::parse("cobaltgauge-sim check", {}, argc, argv);
+  if (!options || options->arguments().empty()) {
+    return options ? fail("at least one history file is expected") : kUsageError;
+  }
   HistoryReader reader;
   std::vector<Event> events;
-  for (const std::string& path : paths) {
+  for (const std::string& path : options->arguments()) {
     const auto read = reader.readFile(path);
     if (!read) {
-      std::cerr << "cobaltgauge-sim: " << reader.lastReason() << "\n";
-      return kUsageError;
+      return fail(reader.lastReason());
     }
     events.insert(events.end(), read->begin(), read->end());
   }
@@ -30,60 +160,85 @@
   return report.ok() ? 0 : 1;
 }
 
-int trial(std::uint64_t first, std::uint64_t last, Variant variant) {
-  std::size_t broken = 0;
-  std::size_t bad = 0;
-  for (std::uint64_t seed = first; seed <= last; ++seed) {
-    Scenario scenario = cascadiaScenario();
-    scenario.seed = seed;
-    scenario.variant = variant;
-    scenario.services[0].sessionLifetime = std::chrono::seconds(15);
-    if (const char* t = getenv("TRACE")) scenario.traceSession = t;
-    scenario.faults = generateFaults(scenario, seed);
-    const RunResult result = World(scenario).run();
-    broken += result.report.brokenSessions;
-    bad += result.report.ok() ? 0 : 1;
-    if (!result.report.ok()) {
-      std::cout << "seed " << seed << " sessions " << result.report.sessions << " violations "
-                << result.report.violations.size() << " broken " << result.report.brokenSessions
-                << " late " << result.report.lateNewWork << " config "
-                << result.report.configurationFaults << " " << result.report.slowestConfigurationMs
-                << " stray " << result.report.strays << " unknown " << result.report.unknownOutcomes
-                << " double " << result.report.doubleExecutions << " lost "
-                << result.report.lostRequests << "\n";
-      for (const auto& v : result.report.violations) {
-        std::cout << "   " << v.rule << ": " << v.evidence << "\n";
-        break;
-      }
-    }
-    if (first == last) {
-      for (const auto& line : result.trace) std::cerr << line << "\n";
-      std::cout << formatReport(result.report);
-      for (const auto& [k, v] : result.drops) std::cout << k << " " << v << "\n";
-      std::cout << "events " << result.events << " ctl B/s " << result.controlBytesPerSecond
-                << " peers " << result.packetsToPeers << " backends " << result.packetsToBackends
-                << " p99 " << result.queueingP99Ms << "\n";
-      for (const auto& e : result.history)
-        if (e.kind == EventKind::kFault || e.kind == EventKind::kConfigurationPublished)
-          std::cout << toLine(e) << "\n";
+int reportCommand(int argc, const char* const* argv) {
+  const auto options = CommandOptions::parse(
+      "cobaltgauge-sim report", {{"out", "HTML file to write", "report.html"}}, argc, argv);
+  if (!options || options->arguments().empty()) {
+    return options ? fail("at least one result file is expected") : kUsageError;
+  }
+  std::vector<std::string> results;
+  for (const std::string& path : options->arguments()) {
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    results.push_back(text.str());
+  }
+  const auto html = htmlReport(results);
+  if (!html) {
+    return fail("a file is no result of 'sweep --format=json'");
+  }
+  std::ofstream out(options->text("out"));
+  out << *html;
+  return out ? 0 : fail(options->text("out") + ": cannot be written");
+}
+
+int capacityCommand(int argc, const char* const* argv) {
+  const auto options =
+      CommandOptions::parse("cobaltgauge-sim capacity",
+                            {{"daemons", "fleet sizes, for instance 5,50,150", "5,20,50,100"},
+                             {"services", "services", "2"},
+                             {"backends", "back ends over all services", "19"},
+                             {"changes", "configuration versions a minute", "3"},
+                             {"replacements", "daemons replaced a minute", "1"}},
+                            argc, argv);
+  if (!options) {
+    return kUsageError;
+  }
+  std::vector<CapacityMeasure> measures;
+  std::vector<double> sizes;
+  std::vector<double> bytes;
+  std::istringstream list(options->text("daemons"));
+  std::string size;
+  while (std::getline(list, size, ',')) {
+    CapacityPoint point;
+    point.daemons = std::strtoul(size.c_str(), nullptr, 10);
+    point.services = options->number("services");
+    point.backends = options->number("backends");
+    point.changesPerMinute = options->number("changes");
+    point.replacementsPerMinute = options->number("replacements");
+    if (point.daemons == 0 || point.services == 0) {
+      return fail("--daemons and --services: whole numbers above 0 are expected");
     }
+    measures.push_back(measureCapacity(point));
+    sizes.push_back(static_cast<double>(point.daemons));
+    bytes.push_back(measures.back().bytesPerSecond);
   }
-  std::cout << "seeds with violations " << bad << ", broken sessions " << broken << "\n";
+  std::cout << formatMeasures(measures);
+  const FittedLine line = fitLine(sizes, bytes);
+  std::cout << "control B/s = " << line.intercept << " + " << line.slope
+            << " x daemons, largest residual " << line.largestResidual << "\n";
   return 0;
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::vector<std::string> arguments(argv + 1, argv + argc);
-  if (arguments.size() >= 2 && arguments[0] == "check") {
-    return checkFiles({arguments.begin() + 1, arguments.end()});
+  const std::string command = argc > 1 ? argv[1] : "";
+  if (command == "run") {
+    return runCommand(argc - 1, argv + 1);
+  }
+  if (command == "sweep") {
+    return sweepCommand(argc - 1, argv + 1);
+  }
+  if (command == "check") {
+    return checkCommand(argc - 1, argv + 1);
+  }
+  if (command == "report") {
+    return reportCommand(argc - 1, argv + 1);
   }
-  if (arguments.size() >= 3 && arguments[0] == "trial") {
-    const Variant v = arguments.size() > 3 ? static_cast<Variant>(std::stoi(arguments[3]))
-                                           : Variant::kCobaltgauge;
-    return trial(std::stoull(arguments[1]), std::stoull(arguments[2]), v);
+  if (command == "capacity") {
+    return capacityCommand(argc - 1, argv + 1);
   }
-  std::cerr << "usage: cobaltgauge-sim check HISTORY...\n";
+  std::cerr << kUsage;
   return kUsageError;
 }
--- a/src/sim/simulated_daemon.cc
+++ b/src/sim/simulated_daemon.cc
@@ -2,32 +2,35 @@
 
 #include <utility>
 
+#include "core/hashing.h"
+
 namespace cobaltgauge::sim {
 namespace {
 
 /// Datagrams that a socket buffer holds for a suspended process.
 constexpr std::size_t kSocketBufferDatagrams = 4096;
 constexpr std::uint64_t kHashSeed = 0x9e3779b97f4a7c15;
-constexpr std::size_t kFlowTableEntries = 1U << 14U;
 
-core::BalancerOptions optionsFor(const core::MemberIdentity& identity, std::uint64_t process) {
+core::BalancerOptions optionsFor(const core::MemberIdentity& identity, std::uint64_t process,
+                                 const Scenario& scenario) {
   core::BalancerOptions options;
   options.self = identity;
   options.process = process;
-  options.hashSeed = kHashSeed;
-  options.flowTableEntries = kFlowTableEntries;
+  options.hashSeed = core::mixHash(kHashSeed, scenario.seed);
+  options.flowTableEntries = scenario.flowTableEntries;
   return options;
 }
 
 }  // namespace
 
 SimulatedDaemon::SimulatedDaemon(EventQueue& queue, core::MemberIdentity identity,
-                                 std::uint64_t process, std::uint64_t seed, Variant variant,
-                                 core::ConfigurationCompiler& compiler)
+                                 std::uint64_t process, std::uint64_t seed,
+                                 const Scenario& scenario, core::ConfigurationCompiler& compiler)
     : startedAt(queue.now()),
       identity_(std::move(identity)),
       random_(seed),
-      router_(makeRouter(variant, optionsFor(identity_, process), compiler, random_)) {}
+      router_(makeRouter(scenario.variant, optionsFor(identity_, process, scenario), compiler,
+                         random_)) {}
 
 void SimulatedDaemon::deliver(std::function<void()> work) {
   if (!alive_) {
--- a/src/sim/simulated_daemon.h
+++ b/src/sim/simulated_daemon.h
@@ -9,6 +9,7 @@
 
 #include "sim/event_queue.h"
 #include "sim/packet_router.h"
+#include "sim/scenario.h"
 #include "sim/seeded_random.h"
 
 namespace cobaltgauge::sim {
@@ -22,7 +23,8 @@
 class SimulatedDaemon {
  public:
   SimulatedDaemon(EventQueue& queue, core::MemberIdentity identity, std::uint64_t process,
-                  std::uint64_t seed, Variant variant, core::ConfigurationCompiler& compiler);
+                  std::uint64_t seed, const Scenario& scenario,
+                  core::ConfigurationCompiler& compiler);
 
   /// Hands work to the process: done now, kept while it is suspended, lost when it is dead.
   void deliver(std::function<void()> work);
@@ -44,6 +46,7 @@
   /// The fabric sends packets here until this time.
   core::Time sprayedUntil{core::Duration::max()};
   core::Time startedAt{};
+  core::Time endedAt{core::Duration::max()};
   core::Time leavingSince{};  ///< Zero while no planned stop was asked for.
   core::Time nextRead{};
   core::ConfigurationVersion reportedVersion = 0;
--- /dev/null
+++ b/src/sim/sweep.h
@@ -0,0 +1,61 @@
+/// @file
+/// Runs a scenario over many seeds and designs, and sums the figures up.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "sim/scenario.h"
+#include "sim/world.h"
+
+namespace cobaltgauge::sim {
+
+/// Sums and means over the runs of one variant.
+struct VariantSummary {
+  Variant variant = Variant::kCobaltgauge;
+  std::size_t runs = 0;
+  std::size_t runsWithViolations = 0;
+  std::size_t sessions = 0;
+  std::size_t brokenSessions = 0;
+  std::size_t doubleExecutions = 0;
+  std::size_t strays = 0;
+  std::size_t falseRefusals = 0;
+  std::size_t lostRequests = 0;
+  std::size_t wrongAnswers = 0;
+  std::size_t lateNewWork = 0;
+  std::size_t configurationFaults = 0;
+  std::size_t unknownOutcomes = 0;
+  std::size_t requests = 0;
+  std::int64_t slowestConfigurationMs = 0;
+  double imbalance = 0;      ///< Mean over runs of the largest service's final max/mean.
+  double queueingP99Ms = 0;  ///< Mean over runs.
+  double controlBytesPerSecond = 0;
+  double flowStateBytes = 0;
+  std::vector<std::uint64_t> badSeeds;
+
+  double brokenPerMillion() const;
+  void add(std::uint64_t seed, const RunResult& result);
+};
+
+struct SweepOptions {
+  std::uint64_t firstSeed = 1;
+  std::uint64_t lastSeed = 1;
+  std::vector<Variant> variants;
+  bool randomFaults = false;  ///< Replace the scenario's faults by a schedule from each seed.
+  std::size_t threads = 1;
+};
+
+/// Runs all combinations; the result does not depend on the number of threads.
+std::vector<VariantSummary> sweep(const Scenario& scenario, const SweepOptions& options);
+
+/// @return the summaries as JSON; the same runs give the same bytes.
+std::string summariesToJson(const Scenario& scenario, const std::vector<VariantSummary>& summaries);
+
+/// @return the summaries as a Markdown table.
+std::string formatSummaries(const std::vector<VariantSummary>& summaries);
+
+/// @return a self-contained HTML page with a table and bar charts of several sweep results.
+/// @param results texts that summariesToJson() made; nothing where one of them is not such a text.
+std::optional<std::string> htmlReport(const std::vector<std::string>& results);
+
+}  // namespace cobaltgauge::sim
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -3,6 +3,7 @@
 #include "sim/world.h"
 
 #include <algorithm>
+#include <ctime>
 
 #include "core/constants.h"
 #include "core/hashing.h"
@@ -27,6 +28,13 @@
   return address;
 }
 
+double processorSeconds() {
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  constexpr double kNanosecond = 1e-9;
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * kNanosecond;
+}
+
 }  // namespace
 
 double RunResult::brokenPerMillion() const {
@@ -104,8 +112,8 @@
   identity.zone = zone;
   identity.region = regions_[zone];
   identity.control = {makeAddress(92, number), kControlPort};
-  const auto daemon = std::make_shared<SimulatedDaemon>(
-      queue_, identity, random_.next(), random_.next(), scenario_.variant, compiler_);
+  const auto daemon = std::make_shared<SimulatedDaemon>(queue_, identity, random_.next(),
+                                                        random_.next(), scenario_, compiler_);
   daemons_.push_back(daemon);
   daemonsByControl_[identity.control] = daemon;
   const core::Duration phase = random_.between(core::Duration(0), core::kTickInterval);
@@ -135,7 +143,32 @@
   record({queue_.now().count() / 1000, kind, actor, "", "", "", detail});
 }
 
+void World::beginMeasurement() {
+  measuredFrom_ = queue_.now();
+  processorSecondsAtStart_ = processorSeconds();
+  for (const DaemonPtr& daemon : daemons_) {
+    daemon->traffic = ControlTraffic{};
+  }
+}
+
+void World::summarizeControl(RunResult& result) const {
+  double daemonSeconds = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t messages = 0;
+  for (const DaemonPtr& daemon : daemons_) {
+    const core::Time begin = std::max(daemon->startedAt, measuredFrom_);
+    const core::Time end = std::min(daemon->endedAt, queue_.now());
+    daemonSeconds += std::max(0.0, std::chrono::duration<double>(end - begin).count());
+    bytes += daemon->traffic.bytes;
+    messages += daemon->traffic.messages;
+  }
+  result.controlBytesPerSecond = static_cast<double>(bytes) / daemonSeconds;
+  result.controlMessagesPerSecond = static_cast<double>(messages) / daemonSeconds;
+  result.coreShare = (processorSeconds() - processorSecondsAtStart_) / daemonSeconds;
+}
+
 RunResult World::run() {
+  queue_.at(scenario_.measureAfter, [this] { beginMeasurement(); });
   queue_.runUntil(kFleetHeadStart + scenario_.duration + kQuietEnd);
   return summarize();
 }
@@ -167,22 +200,15 @@
                      queueing.end());
     result.queueingP99Ms = std::chrono::duration<double, std::milli>(queueing[rank]).count();
   }
-  double daemonSeconds = 0;
-  std::uint64_t bytes = 0;
-  std::uint64_t messages = 0;
   std::size_t alive = 0;
   for (const DaemonPtr& daemon : daemons_) {
-    daemonSeconds += std::chrono::duration<double>(queue_.now() - daemon->startedAt).count();
-    bytes += daemon->traffic.bytes;
-    messages += daemon->traffic.messages;
     if (daemon->isAlive()) {
       ++alive;
       result.flowStateBytes += static_cast<double>(daemon->router().flowStateBytes(queue_.now()));
     }
   }
   result.flowStateBytes /= static_cast<double>(std::max<std::size_t>(alive, 1));
-  result.controlBytesPerSecond = static_cast<double>(bytes) / daemonSeconds;
-  result.controlMessagesPerSecond = static_cast<double>(messages) / daemonSeconds;
+  summarizeControl(result);
   result.drops = drops_;
   result.trace = std::move(trace_);
   result.events = queue_.executed();
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -31,7 +31,8 @@
   double queueingP99Ms = 0;
   double controlBytesPerSecond = 0;     ///< Sent, mean per daemon.
   double controlMessagesPerSecond = 0;  ///< Sent, mean per daemon.
-  double flowStateBytes = 0;            ///< Mean per daemon at the end.
+  double coreShare = 0;  ///< Processor seconds per second and daemon, the simulator's included.
+  double flowStateBytes = 0;  ///< Mean per daemon at the end.
   std::map<std::string, std::uint64_t> drops;
   std::vector<std::string> trace;  ///< One line per decision about the traced session.
   std::uint64_t events = 0;
@@ -88,6 +89,8 @@
   void publish();
   DaemonPtr findDaemon(const std::string& name) const;
 
+  void beginMeasurement();
+  void summarizeControl(RunResult& result) const;
   void record(EventKind kind, const std::string& actor, const std::string& detail);
   void record(Event event) { history_.push_back(std::move(event)); }
   RunResult summarize();
@@ -108,6 +111,8 @@
   std::vector<Event> history_;
   std::map<std::string, std::uint64_t> drops_;
   std::vector<std::string> trace_;
+  core::Time measuredFrom_{};
+  double processorSecondsAtStart_ = 0;
   std::uint64_t packetsToPeers_ = 0;
   std::uint64_t packetsToBackends_ = 0;
   std::uint32_t nextDaemonNumber_ = 1;
--- a/src/sim/world_faults.cc
+++ b/src/sim/world_faults.cc
@@ -63,6 +63,7 @@
   switch (fault.kind) {
     case FaultKind::kKillDaemon:
       daemon->kill();
+      daemon->endedAt = queue_.now();
       daemon->sprayedUntil = queue_.now() + scenario_.fabricLag;
       break;
     case FaultKind::kStopDaemon:
--- a/src/sim/world_traffic.cc
+++ b/src/sim/world_traffic.cc
@@ -175,6 +175,7 @@
       daemon->router().finishLeaving(now);
       flush(daemon);
       daemon->kill();
+      daemon->endedAt = now;
       return;
     }
     flush(daemon);
--- a/src/standin/backend.cc
+++ b/src/standin/backend.cc
@@ -15,8 +15,8 @@
 constexpr std::size_t kRememberedAnswers = 20'000;
 constexpr int kColdFactor = 4;
 
-const std::vector<OptionSpec>& backendOptions() {
-  static const std::vector<OptionSpec> kOptions{
+const std::vector<ctl::OptionSpec>& backendOptions() {
+  static const std::vector<ctl::OptionSpec> kOptions{
       {"name", "name in the history", ""},
       {"service", "service it belongs to", ""},
       {"listen", "where Geneve packets arrive", ""},
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-Backend::Backend(asio::io_context& context, const Options& options)
+Backend::Backend(asio::io_context& context, const ctl::CommandOptions& options)
     : context_(context),
       name_(options.text("name")),
       service_(options.text("service")),
@@ -264,7 +264,8 @@
 }
 
 int runBackend(int argc, const char* const* argv) {
-  const auto options = Options::parse("cobaltgauge-standin backend", backendOptions(), argc, argv);
+  const auto options =
+      ctl::CommandOptions::parse("cobaltgauge-standin backend", backendOptions(), argc, argv);
   if (!options) {
     return 2;
   }
--- a/src/standin/backend.h
+++ b/src/standin/backend.h
@@ -10,16 +10,16 @@
 #include <map>
 #include <string>
 
+#include "ctl/command_options.h"
 #include "net/coap_message.h"
 #include "sim/history.h"
 #include "standin/geneve_port.h"
-#include "standin/options.h"
 
 namespace cobaltgauge::standin {
 
 class Backend {
  public:
-  Backend(asio::io_context& context, const Options& options);
+  Backend(asio::io_context& context, const ctl::CommandOptions& options);
 
  private:
   /// One standing session, identified by its flow.
--- a/src/standin/caller.cc
+++ b/src/standin/caller.cc
@@ -23,8 +23,8 @@
 constexpr auto kStagger = std::chrono::milliseconds(4);
 constexpr auto kCheckInterval = std::chrono::milliseconds(50);
 
-const std::vector<OptionSpec>& callerOptions() {
-  static const std::vector<OptionSpec> kOptions{
+const std::vector<ctl::OptionSpec>& callerOptions() {
+  static const std::vector<ctl::OptionSpec> kOptions{
       {"name", "name in the history; part of every session name", ""},
       {"service", "service name in the history", ""},
       {"target", "the service's address and port", ""},
@@ -228,7 +228,8 @@
 }
 
 int runCaller(int argc, const char* const* argv) {
-  const auto options = Options::parse("cobaltgauge-standin caller", callerOptions(), argc, argv);
+  const auto options =
+      ctl::CommandOptions::parse("cobaltgauge-standin caller", callerOptions(), argc, argv);
   if (!options) {
     return 2;
   }
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "ctl/command_options.h"
 #include "net/coap_message.h"
 #include "sim/history.h"
 #include "standin/geneve_port.h"
-#include "standin/options.h"
 
 namespace cobaltgauge::standin {
 
--- a/src/standin/fabric.cc
+++ b/src/standin/fabric.cc
@@ -13,8 +13,8 @@
 constexpr std::uint64_t kPermille = 1000;
 constexpr auto kFileInterval = std::chrono::milliseconds(100);
 
-const std::vector<OptionSpec>& fabricOptions() {
-  static const std::vector<OptionSpec> kOptions{
+const std::vector<ctl::OptionSpec>& fabricOptions() {
+  static const std::vector<ctl::OptionSpec> kOptions{
       {"listen", "where callers, daemons and back ends send to", ""},
       {"daemons", "file with one daemon's ADDRESS:PORT a line, read again ten times a second", ""},
       {"loss-permille", "packets lost, in a thousand", "0"},
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-Fabric::Fabric(asio::io_context& context, const Options& options)
+Fabric::Fabric(asio::io_context& context, const ctl::CommandOptions& options)
     : context_(context),
       daemonsFile_(options.text("daemons")),
       lossPermille_(options.number("loss-permille")),
@@ -116,7 +116,8 @@
 }
 
 int runFabric(int argc, const char* const* argv) {
-  const auto options = Options::parse("cobaltgauge-standin fabric", fabricOptions(), argc, argv);
+  const auto options =
+      ctl::CommandOptions::parse("cobaltgauge-standin fabric", fabricOptions(), argc, argv);
   if (!options) {
     return 2;
   }
--- a/src/standin/fabric.h
+++ b/src/standin/fabric.h
@@ -12,15 +12,15 @@
 #include <string>
 #include <vector>
 
+#include "ctl/command_options.h"
 #include "net/geneve.h"
 #include "net/inner_packet.h"
-#include "standin/options.h"
 
 namespace cobaltgauge::standin {
 
 class Fabric {
  public:
-  Fabric(asio::io_context& context, const Options& options);
+  Fabric(asio::io_context& context, const ctl::CommandOptions& options);
 
  private:
   void receive();
--- a/src/standin/platform_server.cc
+++ b/src/standin/platform_server.cc
@@ -9,15 +9,15 @@
 #include <sstream>
 
 #include "core/hashing.h"
+#include "ctl/command_options.h"
 #include "net/address.h"
 #include "standin/geneve_port.h"
-#include "standin/options.h"
 
 namespace cobaltgauge::standin {
 namespace {
 
-const std::vector<OptionSpec>& platformOptions() {
-  static const std::vector<OptionSpec> kOptions{
+const std::vector<ctl::OptionSpec>& platformOptions() {
+  static const std::vector<ctl::OptionSpec> kOptions{
       {"listen", "HTTP endpoint", ""},
       {"configuration", "JSON file, read at each request", ""},
       {"machines", "JSON file, read at each request", ""},
@@ -78,7 +78,7 @@
 
 int runPlatform(int argc, const char* const* argv) {
   const auto options =
-      Options::parse("cobaltgauge-standin platform", platformOptions(), argc, argv);
+      ctl::CommandOptions::parse("cobaltgauge-standin platform", platformOptions(), argc, argv);
   if (!options) {
     return 2;
   }
