Add cobaltgaugectl and the tests of the core

Change: check, policy test, config diff offline; status, members, services, explain, drain-status and metrics against a daemon.

--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,145 @@
+/// @file
+/// Entry point of cobaltgaugectl.
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "ctl/admin_client.h"
+#include "ctl/command_options.h"
+#include "ctl/offline_commands.h"
+
+namespace {
+
+using namespace cobaltgauge::ctl;
+
+constexpr int kUsageError = 2;
+constexpr const char* kUsage =
+    "usage: cobaltgaugectl COMMAND\n"
+    "offline:\n"
+    "  check CONFIGURATION                  checks a configuration as every daemon would\n"
+    "  policy test CONFIGURATION            prints the table that each policy gives\n"
+    "  policy test CONFIGURATION SERVICE POLICY\n"
+    "                                       the same with another policy for one service\n"
+    "  config diff BEFORE AFTER             prints what a change does\n"
+    "against a daemon (--admin=ADDRESS:PORT):\n"
+    "  status | members | services          the daemon's view\n"
+    "  explain PROTOCOL SOURCE DESTINATION  where a flow goes, since when, by which rule\n"
+    "  drain-status BACKEND                 whether a back end still gets new flows\n"
+    "  metrics                              all counters\n"
+    "Settings of a daemon are checked by: cobaltgauged --settings FILE --check\n";
+
+std::optional<std::string> readFile(const std::string& path) {
+  std::ifstream in(path);
+  if (!in) {
+    std::cerr << "cobaltgaugectl: " << path << ": cannot be opened\n";
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+int finish(const CommandResult& result) {
+  (result.ok ? std::cout : std::cerr) << result.output;
+  return result.ok ? 0 : 1;
+}
+
+std::optional<std::vector<std::string>> readFiles(const std::vector<std::string>& paths) {
+  std::vector<std::string> texts;
+  for (const std::string& path : paths) {
+    std::optional<std::string> text = readFile(path);
+    if (!text) {
+      return std::nullopt;
+    }
+    texts.push_back(std::move(*text));
+  }
+  return texts;
+}
+
+/// Prints, from the daemon's /services page, what a back end still takes.
+int printDrainStatus(const std::string& page, const std::string& backendName) {
+  const nlohmann::json services = nlohmann::json::parse(page, nullptr, false);
+  for (const nlohmann::json& service : services) {
+    for (const nlohmann::json& backend : service.at("backends")) {
+      if (backend.at("name") == backendName) {
+        const auto buckets = backend.at("buckets").get<std::size_t>();
+        std::cout << backendName << " of " << service.at("name").get<std::string>() << " is "
+                  << backend.at("state").get<std::string>() << " and "
+                  << (buckets == 0 ? "gets no new flow"
+                                   : "gets new flows of " + std::to_string(buckets) + " buckets")
+                  << "\n";
+        return 0;
+      }
+    }
+  }
+  std::cout << backendName << " is in no configuration that this daemon holds\n";
+  return 1;
+}
+
+int askDaemon(int argc, const char* const* argv) {
+  const std::string command = argv[0];
+  const auto options = CommandOptions::parse(
+      "cobaltgaugectl " + command,
+      {{"admin", "admin endpoint of the daemon, ADDRESS:PORT", kRequired}}, argc, argv);
+  if (!options) {
+    return kUsageError;
+  }
+  const std::vector<std::string>& arguments = options->arguments();
+  const std::size_t expected = command == "explain" ? 3 : command == "drain-status" ? 1 : 0;
+  if (arguments.size() != expected) {
+    std::cerr << kUsage;
+    return kUsageError;
+  }
+  AdminClient client(options->endpoint("admin"));
+  const std::string flow =
+      command == "explain" ? arguments[0] + " " + arguments[1] + " " + arguments[2] : "";
+  const std::string page = command == "drain-status" ? "services" : command;
+  const auto body = client.get("/" + page, flow);
+  if (!body) {
+    std::cerr << "cobaltgaugectl: " << client.lastReason() << "\n";
+    return 1;
+  }
+  if (command == "drain-status") {
+    return printDrainStatus(*body, arguments[0]);
+  }
+  std::cout << *body;
+  return 0;
+}
+
+int runOffline(const std::vector<std::string>& words) {
+  if (words.size() == 2 && words[0] == "check") {
+    const auto files = readFiles({words[1]});
+    return files ? finish(checkConfiguration(files->front())) : 1;
+  }
+  if (words.size() == 3 && words[0] == "policy" && words[1] == "test") {
+    const auto files = readFiles({words[2]});
+    return files ? finish(testPolicies(files->front())) : 1;
+  }
+  if (words.size() == 5 && words[0] == "policy" && words[1] == "test") {
+    const auto files = readFiles({words[2], words[4]});
+    return files ? finish(testPolicy((*files)[0], words[3], (*files)[1])) : 1;
+  }
+  if (words.size() == 4 && words[0] == "config" && words[1] == "diff") {
+    const auto files = readFiles({words[2], words[3]});
+    return files ? finish(compareConfigurations((*files)[0], (*files)[1])) : 1;
+  }
+  std::cerr << kUsage;
+  return kUsageError;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  const std::vector<std::string> remote{"status",  "members",      "services",
+                                        "explain", "drain-status", "metrics"};
+  for (const std::string& command : remote) {
+    if (!words.empty() && words[0] == command) {
+      return askDaemon(argc - 1, argv + 1);
+    }
+  }
+  return runOffline(words);
+}
--- /dev/null
+++ b/src/ctl/offline_commands.cc
@@ -0,0 +1,197 @@
+#include "ctl/offline_commands.h"
+
+#include <iomanip>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <vector>
+
+#include "core/constants.h"
+#include "core/service_placement.h"
+#include "net/address.h"
+#include "platform/configuration_json.h"
+
+namespace cobaltgauge::ctl {
+namespace {
+
+/// A configuration compiled as a daemon compiles it.
+struct Compiled {
+  core::ConfigurationVersion version = 0;
+  std::vector<core::Service> services;
+};
+
+std::optional<Compiled> compile(const std::string& text, std::string& reason) {
+  platform::ConfigurationParser parser;
+  const std::optional<core::ConfigurationDocument> document = parser.parse(text);
+  if (!document) {
+    reason = parser.lastReason();
+    return std::nullopt;
+  }
+  platform::JsonConfigurationCompiler compiler;
+  std::optional<std::vector<core::Service>> services = compiler.compile(*document);
+  if (!services) {
+    reason = compiler.lastReason();
+    return std::nullopt;
+  }
+  return Compiled{document->version, std::move(*services)};
+}
+
+CommandResult failure(const std::string& reason) { return {reason + "\n", false}; }
+
+std::size_t bucketsOf(const core::ServicePlacement& placement, core::BackendId backend) {
+  std::size_t count = 0;
+  for (std::size_t bucket = 0; bucket < core::kBucketCount; ++bucket) {
+    count += placement.current(bucket) == backend ? 1 : 0;
+  }
+  return count;
+}
+
+void printService(std::ostream& out, const core::Service& service) {
+  core::ServicePlacement placement(service.id);
+  placement.apply(service, 1, core::Time{});
+  out << "service " << service.name << " at " << net::formatEndpoint(service.virtualEndpoint)
+      << ", rank " << service.rank;
+  if (service.limits.flowsPerBackend != 0) {
+    out << ", at most " << service.limits.flowsPerBackend << " flows per back end";
+  }
+  if (service.limits.newFlowsPerSecond != 0) {
+    out << ", at most " << service.limits.newFlowsPerSecond << " new flows a second";
+  }
+  out << "\n"
+      << std::left << std::setw(24) << "back end" << std::setw(16) << "zone" << std::setw(10)
+      << "state" << std::setw(8) << "weight"
+      << "share\n";
+  for (const core::Backend& backend : service.backends) {
+    const double share = 100.0 * static_cast<double>(bucketsOf(placement, backend.address.id)) /
+                         static_cast<double>(core::kBucketCount);
+    const bool active = backend.state == core::BackendState::kActive;
+    out << std::setw(24) << backend.name << std::setw(16) << backend.zone << std::setw(10)
+        << (active ? "active" : "leaving") << std::setw(8) << backend.weight << std::fixed
+        << std::setprecision(2) << share << " %\n";
+  }
+}
+
+const core::Service* findService(const Compiled& compiled, const std::string& name) {
+  for (const core::Service& service : compiled.services) {
+    if (service.name == name) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+std::map<std::string, const core::Backend*> backendsByName(const core::Service& service) {
+  std::map<std::string, const core::Backend*> result;
+  for (const core::Backend& backend : service.backends) {
+    result[backend.name] = &backend;
+  }
+  return result;
+}
+
+void compareServices(std::ostream& out, const core::Service& before, const core::Service& after) {
+  std::ostringstream changes;
+  const auto old = backendsByName(before);
+  const auto present = backendsByName(after);
+  for (const auto& [name, backend] : present) {
+    const auto known = old.find(name);
+    if (known == old.end()) {
+      changes << "  + back end " << name << ", weight " << backend->weight << "\n";
+    } else if (known->second->state != backend->state) {
+      const bool leaves = backend->state == core::BackendState::kLeaving;
+      changes << "  ~ back end " << name << (leaves ? " leaves\n" : " is active again\n");
+    } else if (known->second->weight != backend->weight) {
+      changes << "  ~ back end " << name << ", weight " << known->second->weight << " -> "
+              << backend->weight << "\n";
+    } else if (!(known->second->address == backend->address)) {
+      changes << "  ~ back end " << name << " has another address or incarnation\n";
+    }
+  }
+  for (const auto& [name, backend] : old) {
+    if (!present.contains(name)) {
+      changes << "  - back end " << name << "\n";
+    }
+  }
+  core::ServicePlacement placement(before.id);
+  placement.apply(before, 1, core::Time{});
+  const auto moved = placement.apply(after, 2, core::Time{});
+  if (moved.any()) {
+    changes << "  buckets that move: " << moved.count() << " of " << core::kBucketCount << "\n";
+  }
+  if (!changes.str().empty()) {
+    out << "service " << after.name << "\n" << changes.str();
+  }
+}
+
+}  // namespace
+
+CommandResult checkConfiguration(const std::string& text) {
+  std::string reason;
+  const std::optional<Compiled> compiled = compile(text, reason);
+  if (!compiled) {
+    return failure(reason);
+  }
+  std::ostringstream out;
+  out << "version " << compiled->version << " is valid: " << compiled->services.size()
+      << " services\n";
+  return {out.str(), true};
+}
+
+CommandResult testPolicies(const std::string& text) {
+  std::string reason;
+  const std::optional<Compiled> compiled = compile(text, reason);
+  if (!compiled) {
+    return failure(reason);
+  }
+  std::ostringstream out;
+  for (const core::Service& service : compiled->services) {
+    printService(out, service);
+  }
+  return {out.str(), true};
+}
+
+CommandResult testPolicy(const std::string& text, const std::string& serviceName,
+                         const std::string& policy) {
+  nlohmann::json root = nlohmann::json::parse(text, nullptr, false);
+  if (!root.is_object() || !root.contains("services") || !root["services"].is_array()) {
+    return failure("configuration: not a JSON object with services");
+  }
+  bool found = false;
+  for (nlohmann::json& service : root["services"]) {
+    if (service.is_object() && service.value("name", "") == serviceName) {
+      service["policy"] = policy;
+      found = true;
+    }
+  }
+  return found ? testPolicies(root.dump()) : failure("no service '" + serviceName + "'");
+}
+
+CommandResult compareConfigurations(const std::string& before, const std::string& after) {
+  std::string reason;
+  const std::optional<Compiled> old = compile(before, reason);
+  const std::optional<Compiled> present = old ? compile(after, reason) : std::nullopt;
+  if (!present) {
+    return failure((old ? "second file: " : "first file: ") + reason);
+  }
+  std::ostringstream out;
+  out << "version " << old->version << " -> " << present->version << "\n";
+  for (const core::Service& service : present->services) {
+    const core::Service* known = findService(*old, service.name);
+    if (known == nullptr) {
+      out << "+ service " << service.name << "\n";
+    } else {
+      compareServices(out, *known, service);
+    }
+  }
+  for (const core::Service& service : old->services) {
+    if (findService(*present, service.name) == nullptr) {
+      out << "- service " << service.name << "\n";
+    }
+  }
+  const bool rises = present->version > old->version;
+  if (!rises) {
+    out << "warning: the version does not rise; daemons will refuse the second file\n";
+  }
+  return {out.str(), rises};
+}
+
+}  // namespace cobaltgauge::ctl
--- /dev/null
+++ b/tests/core/balancer_test.cc
@@ -0,0 +1,285 @@
+/// Packet in, decision out, on one daemon and on two that talk.
+#include "core/balancer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/constants.h"
+#include "support/core_fixtures.h"
+
+using namespace cobaltgauge;
+using namespace cobaltgauge::core;
+using namespace std::chrono_literals;
+using cobaltgauge::tests::makeDocument;
+using cobaltgauge::tests::packetFrom;
+
+namespace {
+
+/// Drives one or two daemons in lock step without loss.
+struct BalancerFixture {
+  BalancerFixture() {
+    compiler.prepared["four"] = tests::makeService("web", 1, 4);
+    compiler.prepared["drained"] = tests::makeService("web", 1, 4);
+    compiler.prepared["drained"].backends[0].state = BackendState::kLeaving;
+    compiler.prepared["none"] = tests::makeService("web", 1, 0);
+    compiler.prepared["limited"] = tests::makeService("web", 1, 4);
+    compiler.prepared["limited"].tracked = true;
+    compiler.prepared["limited"].refusal = RefusalForm::kCoap;
+    compiler.prepared["limited"].limits.newFlowsPerSecond = 1;
+    compiler.prepared["tcp"] = tests::makeService("web", 1, 4);
+    compiler.prepared["tcp"].protocol = Protocol::kTcp;
+    compiler.prepared["tcp"].limits.newFlowsPerSecond = 1;
+  }
+
+  static BalancerOptions options(const std::string& name, std::uint8_t number) {
+    BalancerOptions result;
+    result.self = tests::makeIdentity(name, number);
+    result.process = number;
+    return result;
+  }
+
+  /// Passes time, in ticks, and delivers every message.
+  void pass(Duration duration) {
+    const Time end = now + duration;
+    while (now < end) {
+      now += kTickInterval;
+      for (Balancer* balancer : running) {
+        balancer->onTick(now);
+      }
+      deliver();
+    }
+  }
+
+  void deliver() {
+    for (bool moved = true; moved;) {
+      moved = false;
+      for (Balancer* from : running) {
+        for (const OutgoingMessage& message : from->takeMessages()) {
+          for (Balancer* to : running) {
+            if (to->membership().self().control == message.destination) {
+              to->onMessage(from->membership().self().id, message.message, now);
+              moved = true;
+            }
+          }
+        }
+      }
+    }
+  }
+
+  void startAlone(const std::string& text) {
+    running = {&first};
+    first.offerConfiguration(makeDocument(1, text), now);
+    first.offerMemberSeeds({}, now);
+    pass(4s);
+  }
+
+  void startBoth(const std::string& text) {
+    startAlone(text);
+    running = {&first, &second};
+    second.offerConfiguration(makeDocument(1, text), now);
+    second.offerMemberSeeds({first.membership().self()}, now);
+    pass(4s);
+  }
+
+  static BackendId backendOf(const Verdict& verdict) {
+    const auto* forward = std::get_if<ForwardToBackend>(&verdict);
+    return forward == nullptr ? kNoBackend : forward->backend.id;
+  }
+
+  /// Follows a packet from daemon to daemon until it leaves the fleet.
+  BackendId route(Balancer& ingress, const PacketSummary& packet) {
+    Verdict verdict = ingress.onPacket(packet, now);
+    for (int hop = 0; hop < 3; ++hop) {
+      const auto* pass = std::get_if<ForwardToPeer>(&verdict);
+      if (pass == nullptr) {
+        break;
+      }
+      const PeerArrival arrival{ingress.membership().self().id, pass->hops};
+      for (Balancer* peer : running) {
+        if (peer->membership().self().control == pass->destination) {
+          verdict = peer->onPeerPacket(packet, arrival, now);
+          break;
+        }
+      }
+    }
+    deliver();
+    return backendOf(verdict);
+  }
+
+  tests::MapCompiler compiler;
+  sim::SeededRandom random{1};
+  Time now = 100s;
+  Balancer first{options("lb-1", 1), compiler, random};
+  Balancer second{options("lb-2", 2), compiler, random};
+  std::vector<Balancer*> running;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BalancerTest, BalancerFixture)
+
+BOOST_AUTO_TEST_CASE(JoiningDaemonForwardsNothingBeforeItsFenceOpens) {
+  running = {&first};
+  first.offerConfiguration(makeDocument(1, "four"), now);
+  first.offerMemberSeeds({}, now);
+  pass(1s);
+  const Verdict verdict = first.onPacket(packetFrom(1), now);
+  BOOST_TEST((std::get<Drop>(verdict).reason == DropReason::kFenced));
+  pass(3s);
+  BOOST_TEST((backendOf(first.onPacket(packetFrom(1), now)) != kNoBackend));
+}
+
+BOOST_AUTO_TEST_CASE(JoinerWithoutListOfPeersKeepsWaiting) {
+  running = {&first};
+  first.offerConfiguration(makeDocument(1, "four"), now);
+  pass(20s);
+  BOOST_TEST(first.isFenced());
+}
+
+BOOST_AUTO_TEST_CASE(IsolatedJoinerDoesNotTakeItselfForTheFirst) {
+  running = {&first};
+  first.offerConfiguration(makeDocument(1, "four"), now);
+  first.offerMemberSeeds({second.membership().self()}, now);
+  pass(20s);
+  BOOST_TEST(first.isFenced());
+}
+
+BOOST_AUTO_TEST_CASE(PacketWithoutServiceNeverLeaves) {
+  startAlone("four");
+  PacketSummary packet = packetFrom(1);
+  packet.flow.destination.port = 1;
+  BOOST_TEST((std::get<Drop>(first.onPacket(packet, now)).reason == DropReason::kNoService));
+  packet = packetFrom(1, PacketKind::kUnknown, Protocol::kTcp);
+  BOOST_TEST((std::get<Drop>(first.onPacket(packet, now)).reason == DropReason::kNoService));
+}
+
+BOOST_AUTO_TEST_CASE(TwoDaemonsSendAFlowToTheSameBackend) {
+  startBoth("four");
+  for (std::uint8_t caller = 1; caller < 100; ++caller) {
+    const BackendId chosen = route(first, packetFrom(caller));
+    BOOST_TEST_REQUIRE((chosen != kNoBackend));
+    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == chosen));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DrainKeepsFlowsThatOnlyOneDaemonKnows) {
+  startBoth("four");
+  std::map<std::uint8_t, BackendId> chosen;
+  for (std::uint8_t caller = 1; caller < 100; ++caller) {
+    chosen[caller] = route(first, packetFrom(caller));
+  }
+  first.offerConfiguration(makeDocument(2, "drained"), now);
+  pass(3s);
+  BOOST_TEST(second.versionInForce() == 2U);
+  for (const auto& [caller, backend] : chosen) {
+    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == backend));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LeavingBackendGetsNoNewFlowAfterTheWindow) {
+  startBoth("four");
+  first.offerConfiguration(makeDocument(2, "drained"), now);
+  pass(3s);
+  const BackendId leaving = compiler.prepared["four"].backends[0].address.id;
+  for (std::uint8_t caller = 1; caller < 100; ++caller) {
+    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) != leaving));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FlowOpenedDuringTheWindowHasOneBackend) {
+  startBoth("four");
+  first.offerConfiguration(makeDocument(2, "drained"), now);
+  deliver();  // Both know the version; the window is open.
+  for (std::uint8_t caller = 1; caller < 100; ++caller) {
+    const BackendId chosen = route(first, packetFrom(caller));
+    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == chosen));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HomesSurviveAPlannedStop) {
+  startBoth("four");
+  std::map<std::uint8_t, BackendId> chosen;
+  for (std::uint8_t caller = 1; caller < 100; ++caller) {
+    chosen[caller] = route(first, packetFrom(caller));
+  }
+  first.offerConfiguration(makeDocument(2, "drained"), now);
+  pass(3s);
+  first.beginLeaving(now);
+  pass(1s);
+  BOOST_TEST(first.handoverDone());
+  first.finishLeaving(now);
+  deliver();
+  running = {&second};
+  pass(1s);
+  for (const auto& [caller, backend] : chosen) {
+    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == backend));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SuspendedDaemonForwardsNothingUntilAPeerConfirmsItsView) {
+  startBoth("four");
+  now += 20s;  // No tick of `first` happens in this time.
+  const Verdict verdict = first.onPacket(packetFrom(1), now);
+  BOOST_TEST((std::get<Drop>(verdict).reason == DropReason::kFenced));
+  BOOST_TEST(first.counters().suspensions == 1U);
+  pass(500ms);
+  BOOST_TEST(!first.isFenced());
+}
+
+BOOST_AUTO_TEST_CASE(OldVersionFromThePlatformDoesNotRevertAJoiner) {
+  startAlone("four");
+  first.offerConfiguration(makeDocument(2, "drained"), now);
+  pass(2s);
+  running = {&first, &second};
+  second.offerConfiguration(makeDocument(1, "four"), now);
+  second.offerMemberSeeds({first.membership().self()}, now);
+  pass(4s);
+  BOOST_TEST(second.versionInForce() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ServiceWithoutBackendsRefuses) {
+  startAlone("none");
+  const Verdict verdict = first.onPacket(packetFrom(1), now);
+  BOOST_TEST((std::get<Refuse>(verdict).reason == RefuseReason::kNoBackend));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalIsNotRunOnlyAfterTheRetransmissionSpan) {
+  startAlone("limited");
+  first.onPacket(packetFrom(1), now);
+  const auto early = std::get<Refuse>(first.onPacket(packetFrom(2), now));
+  BOOST_TEST((early.reason == RefuseReason::kNewFlowRate));
+  BOOST_TEST((early.certainty == RefusalCertainty::kOutcomeUnknown));
+  pass(kRetransmissionSpan);
+  first.onPacket(packetFrom(3), now);
+  const auto late = std::get<Refuse>(first.onPacket(packetFrom(4), now));
+  BOOST_TEST((late.certainty == RefusalCertainty::kNotRun));
+  BOOST_TEST(late.retryAfter.count() >= 1);
+}
+
+BOOST_AUTO_TEST_CASE(LimitNeverRefusesAnEstablishedFlow) {
+  startAlone("limited");
+  const BackendId chosen = backendOf(first.onPacket(packetFrom(1), now));
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST_REQUIRE((backendOf(first.onPacket(packetFrom(1), now)) == chosen));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TcpSynOverTheRateIsProvablyNotRun) {
+  startAlone("tcp");
+  const auto syn = [](std::uint8_t caller) {
+    return packetFrom(caller, PacketKind::kOpening, Protocol::kTcp);
+  };
+  BOOST_TEST((backendOf(first.onPacket(syn(1), now)) != kNoBackend));
+  const auto refusal = std::get<Refuse>(first.onPacket(syn(2), now));
+  BOOST_TEST((refusal.certainty == RefusalCertainty::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(ExplainNamesTheLearnedBackend) {
+  startAlone("four");
+  const BackendId chosen = backendOf(first.onPacket(packetFrom(1), now));
+  const auto explanation = first.explain(packetFrom(1).flow, now);
+  BOOST_TEST_REQUIRE(explanation.has_value());
+  BOOST_TEST((explanation->learned == chosen));
+  BOOST_TEST(explanation->service == "web");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/core/shard_state_test.cc
@@ -0,0 +1,94 @@
+#include "core/shard_state.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cobaltgauge::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr MemberId kFirst{1};
+constexpr MemberId kSecond{3};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ShardStateTest)
+
+BOOST_AUTO_TEST_CASE(OwnerWithoutRecordsHoldsUnknownFlows) {
+  const ShardState shard;
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kHold));
+}
+
+BOOST_AUTO_TEST_CASE(WindowClosesWhenEveryMemberHasReported) {
+  ShardState shard;
+  shard.setComplete(1);
+  shard.openWindow(2, 10s, {kFirst, kSecond});
+  shard.noteReport(kFirst, 2, false);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kAssumeOld));
+  shard.noteReport(kSecond, 1, false);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kAssumeOld));
+  shard.noteReport(kSecond, 2, false);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kIsNew));
+}
+
+BOOST_AUTO_TEST_CASE(WindowClosesAtItsEndWithoutReports) {
+  ShardState shard;
+  shard.setComplete(1);
+  shard.openWindow(2, 10s, {kFirst});
+  BOOST_TEST((shard.unknownFlowRule(9s) == UnknownFlowRule::kAssumeOld));
+  BOOST_TEST((shard.unknownFlowRule(10s) == UnknownFlowRule::kIsNew));
+}
+
+BOOST_AUTO_TEST_CASE(ReportsThatCameEarlyCount) {
+  ShardState shard;
+  shard.setComplete(1);
+  shard.noteReport(kFirst, 2, false);
+  shard.openWindow(2, 10s, {kFirst});
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kIsNew));
+}
+
+BOOST_AUTO_TEST_CASE(LateOwnerDoesNotReopenAClosedWindow) {
+  ShardState shard;
+  shard.setComplete(5);
+  shard.openWindow(5, 10s, {kFirst});
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kIsNew));
+}
+
+BOOST_AUTO_TEST_CASE(ListingNeedsFullReportsOfThePresentVersion) {
+  ShardState shard;
+  shard.awaitListing({kFirst}, 4, 10s);
+  shard.noteReport(kFirst, 4, false);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kHold));
+  shard.noteReport(kFirst, 3, true);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kHold));
+  shard.noteReport(kFirst, 4, false);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kIsNew));
+}
+
+BOOST_AUTO_TEST_CASE(HandoverFailsWhenTheFormerHomeIsGone) {
+  ShardState shard;
+  shard.awaitHandover(kFirst, 10s);
+  BOOST_TEST((shard.unknownFlowRule(1s) == UnknownFlowRule::kAskFormerHome));
+  BOOST_TEST(!shard.handoverFailed(1s));
+  shard.noteGone(kFirst);
+  BOOST_TEST(shard.handoverFailed(1s));
+}
+
+BOOST_AUTO_TEST_CASE(FirstRecordOfAFlowStays) {
+  ShardState shard;
+  BOOST_TEST(shard.add({FlowFingerprint{9}, BackendId{1}}, 1s));
+  BOOST_TEST(!shard.add({FlowFingerprint{9}, BackendId{2}}, 2s));
+  BOOST_TEST((shard.find(FlowFingerprint{9}) == BackendId{1}));
+  BOOST_TEST(shard.flowsOn(BackendId{1}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ExpiredRecordsLeaveNoCount) {
+  ShardState shard;
+  shard.add({FlowFingerprint{9}, BackendId{1}}, 1s);
+  shard.add({FlowFingerprint{11}, BackendId{1}}, 50s);
+  shard.expire(70s, 60s);
+  BOOST_TEST(shard.recordCount() == 1U);
+  BOOST_TEST(shard.flowsOn(BackendId{1}) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
