Test the edges, the policies, the checker and the model

Cause: only the core had tests. Found: the checker did not judge the spread of a version for a daemon whose first version was published before the history began; mended.

--- a/src/sim/history_checker.cc
+++ b/src/sim/history_checker.cc
@@ -150,22 +150,16 @@
           event.actor + " went from " + std::to_string(known) + " to " + std::to_string(version));
     }
     known = std::max(known, version);
+    const std::int64_t firstSeen = firstSeen_.try_emplace(event.actor, event.timeMs).first->second;
     const auto published = published_.find(version);
     if (published == published_.end()) {
       return;
     }
     const std::int64_t delay = event.timeMs - knowableSince(published->second, event.timeMs);
     // A daemon that joins later takes the version when it joins.
-    const bool joined = joinedBefore(event.actor, published->second);
-    if (joined) {
+    if (firstSeen <= published->second) {
       report_.slowestConfigurationMs = std::max(report_.slowestConfigurationMs, delay);
     }
-    firstSeen_.try_emplace(event.actor, event.timeMs);
-  }
-
-  bool joinedBefore(const std::string& actor, std::int64_t timeMs) const {
-    const auto seen = firstSeen_.find(actor);
-    return seen != firstSeen_.end() && seen->second <= timeMs;
   }
 
   void judgeSessions() {
--- /dev/null
+++ b/tests/ctl/offline_commands_test.cc
@@ -0,0 +1,75 @@
+#include "ctl/offline_commands.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cobaltgauge::ctl;
+using nlohmann::json;
+
+namespace {
+
+json configuration(int version, int backends) {
+  json list = json::array();
+  for (int i = 1; i <= backends; ++i) {
+    list.push_back(
+        {{"name", "b" + std::to_string(i)}, {"address", "127.0.0.1"}, {"port", 1000 + i}});
+  }
+  return {{"version", version},
+          {"services",
+           {{{"name", "desk"},
+             {"address", "10.0.0.1"},
+             {"port", 5683},
+             {"policy", "function place() return 100 end"},
+             {"backends", list}}}}};
+}
+
+bool mentions(const CommandResult& result, const std::string& part) {
+  return result.output.find(part) != std::string::npos;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(OfflineCommandsTest)
+
+BOOST_AUTO_TEST_CASE(CheckSaysWhatIsWrong) {
+  BOOST_TEST(checkConfiguration(configuration(1, 2).dump()).ok);
+  json bad = configuration(1, 2);
+  bad["services"][0]["port"] = 0;
+  const CommandResult result = checkConfiguration(bad.dump());
+  BOOST_TEST(!result.ok);
+  BOOST_TEST(mentions(result, "service 'desk'.port"));
+}
+
+BOOST_AUTO_TEST_CASE(PolicyTestPrintsSharesThatAddUp) {
+  const CommandResult result = testPolicies(configuration(1, 4).dump());
+  BOOST_TEST(result.ok);
+  BOOST_TEST(mentions(result, "25.00 %"));
+}
+
+BOOST_AUTO_TEST_CASE(PolicyOfOneServiceCanBeReplaced) {
+  const std::string text = configuration(1, 2).dump();
+  const CommandResult result = testPolicy(
+      text, "desk", "function place(c, b) if b.name == 'b1' then return 300 end return 100 end");
+  BOOST_TEST(mentions(result, "75.00 %"));
+  BOOST_TEST(!testPolicy(text, "absent", "x").ok);
+  BOOST_TEST(mentions(testPolicy(text, "desk", "function place("), "policy:1:"));
+}
+
+BOOST_AUTO_TEST_CASE(DiffNamesWhatChanges) {
+  json after = configuration(2, 3);
+  after["services"][0]["backends"][0]["state"] = "leaving";
+  const CommandResult result = compareConfigurations(configuration(1, 2).dump(), after.dump());
+  BOOST_TEST(result.ok);
+  BOOST_TEST(mentions(result, "+ back end b3"));
+  BOOST_TEST(mentions(result, "~ back end b1 leaves"));
+  BOOST_TEST(mentions(result, "buckets that move"));
+}
+
+BOOST_AUTO_TEST_CASE(DiffWarnsWhenTheVersionDoesNotRise) {
+  const std::string text = configuration(1, 2).dump();
+  const CommandResult result = compareConfigurations(text, text);
+  BOOST_TEST(!result.ok);
+  BOOST_TEST(mentions(result, "does not rise"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/daemon/settings_test.cc
@@ -0,0 +1,129 @@
+#include "daemon/settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+
+using namespace cobaltgauge::daemon;
+
+namespace {
+
+constexpr const char* kValid = R"([daemon]
+name = "lb-1"
+[data]
+listen = "127.0.0.1:0"
+fabric_return = "127.0.0.1:9"
+[cluster]
+key = "sixteen byte key"
+listen = "127.0.0.1:0"
+[platform]
+address = "127.0.0.1:8080"
+)";
+
+/// A settings file that is removed at the end of the test.
+class SettingsFile {
+ public:
+  explicit SettingsFile(const std::string& text) : path_(std::tmpnam(nullptr)) {
+    std::ofstream(path_) << text;
+  }
+  ~SettingsFile() { std::remove(path_.c_str()); }
+  SettingsFile(const SettingsFile&) = delete;
+  SettingsFile& operator=(const SettingsFile&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+struct Outcome {
+  std::optional<Settings> settings;
+  std::string reason;
+};
+
+Outcome load(const std::string& text, std::vector<const char*> flags = {}) {
+  const SettingsFile file(text);
+  const std::string fileFlag = "--settings=" + file.path();
+  std::vector<const char*> arguments{"cobaltgauged", fileFlag.c_str()};
+  arguments.insert(arguments.end(), flags.begin(), flags.end());
+  arguments.push_back(nullptr);
+  SettingsLoader loader;
+  const auto commandLine =
+      loader.parseCommandLine(static_cast<int>(arguments.size()) - 1, arguments.data());
+  if (!commandLine) {
+    return {std::nullopt, loader.lastReason()};
+  }
+  auto settings = loader.load(*commandLine);
+  std::string reason = loader.lastReason();
+  // The file's name differs in every run; the line after it does not.
+  const std::size_t start = reason.find(file.path());
+  if (start != std::string::npos) {
+    reason.replace(start, file.path().size(), "FILE");
+  }
+  return {std::move(settings), reason};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsTest)
+
+BOOST_AUTO_TEST_CASE(ValidFileIsRead) {
+  const Outcome outcome = load(kValid);
+  BOOST_TEST_REQUIRE(outcome.settings.has_value(), outcome.reason);
+  BOOST_TEST(outcome.settings->name == "lb-1");
+  BOOST_TEST(outcome.settings->zone == "default");
+  BOOST_TEST(outcome.settings->platform.port == 8080);
+}
+
+BOOST_AUTO_TEST_CASE(FlagGoesBeforeTheFile) {
+  const Outcome outcome = load(kValid, {"--daemon-zone=hall-9", "--data-vni=12"});
+  BOOST_TEST_REQUIRE(outcome.settings.has_value(), outcome.reason);
+  BOOST_TEST(outcome.settings->zone == "hall-9");
+  BOOST_TEST(outcome.settings->vni == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsNameFileLineFieldValueAndWhatIsAllowed) {
+  const std::string valid = kValid;
+  BOOST_TEST(load(valid + "poll_interval_ms = 7\n").reason ==
+             "FILE:11: platform.poll_interval_ms: got \"7\"; allowed is a whole number from 50 to "
+             "600000");
+  BOOST_TEST(load(valid + "colour = 1\n").reason ==
+             "FILE:11: platform.colour: unknown field; see --help");
+  BOOST_TEST(load(valid + "[paint]\na = 1\n").reason ==
+             "FILE:11: paint: unknown section; see --help");
+  BOOST_TEST(load(valid + "timeout_ms = true\n")
+                 .reason.starts_with("FILE:11: platform.timeout_ms: got \"another type\""));
+  BOOST_TEST(load("[daemon\n").reason.starts_with("FILE:1:"));
+  BOOST_TEST(load(valid, {"--data-listen=here"}).reason ==
+             "--data-listen: data.listen: got \"here\"; allowed is ADDRESS:PORT or [IPV6]:PORT");
+  BOOST_TEST(load("[daemon]\nname = \"a b\"\n").reason ==
+             "FILE:2: daemon.name: got \"a b\"; allowed is 1 to 64 letters, digits, '-', '_' or "
+             "'.'");
+}
+
+BOOST_AUTO_TEST_CASE(MissingFieldIsNamed) {
+  BOOST_TEST(load("[daemon]\nname = \"x\"\n").reason ==
+             "data.listen: missing; set it in the file or by --data-listen (ADDRESS:PORT or "
+             "[IPV6]:PORT)");
+}
+
+BOOST_AUTO_TEST_CASE(KeyIsNeverShown) {
+  const std::string reason = load("[cluster]\nkey = \"short\"\n").reason;
+  BOOST_TEST(reason == "FILE:2: cluster.key: got a value of 5 bytes; allowed is 16 to 256 bytes");
+}
+
+BOOST_AUTO_TEST_CASE(UnknownFlagIsNamed) {
+  BOOST_TEST(load(kValid, {"--colour=1"}).reason == "--colour=1: unknown option; see --help");
+  BOOST_TEST(load(kValid, {"stray"}).reason == "stray: unexpected argument; see --help");
+}
+
+BOOST_AUTO_TEST_CASE(HelpNamesEverySetting) {
+  const char* arguments[] = {"cobaltgauged", "--help", nullptr};
+  SettingsLoader loader;
+  const auto commandLine = loader.parseCommandLine(2, arguments);
+  BOOST_TEST_REQUIRE(commandLine.has_value());
+  for (const SettingField& field : settingFields()) {
+    BOOST_TEST(commandLine->helpText.find("--" + field.flag()) != std::string::npos, field.flag());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/net/peer_codec_test.cc
@@ -0,0 +1,103 @@
+#include "net/peer_codec.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cobaltgauge;
+using namespace cobaltgauge::net;
+
+namespace {
+
+constexpr core::MemberId kSelf{9};
+
+PeerCodec codec(const std::string& cluster = "test", const std::string& key = "sixteen byte key") {
+  return {cluster, key, kSelf};
+}
+
+core::RecordsMessage recordsMessage() {
+  core::RecordsMessage message;
+  message.id = 3;
+  message.transfer = 4;
+  message.purpose = core::RecordPurpose::kHandover;
+  message.shard = {core::ServiceId{5}, 6};
+  message.version = 7;
+  message.authoritative = true;
+  message.windowMs = 250;
+  message.backends.push_back({core::BackendId{8}, core::ServiceId{5}, {{}, 80}, 1});
+  message.records.push_back({core::FlowFingerprint{11}, core::BackendId{8}});
+  return message;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerCodecTest)
+
+BOOST_AUTO_TEST_CASE(RecordsSurviveTheWire) {
+  const auto received = codec().decode(codec().encode(recordsMessage()));
+  BOOST_TEST_REQUIRE(received.has_value());
+  BOOST_TEST((received->from == kSelf));
+  const auto& message = std::get<core::RecordsMessage>(received->frame);
+  const core::RecordsMessage expected = recordsMessage();
+  BOOST_TEST(message.windowMs == expected.windowMs);
+  BOOST_TEST((message.purpose == expected.purpose));
+  BOOST_TEST((message.backends == expected.backends));
+  BOOST_TEST((message.records[0].fingerprint == expected.records[0].fingerprint));
+}
+
+BOOST_AUTO_TEST_CASE(EveryKindOfFrameKeepsItsKind) {
+  const std::vector<PeerFrame> frames{core::Ping{},
+                                      core::Ack{},
+                                      core::PingRequest{},
+                                      core::MemberSync{},
+                                      core::ConfigurationRequest{},
+                                      core::ConfigurationTransfer{},
+                                      core::RecordsMessage{},
+                                      core::RecordsAck{},
+                                      core::RouteHint{},
+                                      core::ListingRequest{},
+                                      ForwardedPacket{}};
+  BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
+  for (const PeerFrame& frame : frames) {
+    const auto received = codec().decode(codec().encode(frame));
+    BOOST_TEST_REQUIRE(received.has_value());
+    BOOST_TEST(received->frame.index() == frame.index());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StrangersAreToldApart) {
+  const auto bytes = codec().encode(core::Ping{});
+  PeerCodec otherKey = codec("test", "another byte key");
+  BOOST_TEST(!otherKey.decode(bytes).has_value());
+  BOOST_TEST((otherKey.lastError() == PeerCodecError::kAuthenticator));
+  PeerCodec otherCluster = codec("other");
+  BOOST_TEST(!otherCluster.decode(bytes).has_value());
+  BOOST_TEST((otherCluster.lastError() == PeerCodecError::kCluster));
+}
+
+BOOST_AUTO_TEST_CASE(AnyChangedByteIsRefused) {
+  const auto whole = codec().encode(recordsMessage());
+  PeerCodec receiver = codec();
+  for (std::size_t i = 0; i < whole.size(); ++i) {
+    auto changed = whole;
+    changed[i] ^= 1U;
+    BOOST_TEST_REQUIRE(!receiver.decode(changed).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ArbitraryBytesNeverCrash) {
+  const bool ok = rc::check([](const std::vector<std::uint8_t>& bytes) {
+    PeerCodec receiver = codec();
+    RC_ASSERT(!receiver.decode(bytes).has_value());
+  });
+  BOOST_TEST(ok);
+}
+
+BOOST_AUTO_TEST_CASE(LargestRecordBatchFitsADatagram) {
+  core::RecordsMessage message = recordsMessage();
+  message.id = message.transfer = message.version = UINT64_MAX;
+  message.records.assign(64, {core::FlowFingerprint{UINT64_MAX}, core::BackendId{UINT64_MAX}});
+  BOOST_TEST(codec("a-cluster-name-of-thirty-letters").encode(message).size() <= 1400U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/configuration_json_test.cc
@@ -0,0 +1,117 @@
+#include "platform/configuration_json.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace cobaltgauge;
+using namespace cobaltgauge::platform;
+using nlohmann::json;
+
+namespace {
+
+json makeBackend(const std::string& name, int port) {
+  return {{"name", name}, {"address", "127.0.0.1"}, {"port", port}};
+}
+
+json makeService(const std::string& name, int number) {
+  return {{"name", name},
+          {"address", "10.0.0." + std::to_string(number)},
+          {"port", 5683},
+          {"protocol", "udp"},
+          {"policy", "function place() return 1 end"},
+          {"backends", {makeBackend("a", 1000 + number), makeBackend("b", 2000 + number)}}};
+}
+
+json makeRoot() {
+  return {{"version", 3}, {"services", {makeService("x", 1), makeService("y", 2)}}};
+}
+
+/// @return the reason why a configuration is refused, empty where it is accepted.
+std::string reasonOf(const json& root) {
+  ConfigurationParser parser;
+  const auto document = parser.parse(root.dump());
+  if (!document) {
+    return parser.lastReason();
+  }
+  JsonConfigurationCompiler compiler;
+  return compiler.compile(*document) ? "" : compiler.lastReason();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationJsonTest)
+
+BOOST_AUTO_TEST_CASE(ValidConfigurationIsCompiled) {
+  BOOST_TEST(reasonOf(makeRoot()) == "");
+  ConfigurationParser parser;
+  JsonConfigurationCompiler compiler;
+  const auto services = compiler.compile(*parser.parse(makeRoot().dump()));
+  BOOST_TEST_REQUIRE(services.has_value());
+  BOOST_TEST(services->size() == 2U);
+  BOOST_TEST(services->front().backends.size() == 2U);
+  BOOST_TEST(services->front().backends[0].weight == 1U);
+  BOOST_TEST(!services->front().tracked);
+}
+
+BOOST_AUTO_TEST_CASE(LimitsOfAUdpServiceMakeItTracked) {
+  json root = makeRoot();
+  root["services"][0]["policy"] =
+      "function place() return 1 end function limits() return {flows_per_backend = 9} end";
+  ConfigurationParser parser;
+  JsonConfigurationCompiler compiler;
+  const auto services = compiler.compile(*parser.parse(root.dump()));
+  BOOST_TEST(services->front().tracked);
+}
+
+BOOST_AUTO_TEST_CASE(EachErrorNamesServiceFieldAndWhatIsAllowed) {
+  const auto broken = [](auto change) {
+    json root = makeRoot();
+    change(root);
+    return reasonOf(root);
+  };
+  BOOST_TEST(broken([](json& r) { r["version"] = 0; }) ==
+             "configuration.version: must be a whole number from 1 to 9223372036854775807, got 0");
+  BOOST_TEST(broken([](json& r) { r["extra"] = 1; }) ==
+             "configuration.extra: unknown field; allowed are version, services");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["port"] = 70000; }) ==
+             "service 'x'.port: must be a whole number from 1 to 65535, got 70000");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["address"] = "nowhere"; }) ==
+             "service 'x'.address: must be an IPv4 or IPv6 address, got \"nowhere\"");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["protocol"] = "sctp"; }) ==
+             "service 'x'.protocol: must be one of udp, tcp, got \"sctp\"");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["refusal"] = "reset"; }) ==
+             "service 'x'.refusal: reset needs protocol tcp");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["backends"][1]["name"] = "a"; }) ==
+             "service 'x'.backends[1].name: 'a' is used twice");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["backends"][1].erase("port"); }) ==
+             "service 'x'.backends[1].port: missing; a whole number from 1 to 65535 is required");
+  BOOST_TEST(broken([](json& r) { r["services"][0]["backends"][0]["state"] = "gone"; }) ==
+             "service 'x'.backends[0].state: must be one of active, leaving, got \"gone\"");
+  BOOST_TEST(broken([](json& r) {
+               r["services"][0]["policy"] = "function place(";
+             }).starts_with("service 'x'.policy: policy:1:"));
+}
+
+BOOST_AUTO_TEST_CASE(ServicesAreCheckedAgainstEachOther) {
+  json root = makeRoot();
+  root["services"][1]["name"] = "x";
+  BOOST_TEST(reasonOf(root).starts_with("service 'x': name is used twice"));
+  root = makeRoot();
+  root["services"][1]["address"] = "10.0.0.1";
+  BOOST_TEST(reasonOf(root) == "service 'y': address, port and protocol already belong to 'x'");
+  root = makeRoot();
+  root["services"][1]["backends"][0]["port"] = 1001;
+  BOOST_TEST(reasonOf(root) ==
+             "service 'y': back end 'a' at 127.0.0.1:1001 already belongs to service 'x'");
+}
+
+BOOST_AUTO_TEST_CASE(NonsenseIsRefusedWithoutACrash) {
+  ConfigurationParser parser;
+  for (const char* text : {"", "{", "[]", "null", "7", "{\"version\":1}",
+                           "{\"version\":1,\"services\":[7]}", "{\"version\":1,\"services\":{}}"}) {
+    BOOST_TEST(!parser.parse(text).has_value(), text);
+    BOOST_TEST(!parser.lastReason().empty(), text);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/sim/history_checker_test.cc
@@ -0,0 +1,136 @@
+/// Every rule has a history that breaks it, and one that just does not.
+#include "sim/history_checker.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+
+using namespace cobaltgauge::sim;
+
+namespace {
+
+Event event(std::int64_t time, EventKind kind, const std::string& actor,
+            const std::string& session = {}, const std::string& request = {},
+            const std::string& detail = {}) {
+  return {time, kind, actor, "web", session, request, detail};
+}
+
+/// A history without fault: one session, one request, one answer.
+std::vector<Event> cleanHistory() {
+  return {event(1, EventKind::kSessionAtBackend, "b1", "s1"),
+          event(2, EventKind::kSessionOpened, "c1", "s1"),
+          event(3, EventKind::kRequestSent, "c1", "s1", "r1"),
+          event(4, EventKind::kRequestExecuted, "b1", "s1", "r1"),
+          event(5, EventKind::kRequestDone, "c1", "s1", "r1"),
+          event(6, EventKind::kAnswerWhole, "c1", "s1", "r2")};
+}
+
+CheckerReport check(std::vector<Event> added) {
+  std::vector<Event> events = cleanHistory();
+  events.insert(events.end(), added.begin(), added.end());
+  return checkHistory(std::move(events), CheckerBounds{});
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HistoryCheckerTest)
+
+BOOST_AUTO_TEST_CASE(CleanHistoryHasNoViolation) {
+  const CheckerReport report = check({});
+  BOOST_TEST(report.ok());
+  BOOST_TEST(report.sessions == 1U);
+  BOOST_TEST(report.requests == 1U);
+  BOOST_TEST(report.executions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SessionOnTwoBackendsIsBroken) {
+  BOOST_TEST(check({event(7, EventKind::kSessionAtBackend, "b2", "s1")}).brokenSessions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SessionThatABackendDoesNotHoldIsBroken) {
+  BOOST_TEST(check({event(7, EventKind::kSessionUnknown, "b2", "s1")}).brokenSessions == 1U);
+  BOOST_TEST(check({event(7, EventKind::kSessionBroken, "c1", "s1")}).brokenSessions == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SecondExecutionIsFound) {
+  BOOST_TEST(check({event(7, EventKind::kRequestExecuted, "b2", "s1", "r1")}).doubleExecutions ==
+             1U);
+  BOOST_TEST(check({event(7, EventKind::kRequestRepeated, "b1", "s1", "r1")}).ok());
+}
+
+BOOST_AUTO_TEST_CASE(FalseNotRunIsFoundInEitherOrder) {
+  BOOST_TEST(check({event(7, EventKind::kRequestRefused, "c1", "s1", "r1")}).falseRefusals == 1U);
+  BOOST_TEST(check({event(7, EventKind::kRequestRefused, "c1", "s1", "r9"),
+                    event(9, EventKind::kRequestExecuted, "b1", "s1", "r9")})
+                 .falseRefusals == 1U);
+  BOOST_TEST(check({event(7, EventKind::kRequestRefused, "c1", "s1", "r9")}).ok());
+}
+
+BOOST_AUTO_TEST_CASE(AnsweredButNeverExecutedIsFound) {
+  BOOST_TEST(check({event(7, EventKind::kRequestDone, "c1", "s1", "r9")}).lostRequests == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StrayAndWrongAnswerAreFound) {
+  BOOST_TEST(check({event(7, EventKind::kStray, "b2")}).strays == 1U);
+  BOOST_TEST(check({event(7, EventKind::kAnswerWrong, "c1", "s1", "r2")}).wrongAnswers == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LateNewWorkIsFound) {
+  const Event leaving = event(1000, EventKind::kBackendLeaving, "b2");
+  BOOST_TEST(check({leaving, event(4000, EventKind::kSessionAtBackend, "b2", "s2")}).ok());
+  BOOST_TEST(check({leaving, event(4001, EventKind::kSessionAtBackend, "b2", "s2")}).lateNewWork ==
+             1U);
+}
+
+BOOST_AUTO_TEST_CASE(BoundsCountFromTheEndOfAnOutage) {
+  const std::vector<Event> outage{
+      event(500, EventKind::kFault, "operator", "", "", "platform_down"),
+      event(1000, EventKind::kBackendLeaving, "b2"),
+      event(6000, EventKind::kSessionAtBackend, "b2", "s2"),
+      event(8000, EventKind::kFault, "operator", "", "", "platform_up")};
+  BOOST_TEST(check(outage).ok());
+  std::vector<Event> late = outage;
+  late.push_back(event(11001, EventKind::kSessionAtBackend, "b2", "s3"));
+  BOOST_TEST(check(late).lateNewWork == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RevertedConfigurationIsFound) {
+  const auto inForce = [](std::int64_t time, const char* version) {
+    return event(time, EventKind::kConfigurationInForce, "lb-1", "", "", version);
+  };
+  BOOST_TEST(check({inForce(10, "1"), inForce(20, "2"), inForce(30, "2")}).ok());
+  BOOST_TEST(check({inForce(10, "2"), inForce(20, "1")}).configurationFaults == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SlowConfigurationIsFound) {
+  const auto publish = event(1000, EventKind::kConfigurationPublished, "operator", "", "", "2");
+  const auto first = event(10, EventKind::kConfigurationInForce, "lb-1", "", "", "1");
+  const auto at = [](std::int64_t time) {
+    return event(time, EventKind::kConfigurationInForce, "lb-1", "", "", "2");
+  };
+  BOOST_TEST(check({first, publish, at(10000)}).ok());
+  BOOST_TEST(check({first, publish, at(10001)}).configurationFaults == 1U);
+  // A daemon that starts later is not late.
+  BOOST_TEST(check({publish, at(60000)}).ok());
+}
+
+BOOST_AUTO_TEST_CASE(ImbalanceIsLargestOverMean) {
+  const CheckerReport report = check({event(7, EventKind::kSessionAtBackend, "b2", "s2"),
+                                      event(8, EventKind::kSessionAtBackend, "b2", "s3")});
+  BOOST_TEST(report.imbalance.at("web") == 4.0 / 3, boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(LinesSurviveTheFile) {
+  HistoryReader reader;
+  const Event written = event(77, EventKind::kRequestRefused, "c\"1", "s1", "r1", "x y");
+  const auto read = reader.parseLine(toLine(written));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(toLine(*read) == toLine(written));
+  for (const char* bad :
+       {"", "[]", "{}", "{\"t\":1}", "{\"t\":1,\"kind\":\"x\"}", "{\"t\":\"1\",\"kind\":\"stray\"}",
+        "{\"t\":1,\"kind\":\"stray\",\"extra\":\"\"}"}) {
+    BOOST_TEST(!reader.parseLine(bad).has_value(), bad);
+    BOOST_TEST(!reader.lastReason().empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
