Exchange member lists only where views differ

Cause: slopes of hollow fleets. Control traffic grew with the fleet: every daemon sent its whole member list every 20 s, and updates learned from a list were gossiped again. Ruled out: probes (8.2 messages a second at every size). Change: probes carry a hash of the reachable members; lists are exchanged when the hashes differ for 20 s, and only the sender of a list is news. Suspects are counted instead of searched; reports name the kinds of messages.

--- a/src/core/member_list.cc
+++ b/src/core/member_list.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "core/constants.h"
+#include "core/hashing.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -34,15 +35,30 @@
   change.isNew = inserted;
   change.restarted = !inserted && member.process != update.process;
   const bool sameProcess = !inserted && !change.restarted;
+  if (!inserted) {
+    toggleInView(member);
+  }
+  suspects_ -= !inserted && member.state == MemberState::kSuspect ? 1 : 0;
+  suspects_ += update.state == MemberState::kSuspect ? 1 : 0;
   member.leaving = update.state == MemberState::kLeaving || (sameProcess && member.leaving);
   member.identity = update.identity;
   member.state = update.state;
   member.incarnation = update.incarnation;
   member.process = update.process;
   member.stateSince = now;
+  toggleInView(member);
   return change;
 }
 
+void MemberList::toggleInView(const Member& member) {
+  if (!isReachable(member.state)) {
+    return;
+  }
+  const auto state = static_cast<std::uint64_t>(member.state);
+  const std::uint64_t version = (std::uint64_t{member.incarnation} << 8U) | state;
+  viewHash_ ^= mixHash(static_cast<std::uint64_t>(member.identity.id), version);
+}
+
 const Member* MemberList::find(MemberId id) const {
   const auto it = members_.find(id);
   return it == members_.end() ? nullptr : &it->second;
--- a/src/core/member_list.h
+++ b/src/core/member_list.h
@@ -42,6 +42,7 @@
   std::optional<MemberChange> merge(const MemberUpdate& update, Time now);
 
   const Member* find(MemberId id) const;
+  /// Every member known, by id.
   const std::map<MemberId, Member>& all() const { return members_; }
 
   /// @return members that may own shards: alive or suspect, and not leaving.
@@ -58,6 +59,11 @@
   /// side of a cut.
   bool hasLostMost() const;
 
+  std::size_t suspectCount() const { return suspects_; }
+
+  /// @return a hash over the reachable members; equal where two daemons know the same ones.
+  std::uint64_t viewHash() const { return viewHash_; }
+
   /// Moves the time of every state change forward, after this process was suspended.
   void shiftStateTimes(Time now);
 
@@ -67,7 +73,11 @@
   static MemberUpdate toUpdate(const Member& member);
 
  private:
+  void toggleInView(const Member& member);
+
   std::map<MemberId, Member> members_;
+  std::uint64_t viewHash_ = 0;
+  std::size_t suspects_ = 0;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -18,6 +18,8 @@
 constexpr Duration kLostZoneContactInterval = 100ms;
 /// Daemons per zone that watch for the end of a cut.
 constexpr std::size_t kWatchersPerZone = 2;
+/// How often dead members are looked through for ones to forget.
+constexpr Duration kForgetInterval = 10s;
 /// A member that was heard itself this recently is not believed to be dead on hearsay.
 constexpr Duration kRecentContact = 1000ms;
 
@@ -52,12 +54,14 @@
   accept(update, now);
 }
 
-void Membership::accept(const MemberUpdate& update, Time now) {
+void Membership::accept(const MemberUpdate& update, Time now, bool spread) {
   const std::optional<MemberChange> change = list_.merge(update, now);
   if (!change) {
     return;
   }
-  gossip_.add(update);
+  if (spread) {
+    gossip_.add(update);
+  }
   if (listener_) {
     listener_(*change);
   }
@@ -86,15 +90,17 @@
   if (member != nullptr && isReachable(member->state)) {
     // Tells the member what is said of it, so that it refutes it.
     outbox_.send(update.identity.id, member->identity.control,
-                 Ping{nextSequence_++, digest(), {selfUpdate(), update}});
+                 Ping{nextSequence_++, list_.viewHash(), digest(), {selfUpdate(), update}});
   }
   return true;
 }
 
-void Membership::acceptAll(const std::vector<MemberUpdate>& updates, Time now) {
+void Membership::acceptAll(const std::vector<MemberUpdate>& updates, Time now,
+                           std::optional<MemberId> onlyNews) {
   for (const MemberUpdate& update : updates) {
     if (!refuteIfAboutSelf(update, now) && !contradictsRecentContact(update, now)) {
-      accept(update, now);
+      const bool isNews = !onlyNews || *onlyNews == update.identity.id;
+      accept(update, now, isNews);
     }
   }
 }
@@ -127,7 +133,7 @@
 std::uint64_t Membership::sendPing(const Member& target) {
   const std::uint64_t sequence = nextSequence_++;
   outbox_.send(target.identity.id, target.identity.control,
-               Ping{sequence, digest(), updatesFor(target.identity.id)});
+               Ping{sequence, list_.viewHash(), digest(), updatesFor(target.identity.id)});
   return sequence;
 }
 
@@ -186,7 +192,10 @@
   expireSuspects(now);
   contactMissing(now);
   std::erase_if(relays_, [now](const Relay& relay) { return now - relay.sentAt > kProbeInterval; });
-  list_.forgetOld(now);
+  if (now >= nextForget_) {
+    nextForget_ = now + kForgetInterval;
+    list_.forgetOld(now);
+  }
   std::erase_if(lastContact_,
                 [now](const auto& item) { return now - item.second > kRecentContact; });
 }
@@ -209,6 +218,9 @@
 }
 
 void Membership::expireSuspects(Time now) {
+  if (list_.suspectCount() == 0) {
+    return;
+  }
   std::vector<MemberUpdate> expired;
   for (const auto& [id, member] : list_.all()) {
     if (id != self_.id && member.state == MemberState::kSuspect &&
@@ -287,14 +299,25 @@
   if (!missing.empty()) {
     const MemberIdentity& target = missing[random_.below(missing.size())];
     outbox_.send(target.id, target.control, MemberSync{true, allUpdates()});
-  } else if (now >= nextSync_) {
-    nextSync_ = now + kMemberSyncInterval;
-    std::vector<MemberId> peers = list_.reachable();
-    std::erase(peers, self_.id);
-    if (!peers.empty()) {
-      const Member* peer = list_.find(peers[random_.below(peers.size())]);
-      outbox_.send(peer->identity.id, peer->identity.control, MemberSync{true, allUpdates()});
-    }
+  }
+}
+
+void Membership::compareView(MemberId peer, std::uint64_t viewHash, Time now) {
+  if (viewHash == list_.viewHash() || now < nextSync_) {
+    return;
+  }
+  // Gossip may still be on its way; only a difference that lasts costs a whole list.
+  if (differsSince_ == Time{}) {
+    differsSince_ = now;
+  }
+  if (now - differsSince_ < kMemberSyncInterval) {
+    return;
+  }
+  differsSince_ = Time{};
+  nextSync_ = now + kMemberSyncInterval;
+  const Member* member = list_.find(peer);
+  if (member != nullptr) {
+    outbox_.send(peer, member->identity.control, MemberSync{true, allUpdates()});
   }
 }
 
@@ -304,13 +327,18 @@
   const Member* sender = list_.find(from);
   if (sender != nullptr) {
     outbox_.send(from, sender->identity.control,
-                 Ack{ping.sequence, self_.id, digest(), updatesFor(from)});
+                 Ack{ping.sequence, self_.id, list_.viewHash(), digest(), updatesFor(from)});
   }
 }
 
 void Membership::onAck(MemberId from, const Ack& ack, Time now) {
   lastContact_[from] = now;
   acceptAll(ack.updates, now);
+  if (ack.viewHash == list_.viewHash()) {
+    differsSince_ = Time{};
+  } else {
+    compareView(from, ack.viewHash, now);
+  }
   if (probe_ && probe_->sequence == ack.sequence && probe_->target == ack.subject) {
     probe_.reset();
   }
@@ -318,8 +346,9 @@
     if (relay.sequence == ack.sequence && relay.target == from) {
       const Member* requester = list_.find(relay.requester);
       if (requester != nullptr) {
-        outbox_.send(relay.requester, requester->identity.control,
-                     Ack{relay.requesterSequence, from, digest(), {selfUpdate()}});
+        outbox_.send(
+            relay.requester, requester->identity.control,
+            Ack{relay.requesterSequence, from, list_.viewHash(), digest(), {selfUpdate()}});
       }
     }
   }
@@ -334,7 +363,8 @@
 }
 
 void Membership::onMemberSync(MemberId from, const MemberSync& sync, Time now) {
-  acceptAll(sync.members, now);
+  // Only the sender itself is news; the rest of its list has been gossiped by those it came from.
+  acceptAll(sync.members, now, from);
   const Member* sender = list_.find(from);
   if (sync.wantsReply && sender != nullptr) {
     outbox_.send(from, sender->identity.control, MemberSync{false, allUpdates()});
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -82,8 +82,11 @@
     Time sentAt{};
   };
 
-  void accept(const MemberUpdate& update, Time now);
-  void acceptAll(const std::vector<MemberUpdate>& updates, Time now);
+  /// @param spread true where peers may not have heard of it.
+  void accept(const MemberUpdate& update, Time now, bool spread = true);
+  /// @param onlyNews the one member whose update is passed on; all of them where absent.
+  void acceptAll(const std::vector<MemberUpdate>& updates, Time now,
+                 std::optional<MemberId> onlyNews = std::nullopt);
   bool contradictsRecentContact(const MemberUpdate& update, Time now);
   bool refuteIfAboutSelf(const MemberUpdate& update, Time now);
   void finishProbe(Time now);
@@ -91,6 +94,8 @@
   void expireSuspects(Time now);
   void contactMissing(Time now);
   void suspect(MemberId id, Time now);
+  /// Asks a peer for its list where the two have known other members for a while.
+  void compareView(MemberId peer, std::uint64_t viewHash, Time now);
   std::optional<MemberId> nextTarget();
   std::vector<MemberId> peersInScope(bool sameZone) const;
   std::uint64_t sendPing(const Member& target);
@@ -117,6 +122,8 @@
   Time nextProbe_{};
   Time nextContact_{};
   Time nextSync_{};
+  Time differsSince_{};
+  Time nextForget_{};
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,7 @@
 /// Probe of SWIM. `target` differs from the receiver when an indirect probe is asked for.
 struct Ping {
   std::uint64_t sequence = 0;
+  std::uint64_t viewHash = 0;  ///< Hash over the reachable members the sender knows.
   ConfigurationDigest configuration;
   std::vector<MemberUpdate> updates;
 };
@@ -55,6 +57,7 @@
 struct Ack {
   std::uint64_t sequence = 0;
   MemberId subject = kNoMember;
+  std::uint64_t viewHash = 0;  ///< Hash over the reachable members the sender knows.
   ConfigurationDigest configuration;
   std::vector<MemberUpdate> updates;
 };
@@ -139,6 +142,22 @@
     std::variant<Ping, Ack, PingRequest, MemberSync, ConfigurationRequest, ConfigurationTransfer,
                  RecordsMessage, RecordsAck, RouteHint, ListingRequest>;
 
+/// @return a name for the kind of message, for metrics and reports.
+inline const char* kindName(const PeerMessage& message) {
+  constexpr const char* kNames[] = {"ping",
+                                    "ack",
+                                    "ping_request",
+                                    "member_sync",
+                                    "configuration_request",
+                                    "configuration_transfer",
+                                    "records",
+                                    "records_ack",
+                                    "route_hint",
+                                    "listing_request"};
+  static_assert(std::size(kNames) == std::variant_size_v<PeerMessage>);
+  return kNames[message.index()];
+}
+
 /// A message on its way to a peer.
 struct OutgoingMessage {
   MemberId to = kNoMember;
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -40,6 +40,7 @@
 template <typename Error>
 std::vector<Sample> byError(const std::map<Error, std::uint64_t>& counts) {
   std::vector<Sample> samples;
+  samples.reserve(counts.size());
   for (const auto& [error, count] : counts) {
     samples.push_back({toString(error), static_cast<double>(count)});
   }
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -50,10 +50,10 @@
 auto fieldsOf(IsMessage<core::FlowRecord> auto& m) { return std::tie(m.fingerprint, m.backend); }
 auto fieldsOf(IsMessage<core::ShardKey> auto& m) { return std::tie(m.service, m.shard); }
 auto fieldsOf(IsMessage<core::Ping> auto& m) {
-  return std::tie(m.sequence, m.configuration, m.updates);
+  return std::tie(m.sequence, m.viewHash, m.configuration, m.updates);
 }
 auto fieldsOf(IsMessage<core::Ack> auto& m) {
-  return std::tie(m.sequence, m.subject, m.configuration, m.updates);
+  return std::tie(m.sequence, m.subject, m.viewHash, m.configuration, m.updates);
 }
 auto fieldsOf(IsMessage<core::PingRequest> auto& m) { return std::tie(m.sequence, m.target); }
 auto fieldsOf(IsMessage<core::MemberSync> auto& m) { return std::tie(m.wantsReply, m.members); }
--- a/src/sim/capacity.cc
+++ b/src/sim/capacity.cc
@@ -7,6 +7,7 @@
 #include <ctime>
 #include <fstream>
 #include <iomanip>
+#include <set>
 #include <sstream>
 
 #include "sim/world.h"
@@ -16,7 +17,7 @@
 
 constexpr std::size_t kZones = 8;
 constexpr std::size_t kRegions = 3;
-constexpr core::Duration kFormation = std::chrono::seconds(60);
+constexpr core::Duration kFormation = std::chrono::seconds(120);
 constexpr core::Duration kMeasured = std::chrono::seconds(60);
 
 double residentBytes() {
@@ -75,6 +76,7 @@
   measure.point = point;
   measure.bytesPerSecond = result.controlBytesPerSecond;
   measure.messagesPerSecond = result.controlMessagesPerSecond;
+  measure.bytesByKind = result.controlBytesByKind;
   measure.coreShare = result.coreShare;
   measure.residentBytes = (residentBytes() - before) / static_cast<double>(point.daemons);
   measure.slowestConfigurationMs = result.report.slowestConfigurationMs;
@@ -118,6 +120,29 @@
         << std::setprecision(0) << m.residentBytes / 1024 << " | " << m.slowestConfigurationMs
         << " |\n";
   }
+  out << "\ncontrol B/s by kind of message\n\n| daemons |";
+  std::set<std::string> kinds;
+  for (const CapacityMeasure& m : measures) {
+    for (const auto& [kind, bytes] : m.bytesByKind) {
+      kinds.insert(kind);
+    }
+  }
+  for (const std::string& kind : kinds) {
+    out << " " << kind << " |";
+  }
+  out << "\n|---|";
+  for (std::size_t i = 0; i < kinds.size(); ++i) {
+    out << "---|";
+  }
+  out << "\n" << std::setprecision(0);
+  for (const CapacityMeasure& m : measures) {
+    out << "| " << m.point.daemons << " |";
+    for (const std::string& kind : kinds) {
+      const auto bytes = m.bytesByKind.find(kind);
+      out << " " << (bytes == m.bytesByKind.end() ? 0 : bytes->second) << " |";
+    }
+    out << "\n";
+  }
   return out.str();
 }
 
--- a/src/sim/capacity.h
+++ b/src/sim/capacity.h
@@ -3,6 +3,7 @@
 /// in one process, and lines are fitted through the figures. See docs/CAPACITY.md.
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,8 @@
   CapacityPoint point;
   double bytesPerSecond = 0;     ///< Sent.
   double messagesPerSecond = 0;  ///< Sent.
-  double coreShare = 0;          ///< Processor seconds per second.
+  std::map<std::string, double> bytesByKind;
+  double coreShare = 0;  ///< Processor seconds per second.
   double residentBytes = 0;
   std::int64_t slowestConfigurationMs = 0;
 };
--- a/src/sim/main.cc
+++ b/src/sim/main.cc
@@ -20,7 +20,6 @@
 using namespace cobaltgauge::sim;
 using cobaltgauge::ctl::CommandOptions;
 using cobaltgauge::ctl::kNone;
-using cobaltgauge::ctl::OptionSpec;
 
 constexpr int kUsageError = 2;
 constexpr const char* kUsage =
--- a/src/sim/simulated_daemon.h
+++ b/src/sim/simulated_daemon.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -18,6 +19,7 @@
 struct ControlTraffic {
   std::uint64_t messages = 0;
   std::uint64_t bytes = 0;  ///< Encoded frames, without UDP/IP headers.
+  std::map<std::string, std::uint64_t> bytesByKind;
 };
 
 class SimulatedDaemon {
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -112,8 +112,8 @@
   identity.zone = zone;
   identity.region = regions_[zone];
   identity.control = {makeAddress(92, number), kControlPort};
-  const auto daemon = std::make_shared<SimulatedDaemon>(queue_, identity, random_.next(),
-                                                        random_.next(), scenario_, compiler_);
+  auto daemon = std::make_shared<SimulatedDaemon>(queue_, identity, random_.next(), random_.next(),
+                                                  scenario_, compiler_);
   daemons_.push_back(daemon);
   daemonsByControl_[identity.control] = daemon;
   const core::Duration phase = random_.between(core::Duration(0), core::kTickInterval);
@@ -161,6 +161,12 @@
     daemonSeconds += std::max(0.0, std::chrono::duration<double>(end - begin).count());
     bytes += daemon->traffic.bytes;
     messages += daemon->traffic.messages;
+    for (const auto& [kind, sent] : daemon->traffic.bytesByKind) {
+      result.controlBytesByKind[kind] += static_cast<double>(sent);
+    }
+  }
+  for (auto& [kind, sent] : result.controlBytesByKind) {
+    sent /= daemonSeconds;
   }
   result.controlBytesPerSecond = static_cast<double>(bytes) / daemonSeconds;
   result.controlMessagesPerSecond = static_cast<double>(messages) / daemonSeconds;
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -29,8 +29,9 @@
   /// Sessions per back end at the end, largest over mean, by service; leaving ones not counted.
   std::map<std::string, double> finalImbalance;
   double queueingP99Ms = 0;
-  double controlBytesPerSecond = 0;     ///< Sent, mean per daemon.
-  double controlMessagesPerSecond = 0;  ///< Sent, mean per daemon.
+  double controlBytesPerSecond = 0;                  ///< Sent, mean per daemon.
+  double controlMessagesPerSecond = 0;               ///< Sent, mean per daemon.
+  std::map<std::string, double> controlBytesByKind;  ///< Sent, per second, mean per daemon.
   double coreShare = 0;  ///< Processor seconds per second and daemon, the simulator's included.
   double flowStateBytes = 0;  ///< Mean per daemon at the end.
   std::map<std::string, std::uint64_t> drops;
@@ -66,7 +67,7 @@
                 core::MemberId ingress);
   void flush(const DaemonPtr& daemon);
   void transmit(const std::string& fromZone, const std::string& toZone,
-                std::function<void()> arrive);
+                const std::function<void()>& arrive);
   void answerCaller(std::size_t caller, const std::string& fromZone, const WorkAnswer& answer);
   DaemonPtr findByControl(const core::Endpoint& control) const;
   bool isCut(const std::string& a, const std::string& b) const;
--- a/src/sim/world_traffic.cc
+++ b/src/sim/world_traffic.cc
@@ -24,7 +24,7 @@
 }
 
 void World::transmit(const std::string& fromZone, const std::string& toZone,
-                     std::function<void()> arrive) {
+                     const std::function<void()>& arrive) {
   if (isCut(fromZone, toZone) || random_.chance(scenario_.network.lossPermille)) {
     return;
   }
@@ -119,7 +119,9 @@
 void World::flush(const DaemonPtr& daemon) {
   for (core::OutgoingMessage& outgoing : daemon->router().takeMessages()) {
     ++daemon->traffic.messages;
-    daemon->traffic.bytes += codec_.encode(net::toFrame(outgoing.message)).size();
+    const std::size_t bytes = codec_.encode(net::toFrame(outgoing.message)).size();
+    daemon->traffic.bytes += bytes;
+    daemon->traffic.bytesByKind[core::kindName(outgoing.message)] += bytes;
     const DaemonPtr peer = findByControl(outgoing.destination);
     if (peer == nullptr) {
       continue;
@@ -138,10 +140,13 @@
   // The platform stands in the first zone.
   const bool reachable = !isCut(daemon->zone(), scenario_.zones.front().name);
   const core::Time now = queue_.now();
-  if (!reachable || now < daemon->nextRead || !daemon->router().shouldReadPlatform(now)) {
+  if (!reachable || now < daemon->nextRead) {
     return;
   }
   daemon->nextRead = now + scenario_.platformPoll;
+  if (!daemon->router().shouldReadPlatform(now)) {
+    return;
+  }
   const auto reader = static_cast<std::uint64_t>(daemon->identity().id) >> 8U;
   if (auto document = platform_.read(now, reader)) {
     daemon->router().offerConfiguration(std::move(*document), now);
--- a/tests/core/placement_test.cc
+++ b/tests/core/placement_test.cc
@@ -76,7 +76,7 @@
 BOOST_AUTO_TEST_CASE(RemovingOneBackendMovesLittleElse) {
   const std::vector<BackendId> before = buildMaglevTable(backends(15));
   const std::vector<BackendId> after = buildMaglevTable(backends(14));
-  const BackendId removed{15 * 7919};
+  const BackendId removed{std::uint64_t{15} * 7919};
   std::size_t needless = 0;
   for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
     const bool moved = before[bucket] != after[bucket];
@@ -115,8 +115,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(RankingOneByOneEqualsRankingAll) {
-  const bool ok = rc::check([](std::vector<std::uint64_t> names, std::uint16_t shard) {
+  const bool ok = rc::check([](const std::vector<std::uint64_t>& names, std::uint16_t shard) {
     std::vector<MemberId> members;
+    members.reserve(names.size());
     for (const std::uint64_t name : names) {
       members.push_back(MemberId{name | 1U});
     }
