--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -3,16 +3,17 @@
 #include <iostream>
 #include <string>
 
-#include "sim/history_checker.h"
 #include "standin/backend.h"
 #include "standin/caller.h"
 #include "standin/fabric.h"
 #include "standin/platform_server.h"
+#include "standin/throughput.h"
 
 namespace {
 
 constexpr const char* kUsage =
-    "usage: cobaltgauge-standin platform|fabric|backend|caller [FLAGS]\n"
+    "usage: cobaltgauge-standin platform|fabric|backend|caller|relay|throughput "
+    "[FLAGS]\n"
     "Each subcommand explains its flags with --help.\n";
 
 }  // namespace
@@ -30,6 +31,12 @@
     if (command == "backend") {
       return runBackend(argc - 1, argv + 1);
     }
+    if (command == "relay") {
+      return runRelay(argc - 1, argv + 1);
+    }
+    if (command == "throughput") {
+      return runThroughput(argc - 1, argv + 1);
+    }
     if (command == "caller") {
       return runCaller(argc - 1, argv + 1);
     }
