--- a/src/core/balancer.cc
+++ b/src/core/balancer.cc
@@ -40,6 +40,7 @@
       daemonRate_(options.newFlowsPerSecond) {
   homes_.setRecordIdle(options.flowIdleTimeout * kRecordIdleFactor);
   membership_.setDigestSource([this] { return agent_.digest(); });
+  membership_.setFenceSource([this] { return fence_.isClosed(); });
   membership_.setListener([this](const MemberChange& change) { onMemberChange(change); });
 }
 
@@ -74,17 +75,19 @@
   } else if (const auto* hint = std::get_if<RouteHint>(&message)) {
     onHint(*hint, now);
   }
-  heardFromEstablished_ = heardFromEstablished_ || membership_.isEstablished(from);
   settleMembership(now);
 }
 
 void Balancer::onAck(MemberId from, const Ack& ack, Time now) {
   membership_.onAck(from, ack, now);
   compareDigest(from, ack.configuration);
-  const bool upToDate = ack.configuration.version <= agent_.digest().version;
-  // Another joiner knows no more than this daemon does, and before the whole member list is known
-  // this daemon could take itself for the owner of everything.
-  if (ack.subject == from && upToDate && membership_.isEstablished(from) && synced_) {
+  // What counts is the placement in force; an accepted version may still wait for a window.
+  const bool upToDate = ack.configuration.version <= versionInForce_;
+  const bool trustworthy = !ack.fenced && membership_.isEstablished(from);
+  heardFromEstablished_ = heardFromEstablished_ || trustworthy;
+  // Another fenced daemon or joiner knows no more than this one does, and before the whole member
+  // list is known this daemon could take itself for the owner of everything.
+  if (ack.subject == from && trustworthy && upToDate && synced_) {
     fence_.onConfirmation(from, ack.sequence);
   }
 }
@@ -149,7 +152,8 @@
   }
   // Two listing windows must not overlap, or an old flow would have two possible back ends.
   const bool listing = lastPlacementMove_ != Time{} && now - lastPlacementMove_ < kListingWindow;
-  if (!listing) {
+  // A fenced daemon decides nothing, so it need not wait.
+  if (!listing || fence_.isClosed()) {
     applyPlacements(*accepted, now);
     inForce_ = accepted;
     versionInForce_ = accepted->digest.version;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -192,7 +192,7 @@
   Time lastHeard_{};
   Time nextFencePing_{};
   Time nextMaintenance_{};
-  bool heardFromEstablished_ = false;  ///< Since the fence closed.
+  bool heardFromEstablished_ = false;  ///< And it was not fenced; since the fence closed.
   bool synced_ = false;                ///< An established member has sent its whole member list.
   bool membershipChanged_ = false;
   std::set<MemberId> returnedMembers_;
--- a/src/core/membership.cc
+++ b/src/core/membership.cc
@@ -327,7 +327,8 @@
   const Member* sender = list_.find(from);
   if (sender != nullptr) {
     outbox_.send(from, sender->identity.control,
-                 Ack{ping.sequence, self_.id, list_.viewHash(), digest(), updatesFor(from)});
+                 Ack{ping.sequence, self_.id, fenced_ && fenced_(), list_.viewHash(), digest(),
+                     updatesFor(from)});
   }
 }
 
@@ -348,7 +349,7 @@
       if (requester != nullptr) {
         outbox_.send(
             relay.requester, requester->identity.control,
-            Ack{relay.requesterSequence, from, list_.viewHash(), digest(), {selfUpdate()}});
+            Ack{relay.requesterSequence, from, true, list_.viewHash(), digest(), {selfUpdate()}});
       }
     }
   }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -22,6 +22,7 @@
  public:
   using ChangeListener = std::function<void(const MemberChange&)>;
   using DigestSource = std::function<ConfigurationDigest()>;
+  using FenceSource = std::function<bool()>;
 
   /// @param process nonce of this process; another one than that of any earlier process.
   Membership(MemberIdentity self, std::uint64_t process, Random& random, Outbox& outbox);
@@ -31,6 +32,9 @@
   /// Registers where the digest on probe traffic comes from.
   void setDigestSource(DigestSource source) { digest_ = std::move(source); }
 
+  /// Registers how to learn whether this daemon's own view may be stale.
+  void setFenceSource(FenceSource source) { fenced_ = std::move(source); }
+
   void onTick(Time now);
   void onPing(MemberId from, const Ping& ping, Time now);
   void onAck(MemberId from, const Ack& ack, Time now);
@@ -111,6 +115,7 @@
   GossipQueue gossip_;
   ChangeListener listener_;
   DigestSource digest_;
+  FenceSource fenced_;
   std::vector<MemberIdentity> seeds_;
   std::optional<Probe> probe_;
   std::vector<Relay> relays_;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -57,6 +57,7 @@
 struct Ack {
   std::uint64_t sequence = 0;
   MemberId subject = kNoMember;
+  bool fenced = false;         ///< The sender's own view may be stale; it confirms nobody else's.
   std::uint64_t viewHash = 0;  ///< Hash over the reachable members the sender knows.
   ConfigurationDigest configuration;
   std::vector<MemberUpdate> updates;
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -53,7 +53,7 @@
   return std::tie(m.sequence, m.viewHash, m.configuration, m.updates);
 }
 auto fieldsOf(IsMessage<core::Ack> auto& m) {
-  return std::tie(m.sequence, m.subject, m.viewHash, m.configuration, m.updates);
+  return std::tie(m.sequence, m.subject, m.fenced, m.viewHash, m.configuration, m.updates);
 }
 auto fieldsOf(IsMessage<core::PingRequest> auto& m) { return std::tie(m.sequence, m.target); }
 auto fieldsOf(IsMessage<core::MemberSync> auto& m) { return std::tie(m.wantsReply, m.members); }
--- a/tests/core/balancer_test.cc
+++ b/tests/core/balancer_test.cc
@@ -217,7 +217,9 @@
 
 BOOST_AUTO_TEST_CASE(SuspendedDaemonForwardsNothingUntilAPeerConfirmsItsView) {
   startBoth("four");
-  now += 20s;  // No tick of `first` happens in this time.
+  running = {&second};
+  pass(20s);  // No tick of `first` happens in this time.
+  running = {&first, &second};
   const Verdict verdict = first.onPacket(packetFrom(1), now);
   BOOST_TEST((std::get<Drop>(verdict).reason == DropReason::kFenced));
   BOOST_TEST(first.counters().suspensions == 1U);
@@ -225,6 +227,18 @@
   BOOST_TEST(!first.isFenced());
 }
 
+BOOST_AUTO_TEST_CASE(SuspendedDaemonsDoNotConfirmEachOtherButServeAfterABoundedWait) {
+  startBoth("four");
+  now += 20s;
+  first.onPacket(packetFrom(1), now);
+  pass(1s);
+  BOOST_TEST(first.isFenced());
+  BOOST_TEST(second.isFenced());
+  pass(kFenceAloneWait);
+  BOOST_TEST(!first.isFenced());
+  BOOST_TEST(!second.isFenced());
+}
+
 BOOST_AUTO_TEST_CASE(OldVersionFromThePlatformDoesNotRevertAJoiner) {
   startAlone("four");
   first.offerConfiguration(makeDocument(2, "drained"), now);
