--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -21,6 +21,8 @@
 WATCH_SESSIONS = 300
 PACKET_SESSIONS = 40
 CALLER_SECONDS = 42
+WALK_IN_SESSIONS = 15  # Opened at each of WALK_IN_SECONDS, so that new flows meet every fault.
+WALK_IN_SECONDS = [6, 9, 11, 13, 16, 20, 23, 27, 29, 31, 34, 36, 39]
 
 
 def read_policy(root, name):
@@ -136,9 +138,19 @@
          (30, wake_daemon), (33, platform_down), (35, platform_stale), (38, platform_fresh)]
 
 
+def open_walk_ins(index, second):
+    """Returns a step that opens new sessions, which then stand until the end."""
+    def step(fleet):
+        fleet.start_caller(f"walk-in-{index}", "rate-watch", f"10.{100 + index}.0",
+                           WALK_IN_SESSIONS, CALLER_SECONDS - second, 20 + index)
+    return step
+
+
 def run_steps(fleet):
     began = time.monotonic()
-    for second, step in STEPS:
+    walk_ins = [(second, open_walk_ins(index, second))
+                for index, second in enumerate(WALK_IN_SECONDS)]
+    for second, step in sorted(STEPS + walk_ins, key=lambda item: item[0]):
         time.sleep(max(0.0, began + second - time.monotonic()))
         step(fleet)
 
@@ -156,7 +168,8 @@
         fleet.start_caller("desk", "rate-watch", "10.81.0", WATCH_SESSIONS, CALLER_SECONDS, 11)
         fleet.start_caller("agency", "packet", "10.82.0", PACKET_SESSIONS, CALLER_SECONDS, 12)
         run_steps(fleet)
-        for caller in ("desk", "agency"):
+        walk_ins = [f"walk-in-{index}" for index in range(len(WALK_IN_SECONDS))]
+        for caller in ["desk", "agency", *walk_ins]:
             fleet.wait(caller, 60)
     finally:
         fleet.stop_all()
--- /dev/null
+++ b/scripts/smoke.py
@@ -0,0 +1,73 @@
+"""One daemon, two back ends, a few sessions, as real processes: the path works end to end.
+
+Nothing here depends on how long a step takes: the callers retransmit until they are done. Exit
+status is 0 where the history breaks no rule and requests were executed.
+"""
+
+import glob
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+from demo_fleet import HOST, Fleet, Service
+
+POLICY = "function place(flow_class, backend) return 100 end"
+LIMITED = POLICY + " function limits() return { new_flows_per_second = 1 } end"
+
+
+def ask(fleet, *arguments):
+    daemon = fleet.daemons["lb-1"]
+    command = [os.path.join(fleet.build, "cobaltgaugectl"), arguments[0],
+               f"--admin={HOST}:{daemon['admin']}", *arguments[1:]]
+    return subprocess.run(command, check=True, capture_output=True, text=True).stdout
+
+
+def main():
+    build = sys.argv[1]
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = Fleet(build, directory)
+        fleet.services["desk"] = Service("desk", "10.90.0.1", 5683, POLICY)
+        fleet.services["narrow"] = Service("narrow", "10.90.0.2", 5683, LIMITED)
+        fleet.start_backend("desk", "d-1", "z")
+        fleet.start_backend("desk", "d-2", "z")
+        fleet.start_backend("narrow", "n-1", "z")
+        fleet.plan_daemon("lb-1", "z")
+        fleet.write_machines()
+        fleet.start_fabric()
+        fleet.publish("two services")
+        fleet.start_platform()
+        fleet.start_daemon("lb-1")
+        try:
+            fleet.start_caller("c", "desk", "10.81.0", 10, 12, 1)
+            fleet.start_caller("n", "narrow", "10.82.0", 10, 12, 1)
+            fleet.wait("c", 120)
+            fleet.wait("n", 120)
+            status = json.loads(ask(fleet, "status"))
+            explanation = json.loads(
+                ask(fleet, "explain", "udp", "10.81.0.1:20000", "10.90.0.1:5683"))
+            metrics = ask(fleet, "metrics")
+        finally:
+            fleet.stop_all()
+        histories = sorted(glob.glob(os.path.join(directory, "history-*.jsonl")))
+        report = subprocess.run([os.path.join(build, "cobaltgauge-sim"), "check", *histories],
+                                check=False, capture_output=True, text=True)
+        print(report.stdout)
+        executions = int(report.stdout.split("executions")[1].split()[0])
+        checks = {
+            "history breaks no rule": report.returncode == 0,
+            "requests were executed": executions > 0,
+            "version 1 is in force": status["configuration_in_force"] == 1,
+            "explain names a back end": explanation["backend"] is not None,
+            "flows over the rate were refused and answered":
+                'refused_total{reason="new_flow_rate"} 0' not in metrics
+                and "cobaltgauge_refusals_sent_total 0" not in metrics,
+        }
+        for name, holds in checks.items():
+            print(("ok      " if holds else "FAILED  ") + name)
+        return 0 if all(checks.values()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -223,9 +223,13 @@
   if (CRYPTO_memcmp(expected.data(), datagram.data() + body.size(), expected.size()) != 0) {
     return fail(PeerCodecError::kAuthenticator);
   }
+  return decodeBody(body);
+}
+
+std::optional<ReceivedFrame> PeerCodec::decodeBody(ByteView body) {
   try {
-    const msgpack::unpack_limit limit(kMaxElements, kMaxElements, datagram.size(), datagram.size(),
-                                      datagram.size(), kMaxDepth);
+    const msgpack::unpack_limit limit(kMaxElements, kMaxElements, body.size(), body.size(),
+                                      body.size(), kMaxDepth);
     const msgpack::object_handle handle = msgpack::unpack(
         reinterpret_cast<const char*>(body.data()), body.size(), nullptr, nullptr, limit);
     const msgpack::object_array& envelope = arrayOf(handle.get());
--- a/src/net/peer_codec.h
+++ b/src/net/peer_codec.h
@@ -41,6 +41,8 @@
 
   std::vector<std::uint8_t> encode(const PeerFrame& frame) const;
   std::optional<ReceivedFrame> decode(ByteView datagram);
+  /// Decodes what stands before the authenticator, once that was found right.
+  std::optional<ReceivedFrame> decodeBody(ByteView body);
   PeerCodecError lastError() const { return lastError_; }
 
  private:
--- a/src/sim/main.cc
+++ b/src/sim/main.cc
@@ -95,6 +95,9 @@
   for (const auto& [reason, count] : result.drops) {
     std::cout << "packets " << reason << ": " << count << "\n";
   }
+  for (const auto& [kind, bytes] : result.controlBytesByKind) {
+    std::cout << "control " << kind << " B/s and daemon: " << bytes << "\n";
+  }
   return result.report.ok() ? 0 : 1;
 }
 
