List a bucket's recorded flows in the hint

Cause: an unknown flow of a bucket that holds any record went to the home from every daemon it reached, for as long as one old flow lived there; at the target's size that is about 450 KB/s of hints per daemon (see docs/CAPACITY.md). Change: the hint carries sixteen bits of each recorded flow of the bucket; a flow that is none of them follows the table at once. Found on the way: the simulator's flow table was too small for 12,000 flows, and a forgotten flow broke at a move; the table is now a scenario field.

--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -73,7 +73,7 @@
 }
 
 Verdict Balancer::routeUnknown(const Context& context) {
-  if (context.placement.isSettled(context.bucket)) {
+  if (context.placement.followsTable(context.bucket, context.fingerprint)) {
     return startFlow(context, RouteReason::kSettledBucket);
   }
   const bool listing =
@@ -243,6 +243,11 @@
       hint.dirty[index / 64] |= std::uint64_t{1} << (index % 64);
     }
   }
+  hint.bucketIsListed =
+      hint.shardIsFinal && context.placement.separated(context.bucket) == kNoBackend;
+  if (hint.bucketIsListed) {
+    hint.bucketFlows = shard.flowsInBucket(context.bucket);
+  }
   outbox_.send(ingress->identity.id, ingress->identity.control, hint);
   ++counters_.hintsSent;
 }
@@ -257,6 +262,9 @@
       placement != placements_.end() && placement->second.version() == hint.version;
   if (hint.shardIsFinal && current) {
     placement->second.settleShard(hint.shard.shard, hint.dirty);
+    if (hint.bucketIsListed) {
+      placement->second.listBucket(bucketOf(hint.fingerprint), hint.bucketFlows);
+    }
   }
 }
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -137,6 +137,10 @@
   ConfigurationVersion version = 0;
   bool shardIsFinal = false;  ///< False while the home's listing window is open.
   ShardBitmap dirty{};
+  /// All recorded flows of the flow's bucket. Absent while the bucket may hold others: then each
+  /// unknown flow of the bucket needs the home.
+  bool bucketIsListed = false;
+  std::vector<ShortFingerprint> bucketFlows;
 };
 
 using PeerMessage =
--- a/src/core/service_placement.cc
+++ b/src/core/service_placement.cc
@@ -1,5 +1,8 @@
 #include "core/service_placement.h"
 
+#include <algorithm>
+
+#include "core/hashing.h"
 #include "core/maglev_table.h"
 
 namespace cobaltgauge::core {
@@ -32,7 +35,7 @@
     }
     if (!first) {
       moved.set(bucket);
-      settled_.reset(bucket);
+      unsettle(bucket);
       if (current_[bucket] != kNoBackend) {
         previous_[bucket] = current_[bucket];
       }
@@ -41,12 +44,12 @@
   if (!first && service.tracked && !tracked_) {
     // Flows that were open before tracking began must be listed once.
     moved.set();
-    settled_.reset();
+    unsettleAll();
   }
   skipped_ = skipped && !first;
   if (skipped_) {
     moved.set();
-    settled_.reset();
+    unsettleAll();
   }
   if (first) {
     movedVersion_ = version;
@@ -70,6 +73,30 @@
   }
 }
 
+void ServicePlacement::unsettle(std::size_t bucket) {
+  settled_.reset(bucket);
+  listed_.erase(bucket);
+}
+
+void ServicePlacement::unsettleAll() {
+  settled_.reset();
+  listed_.clear();
+}
+
+void ServicePlacement::listBucket(std::size_t bucket, std::vector<ShortFingerprint> flows) {
+  listed_[bucket] = std::move(flows);
+}
+
+bool ServicePlacement::followsTable(std::size_t bucket, FlowFingerprint fingerprint) const {
+  if (settled_[bucket] || tracked_) {
+    return !tracked_;
+  }
+  const auto listed = listed_.find(bucket);
+  return listed != listed_.end() &&
+         !std::binary_search(listed->second.begin(), listed->second.end(),
+                             shortFingerprintOf(fingerprint));
+}
+
 void ServicePlacement::beginSeparation() {
   if (separatedTable_.empty()) {
     separatedTable_ = current_;
@@ -79,7 +106,7 @@
 void ServicePlacement::endSeparation() {
   for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
     if (separated(bucket) != kNoBackend) {
-      settled_.reset(bucket);
+      unsettle(bucket);
     }
   }
   separatedTable_.clear();
@@ -93,7 +120,7 @@
 void ServicePlacement::unsettleMoved() {
   for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
     if (previous_[bucket] != kNoBackend) {
-      settled_.reset(bucket);
+      unsettle(bucket);
     }
   }
 }
--- a/src/core/service_placement.h
+++ b/src/core/service_placement.h
@@ -5,6 +5,7 @@
 
 #include <bitset>
 #include <cstdint>
+#include <unordered_map>
 #include <vector>
 
 #include "core/configuration.h"
@@ -41,6 +42,9 @@
     return lastMoved_[bucket] ? previous_[bucket] : kNoBackend;
   }
   bool isSettled(std::size_t bucket) const { return settled_[bucket] && !tracked_; }
+  /// @return true where an unknown flow certainly belongs to the current back end: its bucket is
+  /// settled, or the bucket's recorded flows are known and this is none of them.
+  bool followsTable(std::size_t bucket, FlowFingerprint fingerprint) const;
   /// @return true where the service wants every flow recorded at its home.
   bool isTracked() const { return tracked_; }
   /// @return true where a flow on this back end is not found by the bucket alone.
@@ -73,6 +77,9 @@
   /// Takes a home's word on one shard: buckets not in `dirty` are settled.
   void settleShard(std::size_t shard, const ShardBitmap& dirty);
 
+  /// Takes a home's word on one bucket: only these flows do not follow the table.
+  void listBucket(std::size_t bucket, std::vector<ShortFingerprint> flows);
+
   /// Marks every bucket that ever moved here as unsettled, after a member returned that may know
   /// flows of its time apart.
   void unsettleMoved();
@@ -82,7 +89,12 @@
   ConfigurationVersion version_ = 0;
   std::vector<BackendId> current_;
   std::vector<BackendId> previous_;
+  void unsettle(std::size_t bucket);
+  void unsettleAll();
+
   std::bitset<kBucketCount> settled_;
+  /// Recorded flows of unsettled buckets, sorted, as their home listed them.
+  std::unordered_map<std::size_t, std::vector<ShortFingerprint>> listed_;
   std::bitset<kBucketCount> lastMoved_;
   std::vector<BackendId> separatedTable_;
   bool skipped_ = false;
--- a/src/core/shard_state.cc
+++ b/src/core/shard_state.cc
@@ -61,6 +61,17 @@
   return it == flowsPerBackend_.end() ? 0 : it->second;
 }
 
+std::vector<ShortFingerprint> ShardState::flowsInBucket(std::size_t bucket) const {
+  std::vector<ShortFingerprint> flows;
+  for (const auto& [fingerprint, record] : records_) {
+    if (bucketOf(fingerprint) == bucket) {
+      flows.push_back(shortFingerprintOf(fingerprint));
+    }
+  }
+  std::sort(flows.begin(), flows.end());
+  return flows;
+}
+
 ShardBitmap ShardState::dirtyBuckets() const {
   ShardBitmap dirty{};
   for (const auto& [fingerprint, record] : records_) {
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -67,7 +67,8 @@
 }
 auto fieldsOf(IsMessage<core::RecordsAck> auto& m) { return std::tie(m.id); }
 auto fieldsOf(IsMessage<core::RouteHint> auto& m) {
-  return std::tie(m.fingerprint, m.backend, m.shard, m.version, m.shardIsFinal, m.dirty);
+  return std::tie(m.fingerprint, m.backend, m.shard, m.version, m.shardIsFinal, m.dirty,
+                  m.bucketIsListed, m.bucketFlows);
 }
 auto fieldsOf(IsMessage<core::ListingRequest> auto& m) { return std::tie(m.shards); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
--- a/src/sim/scenario.h
+++ b/src/sim/scenario.h
@@ -85,7 +85,7 @@
   core::Duration platformPoll = std::chrono::milliseconds(500);
   core::Duration fabricLag = std::chrono::milliseconds(500);  ///< Until it notices a dead daemon.
   core::Duration measureAfter{0};  ///< Control traffic and processor time count from here.
-  std::size_t flowTableEntries = 1U << 14U;  ///< Of each daemon.
+  std::size_t flowTableEntries = 1U << 16U;  ///< Of each daemon.
   std::string traceSession;  ///< Every decision about this session's packets is explained.
   core::Duration linger = std::chrono::milliseconds(1500);  ///< Of a planned stop.
 };
--- a/src/sim/scenario_loader.cc
+++ b/src/sim/scenario_loader.cc
@@ -200,6 +200,7 @@
   reader.milliseconds("platform_poll_ms", scenario.platformPoll);
   reader.milliseconds("fabric_lag_ms", scenario.fabricLag);
   reader.milliseconds("linger_ms", scenario.linger);
+  reader.count("flow_table_entries", scenario.flowTableEntries);
   for (const toml::table* zone : reader.tables("zone")) {
     scenario.zones.push_back(readZone(*zone, error));
   }
