Send a shard's listing once instead of a bucket's in each hint

Change: an ingress daemon that lacks it asks for the shard's listing with the packet it passes on; listings are flat, four bytes per recorded flow.

--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -45,6 +45,7 @@
 struct PeerArrival {
   MemberId ingress = kNoMember;  ///< The daemon that first received the packet.
   std::uint8_t hops = 0;         ///< Hops between daemons so far, one or more.
+  bool wantsListing = false;     ///< The ingress daemon lacks the shard's recorded flows.
 };
 
 /// Counters of one balancer; see docs/METRICS.md.
@@ -147,6 +148,8 @@
   Verdict forward(const Context& context, BackendId backend, RouteReason reason);
   Verdict count(Verdict verdict);
   void sendHint(const Context& context, const BackendAddress& backend);
+  /// Marks the buckets whose flows may be in a zone out of reach. @return true where there is one.
+  static bool addSeparatedBuckets(const Context& context, ShardBitmap& dirty);
   void onHint(const RouteHint& hint, Time now);
   void onAck(MemberId from, const Ack& ack, Time now);
   void onTransfer(MemberId from, const ConfigurationTransfer& transfer, Time now);
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -101,7 +101,11 @@
     return Drop{DropReason::kTooManyHops};
   }
   const auto hops = static_cast<std::uint8_t>(context.arrival.hops + 1);
-  return ForwardToPeer{peer, member->identity.control, hops};
+  const bool isIngress = context.arrival.hops == 0;
+  const bool wantsListing =
+      isIngress ? !context.placement.isListed(context.bucket) && !context.placement.isTracked()
+                : context.arrival.wantsListing;
+  return ForwardToPeer{peer, member->identity.control, hops, wantsListing};
 }
 
 Verdict Balancer::decideAsHome(const Context& context) {
@@ -222,6 +226,18 @@
   return ForwardToBackend{*address, versionInForce_, reason};
 }
 
+bool Balancer::addSeparatedBuckets(const Context& context, ShardBitmap& dirty) {
+  bool any = false;
+  for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
+    const std::size_t bucket = context.shard.shard * kBucketsPerShard + index;
+    if (context.placement.separated(bucket) != kNoBackend) {
+      dirty[index / 64] |= std::uint64_t{1} << (index % 64);
+      any = true;
+    }
+  }
+  return any;
+}
+
 void Balancer::sendHint(const Context& context, const BackendAddress& backend) {
   const Member* ingress = membership_.members().find(context.arrival.ingress);
   if (ingress == nullptr) {
@@ -237,16 +253,10 @@
                       shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew &&
                       !lacksRecords(context);
   hint.dirty = shard.dirtyBuckets();
-  for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
-    const std::size_t bucket = context.shard.shard * kBucketsPerShard + index;
-    if (context.placement.separated(bucket) != kNoBackend) {
-      hint.dirty[index / 64] |= std::uint64_t{1} << (index % 64);
-    }
-  }
-  hint.bucketIsListed =
-      hint.shardIsFinal && context.placement.separated(context.bucket) == kNoBackend;
-  if (hint.bucketIsListed) {
-    hint.bucketFlows = shard.flowsInBucket(context.bucket);
+  const bool separated = addSeparatedBuckets(context, hint.dirty);
+  hint.shardIsListed = hint.shardIsFinal && !separated && context.arrival.wantsListing;
+  if (hint.shardIsListed) {
+    hint.listing = shard.listing();
   }
   outbox_.send(ingress->identity.id, ingress->identity.control, hint);
   ++counters_.hintsSent;
@@ -262,8 +272,8 @@
       placement != placements_.end() && placement->second.version() == hint.version;
   if (hint.shardIsFinal && current) {
     placement->second.settleShard(hint.shard.shard, hint.dirty);
-    if (hint.bucketIsListed) {
-      placement->second.listBucket(bucketOf(hint.fingerprint), hint.bucketFlows);
+    if (hint.shardIsListed) {
+      placement->second.listShard(hint.shard.shard, hint.listing);
     }
   }
 }
--- a/src/core/hashing.cc
+++ b/src/core/hashing.cc
@@ -55,10 +55,6 @@
   return static_cast<std::size_t>(static_cast<std::uint64_t>(fingerprint) >> 32U) % kBucketCount;
 }
 
-ShortFingerprint shortFingerprintOf(FlowFingerprint fingerprint) {
-  return static_cast<ShortFingerprint>(static_cast<std::uint64_t>(fingerprint) >> 48U);
-}
-
 std::size_t shardOf(std::size_t bucket) { return bucket / kBucketsPerShard; }
 
 }  // namespace cobaltgauge::core
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -32,9 +32,6 @@
 /// @return the bucket index in [0, kBucketCount) of a flow within its service.
 std::size_t bucketOf(FlowFingerprint fingerprint);
 
-/// @return the bits of a fingerprint that neither bucket nor table position use.
-ShortFingerprint shortFingerprintOf(FlowFingerprint fingerprint);
-
 /// @return the shard index in [0, kShardCount) of a bucket.
 std::size_t shardOf(std::size_t bucket);
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -11,6 +11,7 @@
 #include "core/configuration.h"
 #include "core/home_selector.h"
 #include "core/service_placement.h"
+#include "core/shard_listing.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
@@ -137,10 +138,10 @@
   ConfigurationVersion version = 0;
   bool shardIsFinal = false;  ///< False while the home's listing window is open.
   ShardBitmap dirty{};
-  /// All recorded flows of the flow's bucket. Absent while the bucket may hold others: then each
-  /// unknown flow of the bucket needs the home.
-  bool bucketIsListed = false;
-  std::vector<ShortFingerprint> bucketFlows;
+  /// All recorded flows of the shard, where the ingress daemon asked for them and no others can
+  /// exist.
+  bool shardIsListed = false;
+  ShardListing listing;
 };
 
 using PeerMessage =
--- a/src/core/service_placement.cc
+++ b/src/core/service_placement.cc
@@ -75,26 +75,31 @@
 
 void ServicePlacement::unsettle(std::size_t bucket) {
   settled_.reset(bucket);
-  listed_.erase(bucket);
+  listedBuckets_.reset(bucket);
 }
 
 void ServicePlacement::unsettleAll() {
   settled_.reset();
-  listed_.clear();
+  listedBuckets_.reset();
 }
 
-void ServicePlacement::listBucket(std::size_t bucket, std::vector<ShortFingerprint> flows) {
-  listed_[bucket] = std::move(flows);
+void ServicePlacement::listShard(std::size_t shard, ShardListing flows) {
+  for (std::size_t index = 0; index < kBucketsPerShard; ++index) {
+    listedBuckets_.set(shard * kBucketsPerShard + index);
+  }
+  listings_[shard] = std::move(flows);
 }
 
 bool ServicePlacement::followsTable(std::size_t bucket, FlowFingerprint fingerprint) const {
-  if (settled_[bucket] || tracked_) {
-    return !tracked_;
+  if (tracked_) {
+    return false;
+  }
+  if (settled_[bucket]) {
+    return true;
   }
-  const auto listed = listed_.find(bucket);
-  return listed != listed_.end() &&
-         !std::binary_search(listed->second.begin(), listed->second.end(),
-                             shortFingerprintOf(fingerprint));
+  const ShardListing& listing = listings_[shardOf(bucket)];
+  return listedBuckets_[bucket] &&
+         !std::binary_search(listing.begin(), listing.end(), shortFlowOf(fingerprint));
 }
 
 void ServicePlacement::beginSeparation() {
--- a/src/core/service_placement.h
+++ b/src/core/service_placement.h
@@ -3,13 +3,14 @@
 /// flows that were placed by an earlier version.
 #pragma once
 
+#include <array>
 #include <bitset>
 #include <cstdint>
-#include <unordered_map>
 #include <vector>
 
 #include "core/configuration.h"
 #include "core/constants.h"
+#include "core/shard_listing.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
@@ -43,7 +44,7 @@
   }
   bool isSettled(std::size_t bucket) const { return settled_[bucket] && !tracked_; }
   /// @return true where an unknown flow certainly belongs to the current back end: its bucket is
-  /// settled, or the bucket's recorded flows are known and this is none of them.
+  /// settled, or the shard's recorded flows are known and this is none of them.
   bool followsTable(std::size_t bucket, FlowFingerprint fingerprint) const;
   /// @return true where the service wants every flow recorded at its home.
   bool isTracked() const { return tracked_; }
@@ -77,8 +78,10 @@
   /// Takes a home's word on one shard: buckets not in `dirty` are settled.
   void settleShard(std::size_t shard, const ShardBitmap& dirty);
 
-  /// Takes a home's word on one bucket: only these flows do not follow the table.
-  void listBucket(std::size_t bucket, std::vector<ShortFingerprint> flows);
+  /// Takes a home's word on one shard: only these flows do not follow the table.
+  void listShard(std::size_t shard, ShardListing flows);
+  /// @return true where the recorded flows of the bucket's shard are known.
+  bool isListed(std::size_t bucket) const { return listedBuckets_[bucket]; }
 
   /// Marks every bucket that ever moved here as unsettled, after a member returned that may know
   /// flows of its time apart.
@@ -93,8 +96,9 @@
   void unsettleAll();
 
   std::bitset<kBucketCount> settled_;
-  /// Recorded flows of unsettled buckets, sorted, as their home listed them.
-  std::unordered_map<std::size_t, std::vector<ShortFingerprint>> listed_;
+  /// Buckets whose recorded flows are in `listings_`, as their home listed them.
+  std::bitset<kBucketCount> listedBuckets_;
+  std::array<ShardListing, kShardCount> listings_;
   std::bitset<kBucketCount> lastMoved_;
   std::vector<BackendId> separatedTable_;
   bool skipped_ = false;
--- a/src/core/shard_state.cc
+++ b/src/core/shard_state.cc
@@ -61,12 +61,11 @@
   return it == flowsPerBackend_.end() ? 0 : it->second;
 }
 
-std::vector<ShortFingerprint> ShardState::flowsInBucket(std::size_t bucket) const {
-  std::vector<ShortFingerprint> flows;
+ShardListing ShardState::listing() const {
+  ShardListing flows;
+  flows.reserve(records_.size());
   for (const auto& [fingerprint, record] : records_) {
-    if (bucketOf(fingerprint) == bucket) {
-      flows.push_back(shortFingerprintOf(fingerprint));
-    }
+    flows.push_back(shortFlowOf(fingerprint));
   }
   std::sort(flows.begin(), flows.end());
   return flows;
--- a/src/core/shard_state.h
+++ b/src/core/shard_state.h
@@ -47,8 +47,8 @@
   std::size_t recordCount() const { return records_.size(); }
   /// @return number of recorded flows on a back end.
   std::uint32_t flowsOn(BackendId backend) const;
-  /// @return the recorded flows of one bucket, shortened.
-  std::vector<ShortFingerprint> flowsInBucket(std::size_t bucket) const;
+  /// @return all recorded flows in short form, sorted.
+  ShardListing listing() const;
   /// @return the buckets that hold a record.
   ShardBitmap dirtyBuckets() const;
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -56,8 +56,6 @@
 
 /// Keyed 64-bit hash of a flow key. Zero is never a fingerprint.
 enum class FlowFingerprint : std::uint64_t {};
-/// Sixteen bits of a fingerprint; enough to tell the few recorded flows of one bucket apart.
-using ShortFingerprint = std::uint16_t;
 /// Hash of a service's name; stable across configuration versions.
 enum class ServiceId : std::uint32_t {};
 /// Hash of (service, endpoint, incarnation). Two incarnations of one host never share it.
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -52,7 +52,8 @@
 struct ForwardToPeer {
   MemberId peer = kNoMember;
   Endpoint destination;
-  std::uint8_t hops = 0;  ///< Hops after this forward.
+  std::uint8_t hops = 0;      ///< Hops after this forward.
+  bool wantsListing = false;  ///< The ingress daemon lacks the shard's recorded flows.
 };
 
 /// Answer the caller at once.
--- a/src/daemon/data_plane.cc
+++ b/src/daemon/data_plane.cc
@@ -96,7 +96,7 @@
     ++counters_.innerErrors[reader_.lastError()];
     return;
   }
-  const core::PeerArrival arrival{forwarded.ingress, forwarded.hops};
+  const core::PeerArrival arrival{forwarded.ingress, forwarded.hops, forwarded.wantsListing};
   carryOut(balancer_.onPeerPacket(*summary, arrival, now), forwarded.protocolType, forwarded.packet,
            forwarded.ingress);
 }
@@ -107,8 +107,9 @@
     sendToBackend(*forward, protocolType, packet);
   } else if (const auto* pass = std::get_if<core::ForwardToPeer>(&verdict)) {
     ++counters_.packetsToPeers;
-    peers_.send(pass->destination, net::ForwardedPacket{ingress, pass->hops, protocolType,
-                                                        net::Bytes(packet.begin(), packet.end())});
+    peers_.send(pass->destination,
+                net::ForwardedPacket{ingress, pass->hops, pass->wantsListing, protocolType,
+                                     net::Bytes(packet.begin(), packet.end())});
   } else if (const auto* refusal = std::get_if<core::Refuse>(&verdict)) {
     sendRefusal(*refusal, protocolType, packet);
   }
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -15,6 +15,7 @@
 struct ForwardedPacket {
   core::MemberId ingress = core::kNoMember;
   std::uint8_t hops = 0;
+  bool wantsListing = false;  ///< The ingress daemon lacks the shard's recorded flows.
   std::uint16_t protocolType = 0;
   std::vector<std::uint8_t> packet;
 };
@@ -68,11 +69,11 @@
 auto fieldsOf(IsMessage<core::RecordsAck> auto& m) { return std::tie(m.id); }
 auto fieldsOf(IsMessage<core::RouteHint> auto& m) {
   return std::tie(m.fingerprint, m.backend, m.shard, m.version, m.shardIsFinal, m.dirty,
-                  m.bucketIsListed, m.bucketFlows);
+                  m.shardIsListed, m.listing);
 }
 auto fieldsOf(IsMessage<core::ListingRequest> auto& m) { return std::tie(m.shards); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
-  return std::tie(m.ingress, m.hops, m.protocolType, m.packet);
+  return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
 
 }  // namespace cobaltgauge::net
--- a/src/sim/world_traffic.cc
+++ b/src/sim/world_traffic.cc
@@ -86,7 +86,7 @@
     if (peer == nullptr) {
       return;
     }
-    const core::PeerArrival arrival{ingress, pass->hops};
+    const core::PeerArrival arrival{ingress, pass->hops, pass->wantsListing};
     transmit(daemon->zone(), peer->zone(), [this, peer, request, arrival] {
       peer->deliver([this, peer, request, arrival] {
         const core::Verdict next =
--- a/tests/core/balancer_test.cc
+++ b/tests/core/balancer_test.cc
@@ -93,7 +93,7 @@
       if (pass == nullptr) {
         break;
       }
-      const PeerArrival arrival{ingress.membership().self().id, pass->hops};
+      const PeerArrival arrival{ingress.membership().self().id, pass->hops, pass->wantsListing};
       for (Balancer* peer : running) {
         if (peer->membership().self().control == pass->destination) {
           verdict = peer->onPeerPacket(packet, arrival, now);
--- a/tests/sim/stateful_test.cc
+++ b/tests/sim/stateful_test.cc
@@ -109,7 +109,8 @@
       if (peer == nullptr || !peer->running || peer->frozen) {
         break;
       }
-      const PeerArrival arrival{daemons_[ingress]->balancer->membership().self().id, pass->hops};
+      const PeerArrival arrival{daemons_[ingress]->balancer->membership().self().id, pass->hops,
+                                pass->wantsListing};
       verdict = peer->balancer->onPeerPacket(packet, arrival, now_);
     }
     deliver();
