--- a/src/sim/history_checker.cc
+++ b/src/sim/history_checker.cc
@@ -234,6 +234,32 @@
 
 }  // namespace
 
+void HistoryCounts::add(const HistoryCounts& other) {
+  sessions += other.sessions;
+  requests += other.requests;
+  executions += other.executions;
+  repeatsDropped += other.repeatsDropped;
+  refusals += other.refusals;
+  unknownOutcomes += other.unknownOutcomes;
+  wholeAnswers += other.wholeAnswers;
+  brokenSessions += other.brokenSessions;
+  doubleExecutions += other.doubleExecutions;
+  strays += other.strays;
+  falseRefusals += other.falseRefusals;
+  lostRequests += other.lostRequests;
+  wrongAnswers += other.wrongAnswers;
+  lateNewWork += other.lateNewWork;
+  configurationFaults += other.configurationFaults;
+  slowestConfigurationMs = std::max(slowestConfigurationMs, other.slowestConfigurationMs);
+}
+
+double HistoryCounts::brokenPerMillion() const {
+  constexpr double kMillion = 1e6;
+  return sessions == 0
+             ? 0
+             : kMillion * static_cast<double>(brokenSessions) / static_cast<double>(sessions);
+}
+
 CheckerReport checkHistory(std::vector<Event> events, const CheckerBounds& bounds) {
   std::stable_sort(events.begin(), events.end(),
                    [](const Event& a, const Event& b) { return a.timeMs < b.timeMs; });
--- a/src/sim/history_checker.h
+++ b/src/sim/history_checker.h
@@ -23,8 +23,8 @@
   std::string evidence;
 };
 
-/// Figures and violations of one history.
-struct CheckerReport {
+/// Counts of one history, or of several added up.
+struct HistoryCounts {
   std::size_t sessions = 0;
   std::size_t requests = 0;
   std::size_t executions = 0;
@@ -41,6 +41,14 @@
   std::size_t lateNewWork = 0;
   std::size_t configurationFaults = 0;
   std::int64_t slowestConfigurationMs = 0;
+
+  /// Adds another history's counts; of the slowest times the larger one stays.
+  void add(const HistoryCounts& other);
+  double brokenPerMillion() const;
+};
+
+/// Figures and violations of one history.
+struct CheckerReport : HistoryCounts {
   /// Largest number of sessions opened on one back end over the mean, by service. Back ends that
   /// left during the run are not counted.
   std::map<std::string, double> imbalance;
--- a/src/sim/scenario.cc
+++ b/src/sim/scenario.cc
@@ -19,6 +19,18 @@
   return service;
 }
 
+/// Five daemons in three zones of one region; 15 back ends of the first service, 4 of the second.
+Scenario makeDeployment(const char* name, const char* region, const std::string& zonePrefix,
+                        std::array<const char*, 2> services, core::Duration callerDelay) {
+  Scenario scenario;
+  scenario.name = name;
+  scenario.zones = {
+      {zonePrefix + "1", region, 2}, {zonePrefix + "2", region, 2}, {zonePrefix + "3", region, 1}};
+  scenario.services = {makeService(services[0], 15, 300), makeService(services[1], 4, 40)};
+  scenario.network.caller = callerDelay;
+  return scenario;
+}
+
 }  // namespace
 
 const char* toString(FaultKind kind) { return kFaultNames[static_cast<std::size_t>(kind)]; }
@@ -33,21 +45,13 @@
 }
 
 Scenario cascadiaScenario() {
-  Scenario scenario;
-  scenario.name = "cascadia";
-  scenario.zones = {{"hall-1", "west", 2}, {"hall-2", "west", 2}, {"hall-3", "west", 1}};
-  scenario.services = {makeService("rate-watch", 15, 300), makeService("packet", 4, 40)};
-  scenario.network.caller = std::chrono::milliseconds(1);
-  return scenario;
+  return makeDeployment("cascadia", "west", "hall-", {"rate-watch", "packet"},
+                        std::chrono::milliseconds(1));
 }
 
 Scenario pohjatiibScenario() {
-  Scenario scenario;
-  scenario.name = "pohjatiib";
-  scenario.zones = {{"site-1", "tallinn", 2}, {"site-2", "tallinn", 2}, {"site-3", "tallinn", 1}};
-  scenario.services = {makeService("desk", 15, 300), makeService("manifest", 4, 40)};
-  scenario.network.caller = std::chrono::milliseconds(3);
-  return scenario;
+  return makeDeployment("pohjatiib", "tallinn", "site-", {"desk", "manifest"},
+                        std::chrono::milliseconds(3));
 }
 
 }  // namespace cobaltgauge::sim
--- a/src/sim/sweep.cc
+++ b/src/sim/sweep.cc
@@ -34,13 +34,6 @@
 
 }  // namespace
 
-double VariantSummary::brokenPerMillion() const {
-  constexpr double kMillion = 1e6;
-  return sessions == 0
-             ? 0
-             : kMillion * static_cast<double>(brokenSessions) / static_cast<double>(sessions);
-}
-
 void VariantSummary::add(std::uint64_t seed, const RunResult& result) {
   const CheckerReport& report = result.report;
   const auto before = static_cast<double>(runs);
@@ -52,18 +45,7 @@
     ++runsWithViolations;
     badSeeds.push_back(seed);
   }
-  sessions += report.sessions;
-  brokenSessions += report.brokenSessions;
-  doubleExecutions += report.doubleExecutions;
-  strays += report.strays;
-  falseRefusals += report.falseRefusals;
-  lostRequests += report.lostRequests;
-  wrongAnswers += report.wrongAnswers;
-  lateNewWork += report.lateNewWork;
-  configurationFaults += report.configurationFaults;
-  unknownOutcomes += report.unknownOutcomes;
-  requests += report.requests;
-  slowestConfigurationMs = std::max(slowestConfigurationMs, report.slowestConfigurationMs);
+  totals.add(report);
   double largest = 0;
   for (const auto& [service, value] : result.finalImbalance) {
     largest = std::max(largest, value);
@@ -112,19 +94,19 @@
     root["variants"].push_back({{"variant", toString(summary.variant)},
                                 {"runs", summary.runs},
                                 {"runs_with_violations", summary.runsWithViolations},
-                                {"sessions", summary.sessions},
-                                {"broken_sessions", summary.brokenSessions},
-                                {"broken_per_million", summary.brokenPerMillion()},
-                                {"double_executions", summary.doubleExecutions},
-                                {"strays", summary.strays},
-                                {"false_refusals", summary.falseRefusals},
-                                {"lost_requests", summary.lostRequests},
-                                {"wrong_answers", summary.wrongAnswers},
-                                {"late_new_work", summary.lateNewWork},
-                                {"configuration_faults", summary.configurationFaults},
-                                {"requests", summary.requests},
-                                {"unknown_outcomes", summary.unknownOutcomes},
-                                {"slowest_configuration_ms", summary.slowestConfigurationMs},
+                                {"sessions", summary.totals.sessions},
+                                {"broken_sessions", summary.totals.brokenSessions},
+                                {"broken_per_million", summary.totals.brokenPerMillion()},
+                                {"double_executions", summary.totals.doubleExecutions},
+                                {"strays", summary.totals.strays},
+                                {"false_refusals", summary.totals.falseRefusals},
+                                {"lost_requests", summary.totals.lostRequests},
+                                {"wrong_answers", summary.totals.wrongAnswers},
+                                {"late_new_work", summary.totals.lateNewWork},
+                                {"configuration_faults", summary.totals.configurationFaults},
+                                {"requests", summary.totals.requests},
+                                {"unknown_outcomes", summary.totals.unknownOutcomes},
+                                {"slowest_configuration_ms", summary.totals.slowestConfigurationMs},
                                 {"imbalance", summary.imbalance},
                                 {"queueing_p99_ms", summary.queueingP99Ms},
                                 {"control_bytes_per_second", summary.controlBytesPerSecond},
@@ -143,12 +125,13 @@
   out << std::fixed;
   for (const VariantSummary& s : summaries) {
     out << "| " << toString(s.variant) << " | " << s.runs << " | " << s.runsWithViolations << " | "
-        << s.sessions << " | " << s.brokenSessions << " | " << std::setprecision(1)
-        << s.brokenPerMillion() << " | " << s.doubleExecutions << " | " << s.strays << " | "
-        << s.falseRefusals << " | " << s.lostRequests << " | " << s.lateNewWork << " | "
-        << s.configurationFaults << " | " << s.unknownOutcomes << " | " << std::setprecision(2)
-        << s.imbalance << " | " << s.queueingP99Ms << " | " << std::setprecision(0)
-        << s.controlBytesPerSecond << " | " << s.flowStateBytes << " |\n";
+        << s.totals.sessions << " | " << s.totals.brokenSessions << " | " << std::setprecision(1)
+        << s.totals.brokenPerMillion() << " | " << s.totals.doubleExecutions << " | "
+        << s.totals.strays << " | " << s.totals.falseRefusals << " | " << s.totals.lostRequests
+        << " | " << s.totals.lateNewWork << " | " << s.totals.configurationFaults << " | "
+        << s.totals.unknownOutcomes << " | " << std::setprecision(2) << s.imbalance << " | "
+        << s.queueingP99Ms << " | " << std::setprecision(0) << s.controlBytesPerSecond << " | "
+        << s.flowStateBytes << " |\n";
   }
   return out.str();
 }
--- a/src/sim/sweep.h
+++ b/src/sim/sweep.h
@@ -15,25 +15,13 @@
   Variant variant = Variant::kCobaltgauge;
   std::size_t runs = 0;
   std::size_t runsWithViolations = 0;
-  std::size_t sessions = 0;
-  std::size_t brokenSessions = 0;
-  std::size_t doubleExecutions = 0;
-  std::size_t strays = 0;
-  std::size_t falseRefusals = 0;
-  std::size_t lostRequests = 0;
-  std::size_t wrongAnswers = 0;
-  std::size_t lateNewWork = 0;
-  std::size_t configurationFaults = 0;
-  std::size_t unknownOutcomes = 0;
-  std::size_t requests = 0;
-  std::int64_t slowestConfigurationMs = 0;
+  HistoryCounts totals;
   double imbalance = 0;      ///< Mean over runs of the largest service's final max/mean.
   double queueingP99Ms = 0;  ///< Mean over runs.
   double controlBytesPerSecond = 0;
   double flowStateBytes = 0;
   std::vector<std::uint64_t> badSeeds;
 
-  double brokenPerMillion() const;
   void add(std::uint64_t seed, const RunResult& result);
 };
 
--- a/src/sim/world.cc
+++ b/src/sim/world.cc
@@ -37,13 +37,6 @@
 
 }  // namespace
 
-double RunResult::brokenPerMillion() const {
-  constexpr double kMillion = 1e6;
-  return report.sessions == 0 ? 0
-                              : kMillion * static_cast<double>(report.brokenSessions) /
-                                    static_cast<double>(report.sessions);
-}
-
 World::World(const Scenario& scenario)
     : scenario_(scenario),
       random_(scenario.seed),
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -39,8 +39,6 @@
   std::uint64_t events = 0;
   std::uint64_t packetsToPeers = 0;
   std::uint64_t packetsToBackends = 0;
-
-  double brokenPerMillion() const;
 };
 
 class World {
--- a/tests/core/balancer_test.cc
+++ b/tests/core/balancer_test.cc
@@ -105,6 +105,22 @@
     return backendOf(verdict);
   }
 
+  /// Opens 99 flows through the first daemon.
+  std::map<std::uint8_t, BackendId> openFlows() {
+    std::map<std::uint8_t, BackendId> chosen;
+    for (std::uint8_t caller = 1; caller < 100; ++caller) {
+      chosen[caller] = route(first, packetFrom(caller));
+    }
+    return chosen;
+  }
+
+  /// Checks that the second daemon sends every flow where it was opened.
+  void checkKept(const std::map<std::uint8_t, BackendId>& chosen) {
+    for (const auto& [caller, backend] : chosen) {
+      BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == backend));
+    }
+  }
+
   tests::MapCompiler compiler;
   sim::SeededRandom random{1};
   Time now = 100s;
@@ -163,16 +179,11 @@
 
 BOOST_AUTO_TEST_CASE(DrainKeepsFlowsThatOnlyOneDaemonKnows) {
   startBoth("four");
-  std::map<std::uint8_t, BackendId> chosen;
-  for (std::uint8_t caller = 1; caller < 100; ++caller) {
-    chosen[caller] = route(first, packetFrom(caller));
-  }
+  const std::map<std::uint8_t, BackendId> chosen = openFlows();
   first.offerConfiguration(makeDocument(2, "drained"), now);
   pass(3s);
   BOOST_TEST(second.versionInForce() == 2U);
-  for (const auto& [caller, backend] : chosen) {
-    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == backend));
-  }
+  checkKept(chosen);
 }
 
 BOOST_AUTO_TEST_CASE(LeavingBackendGetsNoNewFlowAfterTheWindow) {
@@ -197,10 +208,7 @@
 
 BOOST_AUTO_TEST_CASE(HomesSurviveAPlannedStop) {
   startBoth("four");
-  std::map<std::uint8_t, BackendId> chosen;
-  for (std::uint8_t caller = 1; caller < 100; ++caller) {
-    chosen[caller] = route(first, packetFrom(caller));
-  }
+  const std::map<std::uint8_t, BackendId> chosen = openFlows();
   first.offerConfiguration(makeDocument(2, "drained"), now);
   pass(3s);
   first.beginLeaving(now);
@@ -210,9 +218,7 @@
   deliver();
   running = {&second};
   pass(1s);
-  for (const auto& [caller, backend] : chosen) {
-    BOOST_TEST_REQUIRE((route(second, packetFrom(caller)) == backend));
-  }
+  checkKept(chosen);
 }
 
 BOOST_AUTO_TEST_CASE(SuspendedDaemonForwardsNothingUntilAPeerConfirmsItsView) {
--- a/tests/sim/world_test.cc
+++ b/tests/sim/world_test.cc
@@ -136,12 +136,12 @@
   const auto summaries = sweep(smallScenario(1, Variant::kCobaltgauge), options);
   const VariantSummary& summary = summaries.front();
   BOOST_TEST(summary.runs == 40U);
-  BOOST_TEST(summary.brokenSessions == 0U);
-  BOOST_TEST(summary.doubleExecutions == 0U);
-  BOOST_TEST(summary.strays == 0U);
-  BOOST_TEST(summary.falseRefusals == 0U);
-  BOOST_TEST(summary.lateNewWork == 0U);
-  BOOST_TEST(summary.configurationFaults == 0U);
+  BOOST_TEST(summary.totals.brokenSessions == 0U);
+  BOOST_TEST(summary.totals.doubleExecutions == 0U);
+  BOOST_TEST(summary.totals.strays == 0U);
+  BOOST_TEST(summary.totals.falseRefusals == 0U);
+  BOOST_TEST(summary.totals.lateNewWork == 0U);
+  BOOST_TEST(summary.totals.configurationFaults == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(SweepDoesNotDependOnThreads) {
