--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -163,7 +163,7 @@
 
     # Back ends
 
-    def start_backend(self, service, name, zone):
+    def start_backend(self, service, name, zone, *flags):
         port = free_port()
         self.services[service].backends[name] = {
             "name": name, "address": HOST, "port": port, "incarnation": 1, "zone": zone,
@@ -171,17 +171,17 @@
         self.spawn(
             name, "cobaltgauge-standin", "backend", f"--name={name}", f"--service={service}",
             f"--listen={HOST}:{port}", f"--fabric={HOST}:{self.fabric_port}", "--incarnation=1",
-            f"--history={self.path('history-' + name + '.jsonl')}")
+            f"--history={self.path('history-' + name + '.jsonl')}", *flags)
 
     # Callers
 
-    def start_caller(self, name, service, network, sessions, seconds, seed):
+    def start_caller(self, name, service, network, sessions, seconds, seed, *flags):
         target = self.services[service]
         return self.spawn(
             name, "cobaltgauge-standin", "caller", f"--name={name}", f"--service={service}",
             f"--target={target.address}:{target.port}", f"--fabric={HOST}:{self.fabric_port}",
             f"--network={network}", f"--sessions={sessions}", f"--seconds={seconds}",
-            f"--history={self.path('history-' + name + '.jsonl')}", f"--seed={seed}")
+            f"--history={self.path('history-' + name + '.jsonl')}", f"--seed={seed}", *flags)
 
     # End
 
--- a/scripts/smoke.py
+++ b/scripts/smoke.py
@@ -30,8 +30,9 @@
         fleet = Fleet(build, directory)
         fleet.services["desk"] = Service("desk", "10.90.0.1", 5683, POLICY)
         fleet.services["narrow"] = Service("narrow", "10.90.0.2", 5683, LIMITED)
-        fleet.start_backend("desk", "d-1", "z")
-        fleet.start_backend("desk", "d-2", "z")
+        # Slow back ends, so that submissions queue and some are cancelled in time.
+        fleet.start_backend("desk", "d-1", "z", "--service-ms=60", "--slots=1")
+        fleet.start_backend("desk", "d-2", "z", "--service-ms=60", "--slots=1")
         fleet.start_backend("narrow", "n-1", "z")
         fleet.plan_daemon("lb-1", "z")
         fleet.write_machines()
@@ -40,7 +41,8 @@
         fleet.start_platform()
         fleet.start_daemon("lb-1")
         try:
-            fleet.start_caller("c", "desk", "10.81.0", 10, 12, 1)
+            fleet.start_caller("c", "desk", "10.81.0", 20, 12, 1, "--cancel-percent=40",
+                               "--interval-ms=150")
             fleet.start_caller("n", "narrow", "10.82.0", 10, 12, 1)
             fleet.wait("c", 120)
             fleet.wait("n", 120)
@@ -55,9 +57,11 @@
                                 check=False, capture_output=True, text=True)
         print(report.stdout)
         executions = int(report.stdout.split("executions")[1].split()[0])
+        cancelled = int(report.stdout.split("refused as not run")[1].split()[0])
         checks = {
             "history breaks no rule": report.returncode == 0,
             "requests were executed": executions > 0,
+            "submissions were cancelled before they ran": cancelled > 0,
             "version 1 is in force": status["configuration_in_force"] == 1,
             "explain names a back end": explanation["backend"] is not None,
             "flows over the rate were refused and answered":
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -53,13 +53,11 @@
     lastReason_ = data_->lastReason();
     return false;
   }
-  if (settings_.adminListen != core::Endpoint{}) {
-    admin_ = std::make_unique<AdminServer>(
-        [this](const AdminRequest& request) { return answer(request); });
-    if (!admin_->open(settings_.adminListen)) {
-      lastReason_ = admin_->lastReason();
-      return false;
-    }
+  admin_ = std::make_unique<AdminServer>(
+      [this](const AdminRequest& request) { return answer(request); });
+  if (!admin_->open(settings_.adminListen)) {
+    lastReason_ = admin_->lastReason();
+    return false;
   }
   reader_ = std::make_unique<PlatformReader>(
       platform::PlatformClient(net::formatAddress(settings_.platform.address),
@@ -78,7 +76,7 @@
            {{"zone", settings_.zone},
             {"data", net::formatEndpoint(data_->localEndpoint())},
             {"cluster", net::formatEndpoint(peers_.localEndpoint())},
-            {"admin_port", std::to_string(admin_ ? admin_->port() : 0)}});
+            {"admin_port", std::to_string(admin_->port())}});
   scheduleTick();
   return true;
 }
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -31,7 +31,7 @@
   core::Endpoint platform;
   std::chrono::milliseconds platformPollInterval{500};
   std::chrono::milliseconds platformTimeout{1000};
-  core::Endpoint adminListen;
+  core::Endpoint adminListen{{{127, 0, 0, 1}, false}, 9901};
   LogLevel logLevel = LogLevel::kInfo;
   std::chrono::milliseconds linger{2000};
 };
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -123,7 +123,8 @@
                                &Settings::platformPollInterval, 50, 600'000));
   fields.push_back(numberField("platform", "timeout_ms", "Longest wait for one answer",
                                &Settings::platformTimeout, 50, 60'000));
-  fields.push_back(endpointField("admin", "listen", "Where the admin page and metrics are served",
+  fields.push_back(endpointField("admin", "listen",
+                                 "Where the admin page and metrics are served; port 0 picks one",
                                  &Settings::adminListen));
   fields.push_back(field("log", "level", "Least severity that is logged",
                          "one of debug, info, warning, error", assignLogLevel));
--- a/src/standin/caller.cc
+++ b/src/standin/caller.cc
@@ -36,6 +36,7 @@
       {"seconds", "time after which no new request is sent", "10"},
       {"interval-ms", "mean pause between two requests of a session", "500"},
       {"packet-percent", "share of requests that fetch a large answer", "30"},
+      {"cancel-percent", "share of submissions that are cancelled at once", "0"},
       {"vni", "Geneve virtual network", "1"},
       {"seed", "seed of the generator", "1"}};
   return kOptions;
@@ -97,7 +98,26 @@
   net::CoapMessage request = makeRequest(net::kCoapPost, kSubmitPath);
   request.payload = requestId_ + " " + std::to_string(wallClockMs() + kDeadlineMs);
   record(EventKind::kRequestSent, requestId_);
-  sendRequest(Step::kSubmitting, std::move(request));
+  if (shared_.random() % 100 < shared_.cancelPercent) {
+    submitAndCancel(request);
+  } else {
+    sendRequest(Step::kSubmitting, std::move(request));
+  }
+}
+
+void CallerSession::submitAndCancel(const net::CoapMessage& submission) {
+  shared_.port.send(shared_.fabric, flow_, net::encodeCoap(submission));
+  net::CoapMessage cancellation = makeRequest(net::kCoapDelete, kSubmitPath);
+  cancellation.payload = requestId_;
+  sendRequest(Step::kCancelling, std::move(cancellation));
+}
+
+void CallerSession::onCancelAnswer(const net::CoapMessage& answer) {
+  if (answer.code == net::kCoapDeleted) {
+    record(EventKind::kRequestRefused, requestId_, "cancelled");
+  } else {
+    record(EventKind::kRequestUnknown, requestId_, "cancelled too late");
+  }
 }
 
 void CallerSession::sendRequest(Step step, net::CoapMessage request) {
@@ -124,7 +144,7 @@
 }
 
 void CallerSession::giveUp() {
-  if (step_ == Step::kSubmitting) {
+  if (step_ == Step::kSubmitting || step_ == Step::kCancelling) {
     record(EventKind::kRequestUnknown, requestId_, "no answer");
   } else if (step_ == Step::kFetching) {
     record(EventKind::kAnswerWrong, requestId_, "no answer");
@@ -175,6 +195,10 @@
       onSubmitAnswer(answer);
       pause();
       break;
+    case Step::kCancelling:
+      onCancelAnswer(answer);
+      pause();
+      break;
     case Step::kFetching:
       onBlock(answer);
       break;
@@ -258,6 +282,7 @@
                       std::mt19937_64(options->number("seed")),
                       std::chrono::milliseconds(options->number("interval-ms")),
                       options->number("packet-percent"),
+                      options->number("cancel-percent"),
                       false};
   const core::Endpoint target = options->endpoint("target");
   const auto count = static_cast<std::uint32_t>(options->number("sessions"));
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -28,6 +28,7 @@
   std::mt19937_64 random;
   std::chrono::milliseconds interval{500};
   std::uint64_t packetPercent = 30;
+  std::uint64_t cancelPercent = 0;
   bool stopping = false;
 };
 
@@ -42,12 +43,22 @@
   std::uint64_t pushes() const { return pushes_; }
 
  private:
-  enum class Step : std::uint8_t { kIdle, kOpening, kSubscribing, kSubmitting, kFetching, kEnded };
+  enum class Step : std::uint8_t {
+    kIdle,
+    kOpening,
+    kSubscribing,
+    kSubmitting,
+    kCancelling,
+    kFetching,
+    kEnded
+  };
 
   void next();
   void sendRequest(Step step, net::CoapMessage request);
   void transmit();
   void onAnswer(const net::CoapMessage& answer);
+  void submitAndCancel(const net::CoapMessage& submission);
+  void onCancelAnswer(const net::CoapMessage& answer);
   void onSubmitAnswer(const net::CoapMessage& answer);
   void onBlock(const net::CoapMessage& answer);
   void fetchBlock(std::uint32_t number);
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "net/address.h"
+
 using namespace cobaltgauge::daemon;
 
 namespace {
@@ -72,6 +74,7 @@
   BOOST_TEST(outcome.settings->name == "lb-1");
   BOOST_TEST(outcome.settings->zone == "default");
   BOOST_TEST(outcome.settings->platform.port == 8080);
+  BOOST_TEST(cobaltgauge::net::formatEndpoint(outcome.settings->adminListen) == "127.0.0.1:9901");
 }
 
 BOOST_AUTO_TEST_CASE(FlagGoesBeforeTheFile) {
