--- a/tests/fuzz/fuzz_coap.cc
+++ b/tests/fuzz/fuzz_coap.cc
@@ -4,6 +4,7 @@
 
 #include "net/coap_message.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace cobaltgauge::net;
   const auto message = decodeCoap({data, size});
--- a/tests/fuzz/fuzz_configuration.cc
+++ b/tests/fuzz/fuzz_configuration.cc
@@ -4,6 +4,7 @@
 
 #include "platform/configuration_json.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace cobaltgauge::platform;
   ConfigurationParser parser;
--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -5,6 +5,7 @@
 #include "net/peer_codec.h"
 #include "support/core_fixtures.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace cobaltgauge;
   static const core::MemberIdentity kPeer = tests::makeIdentity("peer", 2);
--- a/tests/fuzz/fuzz_scenario.cc
+++ b/tests/fuzz/fuzz_scenario.cc
@@ -3,6 +3,7 @@
 #include "sim/history.h"
 #include "sim/scenario_loader.h"
 
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace cobaltgauge::sim;
   const std::string text(reinterpret_cast<const char*>(data), size);
