Give each peer message a handler of its own

Cause: onMessage was a chain of ten type tests, and four places looked a member up before they sent to it. Change: one overload of receive() per message in balancer_messages.cc, sendTo().

--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -150,9 +150,21 @@
   void sendHint(const Context& context, const BackendAddress& backend);
   /// Marks the buckets whose flows may be in a zone out of reach. @return true where there is one.
   static bool addSeparatedBuckets(const Context& context, ShardBitmap& dirty);
-  void onHint(const RouteHint& hint, Time now);
-  void onAck(MemberId from, const Ack& ack, Time now);
-  void onTransfer(MemberId from, const ConfigurationTransfer& transfer, Time now);
+
+  // One overload per kind of message (balancer_messages.cc).
+  void receive(MemberId from, const Ping& ping, Time now);
+  void receive(MemberId from, const Ack& ack, Time now);
+  void receive(MemberId from, const PingRequest& request, Time now);
+  void receive(MemberId from, const MemberSync& sync, Time now);
+  void receive(MemberId from, const ConfigurationRequest& request, Time now);
+  void receive(MemberId from, const ConfigurationTransfer& transfer, Time now);
+  void receive(MemberId from, const RecordsMessage& records, Time now);
+  void receive(MemberId from, const RecordsAck& ack, Time now);
+  void receive(MemberId from, const RouteHint& hint, Time now);
+  void receive(MemberId from, const ListingRequest& request, Time now);
+  /// Sends to a member that is known; drops the message where it is not.
+  void sendTo(MemberId peer, PeerMessage message);
+
   void compareDigest(MemberId from, const ConfigurationDigest& digest);
   void requestConfiguration(MemberId from, ConfigurationVersion have);
   void onMemberChange(const MemberChange& change);
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -239,10 +239,6 @@
 }
 
 void Balancer::sendHint(const Context& context, const BackendAddress& backend) {
-  const Member* ingress = membership_.members().find(context.arrival.ingress);
-  if (ingress == nullptr) {
-    return;
-  }
   const ShardState& shard = homes_.state(context.shard);
   RouteHint hint;
   hint.fingerprint = context.fingerprint;
@@ -258,26 +254,10 @@
   if (hint.shardIsListed) {
     hint.listing = shard.listing();
   }
-  outbox_.send(ingress->identity.id, ingress->identity.control, hint);
+  sendTo(context.arrival.ingress, std::move(hint));
   ++counters_.hintsSent;
 }
 
-void Balancer::onHint(const RouteHint& hint, Time now) {
-  if (!directory_.learn(hint.backend, now)) {
-    return;
-  }
-  flows_.learn(hint.fingerprint, hint.shard.service, hint.backend.id, now);
-  const auto placement = placements_.find(hint.shard.service);
-  const bool current =
-      placement != placements_.end() && placement->second.version() == hint.version;
-  if (hint.shardIsFinal && current) {
-    placement->second.settleShard(hint.shard.shard, hint.dirty);
-    if (hint.shardIsListed) {
-      placement->second.listShard(hint.shard.shard, hint.listing);
-    }
-  }
-}
-
 std::optional<Explanation> Balancer::explain(const FlowKey& flow, Time now) const {
   const auto found = virtualAddresses_.find(VirtualAddress{flow.destination, flow.protocol});
   if (found == virtualAddresses_.end()) {
--- a/src/standin/backend.cc
+++ b/src/standin/backend.cc
@@ -116,7 +116,7 @@
   } else if (path == kWatchPath) {
     watch(flow, request, session->second);
   } else if (path == kSubmitPath && request.code == net::kCoapPost) {
-    submit(flow, request, session->second);
+    submit(flow, request);
   } else if (path == kSubmitPath && request.code == net::kCoapDelete) {
     cancel(flow, request);
   } else if (path == kPacketPath) {
@@ -145,8 +145,7 @@
   answer(flow, request, net::kCoapContent, "rate 0");
 }
 
-void Backend::submit(const core::FlowKey& flow, const net::CoapMessage& request,
-                     const Session& session) {
+void Backend::submit(const core::FlowKey& flow, const net::CoapMessage& request) {
   std::istringstream words(request.payload);
   Job job{flow, request, "", 0};
   words >> job.id >> job.deadlineMs;
@@ -154,7 +153,6 @@
     refuse(flow, request, "not run");
     return;
   }
-  (void)session;
   queue_.push_back(std::move(job));
   startJobs();
 }
--- a/src/standin/backend.h
+++ b/src/standin/backend.h
@@ -41,7 +41,7 @@
   void onRequest(const core::FlowKey& flow, const net::CoapMessage& request);
   void openSession(const core::FlowKey& flow, const net::CoapMessage& request);
   void watch(const core::FlowKey& flow, const net::CoapMessage& request, Session& session);
-  void submit(const core::FlowKey& flow, const net::CoapMessage& request, const Session& session);
+  void submit(const core::FlowKey& flow, const net::CoapMessage& request);
   void cancel(const core::FlowKey& flow, const net::CoapMessage& request);
   void sendBlock(const core::FlowKey& flow, const net::CoapMessage& request);
   void startJobs();
