--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -1,7 +1,10 @@
 #include "daemon/settings.h"
 
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 
 #include "net/address.h"
@@ -25,7 +28,8 @@
 /// A settings file that is removed at the end of the test.
 class SettingsFile {
  public:
-  explicit SettingsFile(const std::string& text) : path_(std::tmpnam(nullptr)) {
+  explicit SettingsFile(const std::string& text) : path_("/tmp/cobaltgauge-settings-XXXXXX") {
+    close(mkstemp(path_.data()));
     std::ofstream(path_) << text;
   }
   ~SettingsFile() { std::remove(path_.c_str()); }
