Drop dead code and work that no receiver reads

Found on a second read: a hint walked the shard's records for a bitmap that is read only of final shards; two branches of ServicePlacement::apply did the same; five fuzzing commands spelled out one step; FlowTable::forget, GossipQueue::size and SimulatedDaemon::isFrozen had no caller.

--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -256,9 +256,12 @@
   hint.shardIsFinal = homes_.owners(context.shard).home == options_.self.id &&
                       shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew &&
                       !isCutOff(context) && !lacksRecentRecords(context);
-  hint.dirty = shard.dirtyBuckets();
-  const bool separated = addSeparatedBuckets(context, hint.dirty);
-  hint.shardIsListed = hint.shardIsFinal && !separated && context.arrival.wantsListing;
+  if (hint.shardIsFinal) {
+    // The receiver reads these only of a final shard, and they cost a walk over its records.
+    hint.dirty = shard.dirtyBuckets();
+    const bool separated = addSeparatedBuckets(context, hint.dirty);
+    hint.shardIsListed = !separated && context.arrival.wantsListing;
+  }
   if (hint.shardIsListed) {
     hint.listing = shard.listing();
   }
--- a/src/core/flow_table.cc
+++ b/src/core/flow_table.cc
@@ -78,15 +78,6 @@
   *victim = FlowEntry{fingerprint, backend, service, nowSeconds};
 }
 
-void FlowTable::forget(FlowFingerprint fingerprint) {
-  const std::size_t start = setStart(fingerprint);
-  for (std::size_t way = 0; way < kWays; ++way) {
-    if (entries_[start + way].fingerprint == fingerprint) {
-      entries_[start + way] = FlowEntry{};
-    }
-  }
-}
-
 void FlowTable::forgetBackend(BackendId backend) {
   for (FlowEntry& entry : entries_) {
     if (entry.backend == backend) {
--- a/src/core/flow_table.h
+++ b/src/core/flow_table.h
@@ -36,9 +36,6 @@
   /// Learns or overwrites a flow.
   void learn(FlowFingerprint fingerprint, ServiceId service, BackendId backend, Time now);
 
-  /// Forgets one flow.
-  void forget(FlowFingerprint fingerprint);
-
   /// Forgets every flow of a back end, for instance because its address was given away.
   void forgetBackend(BackendId backend);
 
--- a/src/core/gossip_queue.h
+++ b/src/core/gossip_queue.h
@@ -20,8 +20,6 @@
   /// @param memberCount size of the fleet; each update is sent O(log memberCount) times.
   std::vector<MemberUpdate> pick(std::size_t limit, std::size_t memberCount);
 
-  std::size_t size() const { return items_.size(); }
-
  private:
   struct Item {
     MemberUpdate update;
--- a/src/core/service_placement.cc
+++ b/src/core/service_placement.cc
@@ -41,13 +41,10 @@
       }
     }
   }
-  if (!first && service.tracked && !tracked_) {
-    // Flows that were open before tracking began must be listed once.
-    moved.set();
-    unsettleAll();
-  }
+  // Flows that were open before tracking began must be listed once.
+  const bool trackingBegins = !first && service.tracked && !tracked_;
   skipped_ = skipped && !first;
-  if (skipped_) {
+  if (trackingBegins || skipped_) {
     moved.set();
     unsettleAll();
   }
--- a/src/sim/simulated_daemon.h
+++ b/src/sim/simulated_daemon.h
@@ -38,7 +38,6 @@
 
   bool runs() const { return alive_ && !frozen_; }
   bool isAlive() const { return alive_; }
-  bool isFrozen() const { return frozen_; }
   PacketRouter& router() { return *router_; }
   const PacketRouter& router() const { return *router_; }
   const core::MemberIdentity& identity() const { return identity_; }
--- a/tests/sim/stateful_test.cc
+++ b/tests/sim/stateful_test.cc
@@ -213,6 +213,14 @@
   }
 }
 
+/// Sends packets of all flows as exerciseFlows() does, by the daemons that serve after a command.
+void exerciseAfter(const FleetCommand& command, const Oracle& before, FleetUnderTest& fleet,
+                   int seconds) {
+  Oracle after = before;
+  command.apply(after);
+  exerciseFlows(after, fleet, seconds);
+}
+
 struct OpenFlows : FleetCommand {
   void apply(Oracle& oracle) const override { oracle.opened += 10; }
   void run(const Oracle& before, FleetUnderTest& fleet) const override {
@@ -257,9 +265,7 @@
   }
   void run(const Oracle& before, FleetUnderTest& fleet) const override {
     fleet.join();
-    Oracle after = before;
-    apply(after);
-    exerciseFlows(after, fleet, 3);
+    exerciseAfter(*this, before, fleet, 3);
   }
   void show(std::ostream& out) const override { out << "join"; }
 };
@@ -282,9 +288,7 @@
   void apply(Oracle& oracle) const override { oracle.running[index] = false; }
   void run(const Oracle& before, FleetUnderTest& fleet) const override {
     fleet.kill(index);
-    Oracle after = before;
-    apply(after);
-    exerciseFlows(after, fleet, 4);
+    exerciseAfter(*this, before, fleet, 4);
   }
   void show(std::ostream& out) const override { out << "kill " << index; }
 };
@@ -296,9 +300,7 @@
     fleet.beginLeaving(index);
     exerciseFlows(before, fleet, 2);
     fleet.endLeaving(index);
-    Oracle after = before;
-    apply(after);
-    exerciseFlows(after, fleet, 1);
+    exerciseAfter(*this, before, fleet, 1);
   }
   void show(std::ostream& out) const override { out << "planned stop of " << index; }
 };
@@ -308,9 +310,7 @@
   void apply(Oracle& oracle) const override { oracle.frozen[index] = true; }
   void run(const Oracle& before, FleetUnderTest& fleet) const override {
     fleet.freeze(index);
-    Oracle after = before;
-    apply(after);
-    exerciseFlows(after, fleet, 4);
+    exerciseAfter(*this, before, fleet, 4);
   }
   void show(std::ostream& out) const override { out << "freeze " << index; }
 };
@@ -328,9 +328,7 @@
         fleet.wake(i);
       }
     }
-    Oracle after = before;
-    apply(after);
-    exerciseFlows(after, fleet, 3);
+    exerciseAfter(*this, before, fleet, 3);
   }
   void show(std::ostream& out) const override { out << "wake all"; }
 };
