Scan the flow table once for all reports of a moment

Cause: listings scanned the whole flow table once per service, and a home that asked for listings once per shard; a scan of two million entries takes 25 ms, so a returned member at 680 services would have cost seconds. Change: reportFlows() takes the reports of all services and scans once; the two places that grouped shards by service share reportsOn().

--- a/src/core/shard_homes.cc
+++ b/src/core/shard_homes.cc
@@ -172,7 +172,9 @@
       openWindow(key, placement.version(), now + kListingWindow);
     }
   }
-  reportFlows(placement, {RecordPurpose::kListing, moved, shards, kNoMember}, now);
+  reportFlows(
+      {{placement.service(), {&placement, RecordPurpose::kListing, moved, shards, kNoMember}}},
+      now);
 }
 
 void ShardHomes::onMembersReturned(const std::set<MemberId>& returned,
--- a/src/core/shard_homes.h
+++ b/src/core/shard_homes.h
@@ -96,15 +96,22 @@
                        Time now);
   std::set<MemberId> membersThatReport() const;
   void openWindow(const ShardKey& key, ConfigurationVersion version, Time closesAt);
-  /// Which of this daemon's flows to report, and to whom.
+  /// Which of this daemon's flows of one service to report, and to whom.
   struct Report {
+    const ServicePlacement* placement = nullptr;
     RecordPurpose purpose = RecordPurpose::kFullListing;
     BucketSet buckets = BucketSet{}.set();
     ShardSet shards = ShardSet{}.set();
     MemberId receiver = kNoMember;  ///< kNoMember: each shard's home.
   };
-
-  void reportFlows(const ServicePlacement& placement, const Report& report, Time now);
+  using Reports = std::map<ServiceId, Report>;
+
+  /// Makes all reports with one scan of the flow table, which is the costly part.
+  void reportFlows(const Reports& reports, Time now);
+  static Report fullReport(const ServicePlacement& placement);
+  /// @return full reports on these shards only, of the services that are placed here.
+  static Reports reportsOn(const std::vector<ShardKey>& shards, const PlacementMap& placements,
+                           MemberId receiver);
   void sendListingRequest(const std::set<MemberId>& members, const std::vector<ShardKey>& shards);
   void repeatListingRequests(Time now);
   void onWholeTransfer(MemberId from, const RecordsMessage& message, const PlacementMap& placements,
--- a/src/core/shard_records.cc
+++ b/src/core/shard_records.cc
@@ -1,40 +1,71 @@
 /// @file
 /// Movement of flow records: listings, copies and handovers.
-#include <array>
-
 #include "core/constants.h"
 #include "core/hashing.h"
 #include "core/shard_homes.h"
 
 namespace cobaltgauge::core {
 
+ShardHomes::Report ShardHomes::fullReport(const ServicePlacement& placement) {
+  Report report;
+  report.placement = &placement;
+  return report;
+}
+
+ShardHomes::Reports ShardHomes::reportsOn(const std::vector<ShardKey>& shards,
+                                          const PlacementMap& placements, MemberId receiver) {
+  Reports reports;
+  for (const ShardKey& key : shards) {
+    const auto placement = placements.find(key.service);
+    if (placement == placements.end() || key.shard >= kShardCount) {
+      continue;
+    }
+    const auto [report, isNew] = reports.try_emplace(key.service, fullReport(placement->second));
+    if (isNew) {
+      report->second.shards.reset();
+      report->second.receiver = receiver;
+    }
+    report->second.shards.set(key.shard);
+  }
+  return reports;
+}
+
 void ShardHomes::reportAll(const PlacementMap& placements, Time now) {
+  Reports reports;
   for (const auto& [service, placement] : placements) {
-    reportFlows(placement, Report{}, now);
+    reports.emplace(service, fullReport(placement));
   }
+  reportFlows(reports, now);
 }
 
-void ShardHomes::reportFlows(const ServicePlacement& placement, const Report& report, Time now) {
-  std::array<std::vector<FlowRecord>, kShardCount> lists;
-  flows_.forEach(now, [&](const FlowEntry& entry) {
+void ShardHomes::reportFlows(const Reports& reports, Time now) {
+  std::map<ShardKey, std::vector<FlowRecord>> lists;
+  flows_.forEach(now, [&reports, &lists](const FlowEntry& entry) {
+    const auto report = reports.find(entry.service);
+    if (report == reports.end()) {
+      return;
+    }
     const std::size_t bucket = bucketOf(entry.fingerprint);
-    const bool listed = entry.service == placement.service() && report.buckets[bucket] &&
-                        report.shards[shardOf(bucket)] &&
-                        placement.needsRecord(bucket, entry.backend);
+    const auto shard = static_cast<std::uint16_t>(shardOf(bucket));
+    const bool listed = report->second.buckets[bucket] && report->second.shards[shard] &&
+                        report->second.placement->needsRecord(bucket, entry.backend);
     if (listed) {
-      lists[shardOf(bucket)].push_back({entry.fingerprint, entry.backend});
+      lists[{entry.service, shard}].push_back({entry.fingerprint, entry.backend});
     }
   });
-  for (std::uint16_t shard = 0; shard < kShardCount; ++shard) {
-    const ShardKey key{placement.service(), shard};
-    const MemberId receiver = report.receiver == kNoMember ? owners(key).home : report.receiver;
-    if (!report.shards[shard] || receiver == kNoMember) {
-      continue;
-    }
-    if (receiver == membership_.self().id) {
-      record(key, placement.version(), lists[shard], now);
-    } else {
-      transfers_.send(receiver, {report.purpose, key, placement.version()}, lists[shard], now);
+  for (const auto& [service, report] : reports) {
+    const ConfigurationVersion version = report.placement->version();
+    for (std::uint16_t shard = 0; shard < kShardCount; ++shard) {
+      const ShardKey key{service, shard};
+      const MemberId receiver = report.receiver == kNoMember ? owners(key).home : report.receiver;
+      if (!report.shards[shard] || receiver == kNoMember) {
+        continue;
+      }
+      if (receiver == membership_.self().id) {
+        record(key, version, lists[key], now);
+      } else {
+        transfers_.send(receiver, {report.purpose, key, version}, lists[key], now);
+      }
     }
   }
 }
@@ -58,12 +89,9 @@
     const auto placement = placements.find(key.service);
     if (placement != placements.end()) {
       states_[key].awaitListing(members, placement->second.movedVersion(), now + kListingWait);
-      Report own;
-      own.shards.reset().set(key.shard);
-      own.receiver = membership_.self().id;
-      reportFlows(placement->second, own, now);
     }
   }
+  reportFlows(reportsOn(shards, placements, membership_.self().id), now);
   sendListingRequest(members, shards);
 }
 
@@ -95,20 +123,8 @@
 
 void ShardHomes::onListingRequest(MemberId from, const ListingRequest& request,
                                   const PlacementMap& placements, Time now) {
-  std::map<ServiceId, ShardSet> wanted;
-  for (const ShardKey& key : request.shards) {
-    if (key.shard < kShardCount) {
-      wanted[key.service].set(key.shard);
-    }
-  }
-  for (const auto& [service, shards] : wanted) {
-    const auto placement = placements.find(service);
-    if (placement != placements.end()) {
-      // To the asker, not to the home: this daemon may not know yet that the asker is the home.
-      reportFlows(placement->second, {RecordPurpose::kFullListing, BucketSet{}.set(), shards, from},
-                  now);
-    }
-  }
+  // To the asker, not to the home: this daemon may not know yet that the asker is the home.
+  reportFlows(reportsOn(request.shards, placements, from), now);
 }
 
 void ShardHomes::record(const ShardKey& key, ConfigurationVersion version,
