--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -52,7 +52,7 @@
 struct BalancerCounters {
   std::array<std::uint64_t, 6> routed{};   ///< By RouteReason.
   std::array<std::uint64_t, 5> dropped{};  ///< By DropReason.
-  std::array<std::uint64_t, 3> refused{};  ///< By RefuseReason.
+  std::array<std::uint64_t, 4> refused{};  ///< By RefuseReason.
   std::uint64_t passedToPeer = 0;
   std::uint64_t suspensions = 0;
   std::uint64_t hintsSent = 0;
@@ -139,8 +139,10 @@
   Verdict decideAsHome(const Context& context);
   Verdict decideWhileListing(const Context& context);
   Verdict decideAfterListing(const Context& context);
-  /// @return true where records of the shard may exist that this daemon cannot have.
-  bool lacksRecords(const Context& context);
+  /// @return true where the shard's records are on the other side of a cut.
+  bool isCutOff(const Context& context);
+  /// @return true where this replica may lack records that are on their way to the home.
+  bool lacksRecentRecords(const Context& context) const;
   Verdict keepOnOldBackend(const Context& context, BackendId backend);
   Verdict passTo(MemberId peer, const Context& context);
   Verdict startFlow(const Context& context, RouteReason reason);
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -7,6 +7,9 @@
 namespace cobaltgauge::core {
 namespace {
 
+/// When a caller should come back whose flow's records are on the other side of a cut.
+constexpr std::chrono::seconds kCutOffRetryAfter{5};
+
 /// A back end's flow limit is enforced by each shard's home for its part of the flows.
 std::uint32_t limitPerShard(std::uint32_t limit) {
   return static_cast<std::uint32_t>((limit + kShardCount - 1) / kShardCount);
@@ -140,7 +143,12 @@
 }
 
 Verdict Balancer::decideAfterListing(const Context& context) {
-  if (lacksRecords(context)) {
+  if (isCutOff(context)) {
+    // This may last; the caller is told at once when to come back.
+    return Refuse{context.service.refusal, RefusalCertainty::kOutcomeUnknown, RefuseReason::kCutOff,
+                  kCutOffRetryAfter};
+  }
+  if (lacksRecentRecords(context)) {
     return Drop{DropReason::kHomeSyncing};
   }
   // While a zone is out of reach, the flow may be one that only that zone knows. A new flow does no
@@ -151,12 +159,12 @@
   return canBeOld ? keepOnOldBackend(context, old) : startFlow(context, RouteReason::kHomeNewFlow);
 }
 
-bool Balancer::lacksRecords(const Context& context) {
-  const ShardState& shard = homes_.state(context.shard);
-  const bool cutOff = separated_ && membership_.members().hasLostMost();
-  if (shard.recordsMayBeMissing() && cutOff) {
-    return true;  // The records are on the other side.
-  }
+bool Balancer::isCutOff(const Context& context) {
+  return separated_ && membership_.members().hasLostMost() &&
+         homes_.state(context.shard).recordsMayBeMissing();
+}
+
+bool Balancer::lacksRecentRecords(const Context& context) const {
   // A replica does not get the members' reports; the home that did may be gone.
   const bool isHome = homes_.owners(context.shard).home == options_.self.id;
   return !isHome && context.placement.movedRecently(context.now);
@@ -247,7 +255,7 @@
   hint.version = context.placement.version();
   hint.shardIsFinal = homes_.owners(context.shard).home == options_.self.id &&
                       shard.unknownFlowRule(context.now) == UnknownFlowRule::kIsNew &&
-                      !lacksRecords(context);
+                      !isCutOff(context) && !lacksRecentRecords(context);
   hint.dirty = shard.dirtyBuckets();
   const bool separated = addSeparatedBuckets(context, hint.dirty);
   hint.shardIsListed = hint.shardIsFinal && !separated && context.arrival.wantsListing;
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -44,6 +44,8 @@
       return "backend_limit";
     case RefuseReason::kNoBackend:
       return "no_backend";
+    case RefuseReason::kCutOff:
+      return "cut_off";
   }
   return "invalid";
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -33,6 +33,7 @@
   kNewFlowRate,   ///< More new flows a second than the service allows.
   kBackendLimit,  ///< The back end holds as many flows as it may.
   kNoBackend,     ///< No back end takes new flows.
+  kCutOff,        ///< Records of the flow may be on the other side of a cut.
 };
 
 /// Whether a refused request can have been executed.
--- a/src/policy/lua_sandbox.cc
+++ b/src/policy/lua_sandbox.cc
@@ -50,8 +50,7 @@
   return moved;
 }
 
-void LuaSandbox::onInstructionLimit(lua_State* state, lua_Debug* debug) {
-  (void)debug;
+void LuaSandbox::onInstructionLimit(lua_State* state, lua_Debug*) {
   luaL_error(state, "instruction limit exceeded");
 }
 
--- a/tests/support/main.cc
+++ b/tests/support/main.cc
@@ -1,4 +1,4 @@
 /// @file
 /// Entry point of every test program.
 #define BOOST_TEST_MODULE cobaltgauge
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
