--- a/src/platform/configuration_json.cc
+++ b/src/configuration/configuration_json.cc
@@ -1,4 +1,4 @@
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
@@ -6,9 +6,9 @@
 
 #include "core/hashing.h"
 #include "net/address.h"
-#include "platform/json_reader.h"
+#include "configuration/json_reader.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 namespace {
 
 constexpr std::uint64_t kMaxPort = 65535;
@@ -191,4 +191,4 @@
   return true;
 }
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- a/src/platform/configuration_json.h
+++ b/src/configuration/configuration_json.h
@@ -10,7 +10,7 @@
 #include "core/configuration.h"
 #include "policy/policy_evaluator.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 
 /// Splits the platform's text into one document per service; keeps the reason of a failure.
 class ConfigurationParser {
@@ -40,4 +40,4 @@
   std::string lastReason_;
 };
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- a/src/platform/json_reader.cc
+++ b/src/configuration/json_reader.cc
@@ -1,10 +1,10 @@
-#include "platform/json_reader.h"
+#include "configuration/json_reader.h"
 
 #include <algorithm>
 
 #include "net/address.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 namespace {
 
 constexpr std::size_t kShownValueBytes = 60;
@@ -133,4 +133,4 @@
   return *value;
 }
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- a/src/platform/json_reader.h
+++ b/src/configuration/json_reader.h
@@ -11,7 +11,7 @@
 
 #include "core/types.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 
 class JsonReader {
  public:
@@ -47,4 +47,4 @@
   std::optional<std::string> error_;
 };
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- a/src/platform/platform_client.cc
+++ b/src/configuration/platform_client.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_client.h"
+#include "configuration/platform_client.h"
 
 #include <httplib.h>
 
@@ -6,9 +6,9 @@
 
 #include "core/hashing.h"
 #include "net/address.h"
-#include "platform/json_reader.h"
+#include "configuration/json_reader.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 namespace {
 
 constexpr int kStatusOk = 200;
@@ -104,4 +104,4 @@
   return list;
 }
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- a/src/platform/platform_client.h
+++ b/src/configuration/platform_client.h
@@ -10,9 +10,9 @@
 
 #include "core/configuration.h"
 #include "core/messages.h"
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
-namespace cobaltgauge::platform {
+namespace cobaltgauge::configuration {
 
 /// What one read gave.
 enum class ReadResult : std::uint8_t { kNew, kUnchanged, kFailed };
@@ -46,4 +46,4 @@
   ConfigurationParser parser_;
 };
 
-}  // namespace cobaltgauge::platform
+}  // namespace cobaltgauge::configuration
--- /dev/null
+++ b/src/core/backend_registry.cc
@@ -0,0 +1,199 @@
+#include "core/backend_registry.h"
+
+#include <algorithm>
+
+#include "core/hashing.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Any constant; keeps tokens apart from other uses of the same hash.
+constexpr std::uint64_t kTokenSalt = 0x746f6b656eULL;
+
+}  // namespace
+
+const char* toString(RegistryEvent event) {
+  switch (event) {
+    case RegistryEvent::kAdded:
+      return "added";
+    case RegistryEvent::kLeaving:
+      return "leaving";
+    case RegistryEvent::kReturned:
+      return "returned";
+    case RegistryEvent::kVanished:
+      return "vanished";
+    case RegistryEvent::kChanged:
+      return "changed";
+    case RegistryEvent::kNone:
+      return "none";
+  }
+  return "invalid";
+}
+
+SteeringToken tokenOf(BackendId id) {
+  const auto hash =
+      static_cast<std::uint32_t>(mixHash(static_cast<std::uint64_t>(id), kTokenSalt));
+  return SteeringToken{hash == 0 ? 1 : hash};
+}
+
+RegistryEvent BackendRegistry::put(const std::string& key, const Registration& registration,
+                                   Revision revision, Time now) {
+  const auto known = entries_.find(key);
+  const bool isNew = known == entries_.end();
+  if (!isNew && known->second.revision >= revision) {
+    return RegistryEvent::kNone;
+  }
+  const bool tookFlows = !isNew && takesNewFlows(known->second.address.id);
+  const bool leaving = registration.state == BackendState::kLeaving;
+  Entry& entry = entries_[key];
+  const bool sameContent = !isNew && entry.present && entry.registration == registration;
+  entry.registration = registration;
+  entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0};
+  entry.revision = revision;
+  entry.present = true;
+  if (!sameContent) {
+    entry.warmUntil = now + registration.warmUpLeft;
+  }
+  keys_[registration.id] = key;
+  // The back end that was known first keeps a token that two share; the other takes no flows.
+  tokens_.try_emplace(tokenOf(registration.id), key);
+  services_[entry.address.service].insert(key);
+  endpoints_[registration.endpoint].insert(key);
+  markEnded(entry);
+  rebuild(entry.address.service);
+  if (isNew) {
+    return RegistryEvent::kAdded;
+  }
+  if (tookFlows && leaving) {
+    return RegistryEvent::kLeaving;
+  }
+  if (!tookFlows && !leaving) {
+    return RegistryEvent::kReturned;
+  }
+  return sameContent ? RegistryEvent::kNone : RegistryEvent::kChanged;
+}
+
+void BackendRegistry::markEnded(const Entry& successor) {
+  for (const std::string& key : endpoints_[successor.address.endpoint]) {
+    Entry& entry = entries_.at(key);
+    if (!entry.ended && entry.revision < successor.revision) {
+      entry.ended = true;
+      rebuild(entry.address.service);
+    }
+  }
+}
+
+RegistryEvent BackendRegistry::remove(const std::string& key, Revision revision, Time now) {
+  const auto known = entries_.find(key);
+  if (known == entries_.end() || known->second.revision >= revision) {
+    return RegistryEvent::kNone;
+  }
+  Entry& entry = known->second;
+  entry.revision = revision;
+  if (!entry.present) {
+    return RegistryEvent::kNone;
+  }
+  entry.present = false;
+  entry.removedAt = now;
+  rebuild(entry.address.service);
+  return RegistryEvent::kVanished;
+}
+
+std::vector<std::string> BackendRegistry::retainOnly(const std::set<std::string>& keys,
+                                                     Revision listedAt, Time now) {
+  std::vector<std::string> vanished;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.present && entry.revision <= listedAt && !keys.contains(key)) {
+      vanished.push_back(key);
+    }
+  }
+  for (const std::string& key : vanished) {
+    // The removal's own revision is unknown; the listing's is the latest that it can have.
+    Entry& entry = entries_.at(key);
+    entry.present = false;
+    entry.revision = listedAt;
+    entry.removedAt = now;
+    rebuild(entry.address.service);
+  }
+  return vanished;
+}
+
+const BackendAddress* BackendRegistry::findByToken(SteeringToken token) const {
+  const auto key = tokens_.find(token);
+  return key == tokens_.end() ? nullptr : &entries_.at(key->second).address;
+}
+
+const BackendAddress* BackendRegistry::find(BackendId id) const {
+  const auto key = keys_.find(id);
+  return key == keys_.end() ? nullptr : &entries_.at(key->second).address;
+}
+
+bool BackendRegistry::hasEnded(BackendId id) const {
+  const auto key = keys_.find(id);
+  return key != keys_.end() && entries_.at(key->second).ended;
+}
+
+bool BackendRegistry::isCandidate(const std::string& key, const Entry& entry) const {
+  const auto owner = tokens_.find(tokenOf(entry.address.id));
+  const bool ownsToken = owner != tokens_.end() && owner->second == key;
+  return ownsToken && entry.present && !entry.ended &&
+         entry.registration.state == BackendState::kActive;
+}
+
+bool BackendRegistry::takesNewFlows(BackendId id) const {
+  const auto key = keys_.find(id);
+  return key != keys_.end() && isCandidate(key->second, entries_.at(key->second));
+}
+
+const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) const {
+  static const std::vector<PlacementCandidate> kNone;
+  const auto found = candidates_.find(service);
+  return found == candidates_.end() ? kNone : found->second;
+}
+
+void BackendRegistry::rebuild(ServiceId service) {
+  std::vector<PlacementCandidate> list;
+  for (const std::string& key : services_[service]) {
+    const Entry& entry = entries_.at(key);
+    if (isCandidate(key, entry)) {
+      list.push_back({entry.address.id, std::max(entry.registration.capacity, 1U),
+                      entry.warmUntil, entry.registration.zone});
+    }
+  }
+  candidates_[service] = std::move(list);
+}
+
+void BackendRegistry::forget(const std::string& key, const Entry& entry) {
+  const auto owner = tokens_.find(tokenOf(entry.address.id));
+  if (owner != tokens_.end() && owner->second == key) {
+    tokens_.erase(owner);
+  }
+  keys_.erase(entry.address.id);
+  services_[entry.address.service].erase(key);
+  endpoints_[entry.address.endpoint].erase(key);
+  if (endpoints_[entry.address.endpoint].empty()) {
+    endpoints_.erase(entry.address.endpoint);
+  }
+}
+
+void BackendRegistry::forgetDeparted(Time now) {
+  for (auto item = entries_.begin(); item != entries_.end();) {
+    const Entry& entry = item->second;
+    if (entry.present || now - entry.removedAt < keepDeparted_) {
+      ++item;
+      continue;
+    }
+    forget(item->first, entry);
+    item = entries_.erase(item);
+  }
+}
+
+std::size_t BackendRegistry::activeCount() const {
+  std::size_t count = 0;
+  for (const auto& [service, list] : candidates_) {
+    count += list.size();
+  }
+  return count;
+}
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/backend_registry.h
@@ -0,0 +1,101 @@
+/// @file
+/// The back ends that registered themselves, by the key of their item in the store. A back end that
+/// left or vanished takes no new flow at once and stays reachable by its token until no flow of it
+/// can be left. Items are ordered by revision: an older one never replaces a newer one.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/registration.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// A back end that may be given new flows.
+struct PlacementCandidate {
+  BackendId id = kNoBackend;
+  std::uint32_t capacity = 1;
+  Time warmUntil{};  ///< Slow until this time.
+  std::string zone;
+};
+
+/// What happened to a back end, for logs.
+enum class RegistryEvent : std::uint8_t {
+  kAdded,
+  kLeaving,   ///< Announced its end.
+  kReturned,  ///< Active again after it was leaving or had vanished.
+  kVanished,  ///< Its item was removed.
+  kChanged,   ///< Another field changed.
+  kNone,      ///< Older than what is known, or without effect.
+};
+
+const char* toString(RegistryEvent event);
+
+/// @return the token of a back end, equal at every daemon; never kNoToken.
+SteeringToken tokenOf(BackendId id);
+
+class BackendRegistry {
+ public:
+  /// @param keepDeparted how long a back end that is gone stays reachable by token.
+  explicit BackendRegistry(Duration keepDeparted) : keepDeparted_(keepDeparted) {}
+
+  /// Takes one item. @return what it changed.
+  RegistryEvent put(const std::string& key, const Registration& registration, Revision revision,
+                    Time now);
+  /// Notes that an item was removed. @return what it changed.
+  RegistryEvent remove(const std::string& key, Revision revision, Time now);
+
+  /// Takes a whole listing: items that are older than it and not part of it have been removed.
+  /// @return keys of the back ends that vanished.
+  std::vector<std::string> retainOnly(const std::set<std::string>& keys, Revision listedAt,
+                                      Time now);
+
+  /// @return the back end with this token, or null.
+  const BackendAddress* findByToken(SteeringToken token) const;
+  /// @return the back end, gone or not, or null.
+  const BackendAddress* find(BackendId id) const;
+  /// @return true where another back end was registered later at the same address: it has ended.
+  bool hasEnded(BackendId id) const;
+  /// @return true where the back end may be given new flows.
+  bool takesNewFlows(BackendId id) const;
+
+  /// @return back ends of a service that may be given new flows.
+  const std::vector<PlacementCandidate>& candidates(ServiceId service) const;
+
+  /// Forgets back ends that have been gone for long enough.
+  void forgetDeparted(Time now);
+
+  std::size_t size() const { return entries_.size(); }
+  std::size_t activeCount() const;
+
+ private:
+  struct Entry {
+    Registration registration;
+    BackendAddress address;
+    Revision revision = 0;
+    bool present = true;  ///< Its item is in the store.
+    bool ended = false;   ///< Its address belongs to a later back end.
+    Time removedAt{};
+    Time warmUntil{};
+  };
+
+  bool isCandidate(const std::string& key, const Entry& entry) const;
+  void markEnded(const Entry& successor);
+  void rebuild(ServiceId service);
+  void forget(const std::string& key, const Entry& entry);
+
+  Duration keepDeparted_;
+  std::map<std::string, Entry> entries_;  ///< By key.
+  std::unordered_map<SteeringToken, std::string> tokens_;
+  std::unordered_map<BackendId, std::string> keys_;
+  std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
+  std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
+  std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
+};
+
+}  // namespace cobaltgauge::core
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -22,6 +22,7 @@
 #include "core/backend_directory.h"
 #include "core/configuration_agent.h"
 #include "core/fence.h"
+#include "core/flow_steering.h"
 #include "core/flow_table.h"
 #include "core/membership.h"
 #include "core/outbox.h"
@@ -50,9 +51,9 @@
 
 /// Counters of one balancer; see docs/METRICS.md.
 struct BalancerCounters {
-  std::array<std::uint64_t, 6> routed{};   ///< By RouteReason.
-  std::array<std::uint64_t, 5> dropped{};  ///< By DropReason.
-  std::array<std::uint64_t, 4> refused{};  ///< By RefuseReason.
+  std::array<std::uint64_t, kRouteReasons> routed{};   ///< By RouteReason.
+  std::array<std::uint64_t, kDropReasons> dropped{};  ///< By DropReason.
+  std::array<std::uint64_t, kRefuseReasons> refused{};  ///< By RefuseReason.
   std::uint64_t passedToPeer = 0;
   std::uint64_t suspensions = 0;
   std::uint64_t hintsSent = 0;
@@ -72,14 +73,14 @@
   ConfigurationVersion version = 0;
 };
 
-class Balancer {
+class Balancer : public FlowSteering {
  public:
   Balancer(const BalancerOptions& options, ConfigurationCompiler& compiler, Random& random);
   Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
   /// Decides a packet from the fabric.
-  Verdict onPacket(const PacketSummary& packet, Time now);
+  Verdict onPacket(const PacketSummary& packet, Time now) override;
 
   /// Decides a packet that a peer passed on.
   Verdict onPeerPacket(const PacketSummary& packet, const PeerArrival& arrival, Time now);
@@ -88,7 +89,7 @@
   void onMessage(MemberId from, const PeerMessage& message, Time now);
 
   /// Does all timed work.
-  void onTick(Time now);
+  void onTick(Time now) override;
 
   /// Offers a configuration that was read from the platform.
   OfferResult offerConfiguration(ConfigurationDocument document, Time now);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -73,4 +73,28 @@
 /// Longest distance a packet may travel between daemons before it is dropped.
 inline constexpr std::uint8_t kMaxPeerHops = 2;
 
+/// Callers of formats with a token send an opening for at most this long.
+inline constexpr Duration kOpeningSpan = 1500ms;
+/// An opening that is unanswered for this long is a sign that its back end is silent. Below the
+/// callers' first repetition (200 ms), above any answer of a back end that listens.
+inline constexpr Duration kOpeningPatience = 150ms;
+/// How long a back end is spared after a sign of silence.
+inline constexpr Duration kSilenceSuspicion = 1500ms;
+/// Back ends of one service that are compared for one opening; bounds its cost in large services.
+inline constexpr std::size_t kPlacementLooks = 32;
+
+/// How long the store may hold a watch. Keep-alive probes tell a dead connection much earlier.
+inline constexpr std::chrono::milliseconds kWatchWait = 10s;
+/// Time-out of a first read of the store; doubled with each failure in a row, so that a store that
+/// is slow is reached in the end and one that is silent costs little at start.
+inline constexpr Duration kReadTimeout = 500ms;
+inline constexpr std::uint32_t kReadTimeoutDoublings = 3;
+/// Wait before a failed read is repeated: doubled likewise, half of it random, and short while a
+/// starting daemon has no view at all.
+inline constexpr Duration kReadBackOff = 100ms;
+inline constexpr Duration kReadBackOffLongest = 800ms;
+inline constexpr Duration kReadBackOffAtStart = 200ms;
+/// A view counts as current for this long after the store's last answer.
+inline constexpr Duration kViewCurrentFor = 1000ms;
+
 }  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/registration.h
@@ -0,0 +1,73 @@
+/// @file
+/// What a fleet is told by its configuration store, one item at a time: back ends that registered
+/// themselves, and the routes in force. Items carry the store's revision, which only rises.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/configuration.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// Number of a change in the store; rises with every change. Zero means "none yet".
+using Revision = std::uint64_t;
+
+/// A back end as it describes itself. Each start of a back end is another registration.
+struct Registration {
+  BackendId id = kNoBackend;
+  std::string service;
+  Endpoint endpoint;
+  std::string zone;
+  std::string softwareVersion;
+  std::uint32_t capacity = 1;  ///< Requests it handles at once.
+  BackendState state = BackendState::kActive;
+  std::chrono::milliseconds warmUpLeft{0};  ///< Slow for this much longer, seen from `revision`.
+
+  bool operator==(const Registration&) const = default;
+};
+
+/// One service that a route sends flows to.
+struct RouteTarget {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  bool operator==(const RouteTarget&) const = default;
+};
+
+/// Where new flows to one address and port go.
+struct Route {
+  std::string name;
+  Endpoint endpoint;
+  std::vector<RouteTarget> targets;  ///< At least one.
+
+  bool operator==(const Route&) const = default;
+};
+
+/// All routes of one configuration version.
+struct RouteSet {
+  ConfigurationVersion version = 0;
+  std::chrono::milliseconds idleTimeout{0};  ///< Flows idle for longer may be forgotten.
+  std::vector<Route> routes;
+};
+
+/// An item that was removed from the store.
+struct RemovedItem {};
+
+/// An item that cannot be understood; what was known of its key stays as it is.
+struct UnreadableItem {
+  std::string reason;
+};
+
+/// One change in the store.
+struct StoreChange {
+  std::string key;
+  Revision revision = 0;
+  std::variant<RemovedItem, Registration, RouteSet, UnreadableItem> item;
+};
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/route_table.h
@@ -0,0 +1,58 @@
+/// @file
+/// The routes in force. Versions only rise. Routes that a version dropped are remembered, so that
+/// their flows can be told from flows to addresses that were never known here.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "core/registration.h"
+#include "core/types.h"
+#include "core/weighted_split.h"
+
+namespace cobaltgauge::core {
+
+/// Hash of an endpoint for unordered containers.
+struct EndpointHash {
+  std::size_t operator()(const Endpoint& endpoint) const;
+};
+
+/// What became of an offered route set.
+enum class RouteOffer : std::uint8_t { kAccepted, kUnchanged, kOlder };
+
+/// One route with the state of its split.
+struct RouteEntry {
+  Route route;
+  WeightedSplit split;
+};
+
+class RouteTable {
+ public:
+  /// @param startPoint a random number; where the splits of this daemon begin their round, so that
+  /// daemons that start together do not all begin with the same target.
+  explicit RouteTable(std::uint64_t startPoint) : startPoint_(startPoint) {}
+
+  /// Takes a route set that is newer than the one in force.
+  RouteOffer offer(const RouteSet& routes, Time now);
+
+  /// @return the route of an address, or null.
+  RouteEntry* find(const Endpoint& endpoint);
+  /// @return true where a version dropped this route and none has brought it back.
+  bool wasDropped(const Endpoint& endpoint) const { return dropped_.contains(endpoint); }
+
+  /// Forgets dropped routes that no flow can belong to any more.
+  void forgetDropped(Time now, Duration keep);
+
+  ConfigurationVersion version() const { return version_; }
+  std::size_t size() const { return routes_.size(); }
+  std::chrono::milliseconds idleTimeout() const { return idleTimeout_; }
+
+ private:
+  std::uint64_t startPoint_;
+  ConfigurationVersion version_ = 0;
+  std::chrono::milliseconds idleTimeout_{0};
+  std::unordered_map<Endpoint, RouteEntry, EndpointHash> routes_;
+  std::unordered_map<Endpoint, Time, EndpointHash> dropped_;
+};
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/store_reader.cc
@@ -0,0 +1,142 @@
+#include "core/store_reader.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+
+namespace cobaltgauge::core {
+
+const char* toString(ReadOutcome outcome) {
+  switch (outcome) {
+    case ReadOutcome::kAnswered:
+      return "answered";
+    case ReadOutcome::kHistoryGone:
+      return "history_gone";
+    case ReadOutcome::kThrottled:
+      return "throttled";
+    case ReadOutcome::kUnavailable:
+      return "unavailable";
+    case ReadOutcome::kTimedOut:
+      return "timed_out";
+    case ReadOutcome::kConnectionLost:
+      return "connection_lost";
+    case ReadOutcome::kMalformed:
+      return "malformed";
+  }
+  return "invalid";
+}
+
+std::optional<StoreRead> StoreReader::nextRead(Time now) {
+  if (reading_ || now < nextReadAt_) {
+    return std::nullopt;
+  }
+  reading_ = true;
+  StoreRead read;
+  if (listing_) {
+    ++counters_.lists;
+    read.kind = StoreRead::Kind::kList;
+    read.afterKey = afterKey_;
+    read.timeout = timeoutNow();
+  } else {
+    ++counters_.watches;
+    read.kind = StoreRead::Kind::kWatch;
+    read.afterRevision = revision_;
+    read.wait = kWatchWait;
+    read.timeout = kWatchWait + timeoutNow();
+  }
+  return read;
+}
+
+void StoreReader::onReply(const StoreReply& reply, Time now) {
+  reading_ = false;
+  nextReadAt_ = now;
+  if (reply.outcome == ReadOutcome::kHistoryGone) {
+    ++counters_.historyGone;
+    lastAnswerAt_ = now;
+    beginListing();
+    return;
+  }
+  if (reply.outcome != ReadOutcome::kAnswered) {
+    onFailure(reply, now);
+    return;
+  }
+  failuresInRow_ = 0;
+  lastAnswerAt_ = now;
+  if (listing_) {
+    onPage(reply, now);
+  } else {
+    onEvents(reply, now);
+  }
+}
+
+void StoreReader::onPage(const StoreReply& reply, Time now) {
+  if (afterKey_.empty()) {
+    listedAt_ = reply.at;
+  }
+  for (const StoreChange& change : reply.changes) {
+    listedKeys_.insert(change.key);
+    sink_.onChange(change, now);
+  }
+  if (reply.hasMore && !reply.lastKey.empty()) {
+    afterKey_ = reply.lastKey;
+    return;
+  }
+  sink_.onListed(listedKeys_, listedAt_, now);
+  // A store that answers an older state than was seen before must not move the watch back.
+  revision_ = std::max(revision_, listedAt_);
+  listing_ = false;
+  complete_ = true;
+  afterKey_.clear();
+  listedKeys_.clear();
+}
+
+void StoreReader::onEvents(const StoreReply& reply, Time now) {
+  for (const StoreChange& change : reply.changes) {
+    ++counters_.events;
+    sink_.onChange(change, now);
+  }
+  revision_ = std::max(revision_, reply.at);
+}
+
+void StoreReader::onFailure(const StoreReply& reply, Time now) {
+  ++counters_.failures;
+  ++failuresInRow_;
+  const bool watchEnded = !listing_ && failuresInRow_ == 1 &&
+                          reply.outcome == ReadOutcome::kConnectionLost;
+  // Waiting watches are cut now and then; the first retry need not wait.
+  nextReadAt_ = watchEnded ? now : now + backOffNow();
+}
+
+void StoreReader::beginListing() {
+  listing_ = true;
+  afterKey_.clear();
+  listedKeys_.clear();
+}
+
+void StoreReader::onResume(Time now) {
+  reading_ = false;
+  nextReadAt_ = now;
+}
+
+bool StoreReader::isCurrent(Time now) const {
+  if (!complete_ || listing_) {
+    return false;
+  }
+  const bool watching = reading_ && failuresInRow_ == 0;
+  return watching || now - lastAnswerAt_ < kViewCurrentFor;
+}
+
+Duration StoreReader::timeoutNow() const {
+  const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, kReadTimeoutDoublings);
+  return kReadTimeout * (1U << doublings);
+}
+
+Duration StoreReader::backOffNow() {
+  const Duration longest = complete_ ? kReadBackOffLongest : kReadBackOffAtStart;
+  const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, kReadTimeoutDoublings);
+  const Duration span = std::min<Duration>(kReadBackOff * (1U << doublings), longest);
+  const auto half = static_cast<std::uint64_t>(span.count() / 2);
+  return Duration(static_cast<Duration::rep>(half + random_.below(half + 1)));
+}
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/store_reader.h
@@ -0,0 +1,123 @@
+/// @file
+/// Keeps a view in step with a store that can only be read: lists all items once, then watches for
+/// changes. A deterministic state machine without input or output: it says what to read next and
+/// takes the answers. It survives a store that is down, slow, silent, throttling or has dropped its
+/// history, and never takes a change twice or an older one after a newer.
+///
+/// A listing comes in pages that are no snapshot. The watch therefore begins at the revision of the
+/// first page: what changed meanwhile arrives again as events, and revisions order the two.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "core/registration.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// One read to be made.
+struct StoreRead {
+  enum class Kind : std::uint8_t { kList, kWatch };
+  Kind kind = Kind::kList;
+  std::string afterKey;        ///< Listing: the page begins after this key; empty for the first.
+  Revision afterRevision = 0;  ///< Watch: only changes after this revision.
+  std::chrono::milliseconds wait{0};  ///< Watch: how long the store may wait for a change.
+  Duration timeout{};                 ///< When to give the read up.
+};
+
+enum class ReadOutcome : std::uint8_t {
+  kAnswered,
+  kHistoryGone,     ///< The watch begins before the history that the store kept.
+  kThrottled,       ///< Too many reads.
+  kUnavailable,     ///< The store said that nothing was done.
+  kTimedOut,        ///< No answer in time.
+  kConnectionLost,  ///< Refused, reset or closed.
+  kMalformed,       ///< The answer cannot be understood as a whole.
+};
+
+const char* toString(ReadOutcome outcome);
+
+/// What a read gave.
+struct StoreReply {
+  ReadOutcome outcome = ReadOutcome::kAnswered;
+  std::string reason;  ///< Of a failure.
+  Revision at = 0;     ///< The store's revision.
+  bool hasMore = false;
+  std::string lastKey;  ///< Of a listing's page; the next one begins after it.
+  std::vector<StoreChange> changes;
+};
+
+/// Takes what the reader learns, in the order of the store's answers.
+class StoreSink {
+ public:
+  virtual ~StoreSink() = default;
+  virtual void onChange(const StoreChange& change, Time now) = 0;
+  /// A listing is complete: an item that is not in `keys` and not newer than `listedAt` is gone.
+  virtual void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) = 0;
+};
+
+/// Counters of a StoreReader.
+struct StoreReaderCounters {
+  std::uint64_t lists = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t failures = 0;
+  std::uint64_t historyGone = 0;
+  std::uint64_t events = 0;
+};
+
+class StoreReader {
+ public:
+  StoreReader(StoreSink& sink, Random& random) : sink_(sink), random_(random) {}
+
+  /// @return the read that is due, at most one at a time; answer it by onReply().
+  std::optional<StoreRead> nextRead(Time now);
+
+  /// Takes the answer to the read that nextRead() gave last.
+  void onReply(const StoreReply& reply, Time now);
+
+  /// Call after the process was suspended and the read under way was given up: reads at once.
+  void onResume(Time now);
+
+  /// @return when nextRead() may give a read, where none is under way.
+  Time nextReadAt() const { return nextReadAt_; }
+  bool isReading() const { return reading_; }
+
+  /// @return true where the view is as new as the store, as far as can be known here: a watch is
+  /// under way on a view that is complete, or the last answer is recent.
+  bool isCurrent(Time now) const;
+  /// @return true where a whole listing was ever taken.
+  bool isComplete() const { return complete_; }
+
+  Revision revision() const { return revision_; }
+  const StoreReaderCounters& counters() const { return counters_; }
+  std::uint32_t failuresInRow() const { return failuresInRow_; }
+
+ private:
+  void onPage(const StoreReply& reply, Time now);
+  void onEvents(const StoreReply& reply, Time now);
+  void onFailure(const StoreReply& reply, Time now);
+  void beginListing();
+  Duration timeoutNow() const;
+  Duration backOffNow();
+
+  StoreSink& sink_;
+  Random& random_;
+  bool reading_ = false;
+  bool listing_ = true;
+  bool complete_ = false;
+  Time nextReadAt_{};
+  Time lastAnswerAt_{};
+  Revision revision_ = 0;   ///< Changes up to this one are known; base of the next watch.
+  Revision listedAt_ = 0;   ///< Of the listing's first page.
+  std::string afterKey_;
+  std::set<std::string> listedKeys_;
+  std::uint32_t failuresInRow_ = 0;
+  StoreReaderCounters counters_;
+};
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/token_flows.cc
@@ -0,0 +1,56 @@
+#include "core/token_flows.h"
+
+namespace cobaltgauge::core {
+
+TokenFlow* TokenFlows::find(FlowFingerprint fingerprint) {
+  const auto found = index_.find(fingerprint);
+  return found == index_.end() ? nullptr : &*found->second;
+}
+
+TokenFlow& TokenFlows::put(const TokenFlow& flow, Time now) {
+  erase(flow.fingerprint);
+  if (index_.size() >= capacity_ && !order_.empty()) {
+    drop(order_.begin());
+    ++evictions_;
+  }
+  order_.push_back(flow);
+  const auto added = std::prev(order_.end());
+  added->lastSeen = now;
+  index_.emplace(flow.fingerprint, added);
+  ++open_[flow.backend];
+  return *added;
+}
+
+void TokenFlows::touch(TokenFlow& flow, Time now) {
+  flow.lastSeen = now;
+  order_.splice(order_.end(), order_, index_.at(flow.fingerprint));
+}
+
+void TokenFlows::erase(FlowFingerprint fingerprint) {
+  const auto found = index_.find(fingerprint);
+  if (found != index_.end()) {
+    drop(found->second);
+  }
+}
+
+void TokenFlows::expire(Time now, Duration idle) {
+  while (!order_.empty() && now - order_.front().lastSeen > idle) {
+    drop(order_.begin());
+  }
+}
+
+std::uint32_t TokenFlows::openOn(BackendId backend) const {
+  const auto found = open_.find(backend);
+  return found == open_.end() ? 0 : found->second;
+}
+
+void TokenFlows::drop(Order::iterator flow) {
+  const auto open = open_.find(flow->backend);
+  if (--open->second == 0) {
+    open_.erase(open);
+  }
+  index_.erase(flow->fingerprint);
+  order_.erase(flow);
+}
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/token_flows.h
@@ -0,0 +1,62 @@
+/// @file
+/// The flows that pass this daemon, for load figures and repeated openings only: forwarding never
+/// needs them, since packets carry their token. Bounded; the flow idle for longest goes first.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// One flow as this daemon has seen it.
+struct TokenFlow {
+  FlowFingerprint fingerprint{0};
+  BackendId backend = kNoBackend;
+  ServiceId service{0};
+  Time openedAt{};     ///< When the first opening was placed here; zero where it was not.
+  Time lastSeen{};
+  Time forwardedAt{};  ///< When its last opening was sent on.
+  std::uint32_t acknowledgement = 0;
+  bool answered = false;  ///< The caller has shown that the back end answered.
+};
+
+class TokenFlows {
+ public:
+  explicit TokenFlows(std::size_t capacity) : capacity_(capacity) {}
+
+  /// @return the flow, or null.
+  TokenFlow* find(FlowFingerprint fingerprint);
+
+  /// Adds or replaces a flow and marks it as seen now.
+  TokenFlow& put(const TokenFlow& flow, Time now);
+
+  /// Marks a flow as seen now.
+  void touch(TokenFlow& flow, Time now);
+
+  void erase(FlowFingerprint fingerprint);
+
+  /// Forgets flows that were idle for longer than `idle`.
+  void expire(Time now, Duration idle);
+
+  /// @return flows on the back end that passed here.
+  std::uint32_t openOn(BackendId backend) const;
+
+  std::size_t size() const { return index_.size(); }
+  std::uint64_t evictions() const { return evictions_; }
+
+ private:
+  using Order = std::list<TokenFlow>;
+
+  void drop(Order::iterator flow);
+
+  std::size_t capacity_;
+  Order order_;  ///< Idle for longest first.
+  std::unordered_map<FlowFingerprint, Order::iterator> index_;
+  std::unordered_map<BackendId, std::uint32_t> open_;
+  std::uint64_t evictions_ = 0;
+};
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/token_steering.cc
@@ -0,0 +1,208 @@
+#include "core/token_steering.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/constants.h"
+#include "core/hashing.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+constexpr Duration kMaintenanceInterval = 1s;
+/// Work on a back end that has just started takes about this much longer.
+constexpr double kWarmUpFactor = 1.6;
+
+}  // namespace
+
+TokenSteering::TokenSteering(const TokenSteeringOptions& options, Random& random)
+    : options_(options),
+      random_(random),
+      backends_(options.longestFlow),
+      routes_(random.below(UINT64_MAX)),
+      flows_(options.flowEntries) {}
+
+Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
+  const bool opens = packet.kind == PacketKind::kOpening;
+  return count(opens ? steerOpening(packet, now) : steerOpen(packet, now));
+}
+
+Verdict TokenSteering::steerOpen(const PacketSummary& packet, Time now) {
+  if (viewCurrent_ && routes_.wasDropped(packet.flow.destination)) {
+    return refuse(RefuseReason::kRouteDropped, RefusalCertainty::kOutcomeUnknown);
+  }
+  const BackendAddress* backend = backends_.findByToken(packet.token);
+  if (backend == nullptr) {
+    return Drop{DropReason::kUnknownToken};
+  }
+  if (backends_.hasEnded(backend->id)) {
+    flows_.erase(fingerprintOf(packet.flow, options_.hashSeed));
+    return refuse(RefuseReason::kBackendEnded, RefusalCertainty::kOutcomeUnknown);
+  }
+  noteSigns(packet, *backend, now);
+  return forward(*backend, RouteReason::kCarriedToken);
+}
+
+void TokenSteering::noteSigns(const PacketSummary& packet, const BackendAddress& backend,
+                              Time now) {
+  const FlowFingerprint fingerprint = fingerprintOf(packet.flow, options_.hashSeed);
+  TokenFlow* flow = flows_.find(fingerprint);
+  if (packet.kind == PacketKind::kClosing) {
+    flows_.erase(fingerprint);
+    return;
+  }
+  if (flow == nullptr || flow->backend != backend.id) {
+    TokenFlow learned{fingerprint, backend.id, backend.service};
+    learned.acknowledgement = packet.acknowledgement;
+    learned.answered = true;
+    flows_.put(learned, now);
+    return;
+  }
+  const bool newBytes = packet.acknowledgement != flow->acknowledgement;
+  if (newBytes || !flow->answered) {
+    flow->acknowledgement = packet.acknowledgement;
+    flow->answered = true;
+    evidence_.onAnswer(backend.id, now);
+  }
+  flows_.touch(*flow, now);
+}
+
+Verdict TokenSteering::steerOpening(const PacketSummary& packet, Time now) {
+  decision_ = OpeningDecision{};
+  decision_.version = routes_.version();
+  if (openingsAreStale_) {
+    return Drop{DropReason::kStaleOpening};
+  }
+  if (routes_.version() == 0) {
+    return Drop{DropReason::kNoConfiguration};
+  }
+  RouteEntry* route = routes_.find(packet.flow.destination);
+  if (route == nullptr) {
+    return viewCurrent_ ? refuse(RefuseReason::kNoRoute, RefusalCertainty::kNotRun)
+                        : Verdict(Drop{DropReason::kStaleView});
+  }
+  decision_.route = route->route.name;
+  TokenFlow* known = flows_.find(fingerprintOf(packet.flow, options_.hashSeed));
+  const bool isRepeat = known != nullptr && known->openedAt != Time{} &&
+                        now - known->openedAt < kOpeningSpan;
+  if (!isRepeat) {
+    return placeOpening(packet, *route, RouteReason::kPlaced, kNoBackend, now);
+  }
+  if (known->answered) {
+    // The flow is open. A second back end that answered would take its later packets.
+    return Drop{DropReason::kStaleOpening};
+  }
+  if (now - known->forwardedAt > kOpeningPatience) {
+    evidence_.onSilence(known->backend, known->forwardedAt, now);
+  }
+  if (evidence_.isSuspected(known->backend, now) || !backends_.takesNewFlows(known->backend)) {
+    const BackendId silent = known->backend;
+    return placeOpening(packet, *route, RouteReason::kReplaced, silent, now);
+  }
+  return repeatOpening(packet, *known, now);
+}
+
+Verdict TokenSteering::repeatOpening(const PacketSummary& packet, TokenFlow& flow, Time now) {
+  const BackendAddress* backend = backends_.find(flow.backend);
+  decision_.backend = flow.backend;
+  decision_.openFlows = flows_.openOn(flow.backend);
+  flow.acknowledgement = packet.acknowledgement;
+  flow.forwardedAt = now;
+  flows_.touch(flow, now);
+  return forward(*backend, RouteReason::kRepeated);
+}
+
+Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry& route,
+                                    RouteReason reason, BackendId avoided, Time now) {
+  const std::size_t first = route.split.next();
+  const std::vector<RouteTarget>& targets = route.route.targets;
+  BackendId chosen = kNoBackend;
+  // Another part of the split is allowed to run the flow, and better than refusing it.
+  for (std::size_t i = 0; i < targets.size() && chosen == kNoBackend; ++i) {
+    const RouteTarget& target = targets[(first + i) % targets.size()];
+    const bool takesPart = i == 0 || target.weight > 0;
+    chosen = takesPart ? chooseBackend(serviceIdOf(target.service), avoided, now) : kNoBackend;
+  }
+  if (chosen == kNoBackend) {
+    return viewCurrent_ ? refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun)
+                        : Verdict(Drop{DropReason::kStaleView});
+  }
+  const BackendAddress& backend = *backends_.find(chosen);
+  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), chosen, backend.service};
+  flow.openedAt = now;
+  flow.forwardedAt = now;
+  flow.acknowledgement = packet.acknowledgement;
+  decision_.backend = chosen;
+  decision_.openFlows = flows_.openOn(chosen);
+  flows_.put(flow, now);
+  return forward(backend, reason);
+}
+
+BackendId TokenSteering::chooseBackend(ServiceId service, BackendId avoided, Time now) {
+  const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
+  decision_.candidates = candidates.size();
+  BackendId best = kNoBackend;
+  double bestLoad = 0;
+  bool bestSuspected = true;
+  std::uint64_t ties = 0;
+  const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
+  const std::size_t start = candidates.empty() ? 0 : random_.below(candidates.size());
+  for (std::size_t i = 0; i < looks; ++i) {
+    const PlacementCandidate& candidate = candidates[(start + i) % candidates.size()];
+    const bool suspected = candidate.id == avoided || evidence_.isSuspected(candidate.id, now);
+    const double load = loadOf(candidate, now);
+    const bool better =
+        best == kNoBackend || (bestSuspected && !suspected) ||
+        (suspected == bestSuspected && load < bestLoad);
+    const bool equal = best != kNoBackend && suspected == bestSuspected && load == bestLoad;
+    if (better) {
+      ties = 1;
+    } else if (equal) {
+      ++ties;
+    }
+    if (better || (equal && random_.below(ties) == 0)) {
+      best = candidate.id;
+      bestLoad = load;
+      bestSuspected = suspected;
+    }
+  }
+  return best;
+}
+
+double TokenSteering::loadOf(const PlacementCandidate& candidate, Time now) const {
+  const double flows = flows_.openOn(candidate.id) + 1.0;
+  const double factor = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
+  return flows * factor / candidate.capacity;
+}
+
+Verdict TokenSteering::refuse(RefuseReason reason, RefusalCertainty certainty) const {
+  return Refuse{RefusalForm::kReset, certainty, reason, std::chrono::seconds(1)};
+}
+
+Verdict TokenSteering::forward(const BackendAddress& backend, RouteReason reason) const {
+  return ForwardToBackend{backend, routes_.version(), reason, tokenOf(backend.id)};
+}
+
+Verdict TokenSteering::count(Verdict verdict) {
+  if (const auto* forward = std::get_if<ForwardToBackend>(&verdict)) {
+    ++counters_.routed[static_cast<std::size_t>(forward->reason)];
+  } else if (const auto* refusal = std::get_if<Refuse>(&verdict)) {
+    ++counters_.refused[static_cast<std::size_t>(refusal->reason)];
+  } else if (const auto* drop = std::get_if<Drop>(&verdict)) {
+    ++counters_.dropped[static_cast<std::size_t>(drop->reason)];
+  }
+  return verdict;
+}
+
+void TokenSteering::onTick(Time now) {
+  if (now < nextMaintenance_) {
+    return;
+  }
+  nextMaintenance_ = now + kMaintenanceInterval;
+  flows_.expire(now, options_.flowIdleTimeout);
+  evidence_.expire(now);
+  backends_.forgetDeparted(now);
+  routes_.forgetDropped(now, options_.longestFlow);
+}
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/token_steering.h
@@ -0,0 +1,100 @@
+/// @file
+/// Steers packets by the token they carry. A packet of an open flow goes where its token says, at
+/// any daemon and without state; only openings need a decision. See
+/// docs/design/004-carried-token.md.
+///
+/// Invariants:
+///  - An open flow is never moved, and reset only where its back end has ended or a configuration
+///    dropped its route.
+///  - A refusal of an opening is given only by a view that is known to be current.
+#pragma once
+
+#include <array>
+
+#include "core/backend_evidence.h"
+#include "core/backend_registry.h"
+#include "core/flow_steering.h"
+#include "core/random.h"
+#include "core/route_table.h"
+#include "core/token_flows.h"
+
+namespace cobaltgauge::core {
+
+/// Sizes and times of a TokenSteering.
+struct TokenSteeringOptions {
+  std::uint64_t hashSeed = 0;
+  std::size_t flowEntries = 1U << 16U;
+  Duration flowIdleTimeout = std::chrono::seconds(15);
+  Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
+};
+
+/// Counters of a TokenSteering; see docs/METRICS.md.
+struct TokenSteeringCounters {
+  std::array<std::uint64_t, kRouteReasons> routed{};
+  std::array<std::uint64_t, kDropReasons> dropped{};
+  std::array<std::uint64_t, kRefuseReasons> refused{};
+};
+
+/// How an opening was decided, for logs.
+struct OpeningDecision {
+  std::string route;
+  BackendId backend = kNoBackend;
+  std::uint32_t openFlows = 0;       ///< On the back end, as far as seen here.
+  std::size_t candidates = 0;        ///< Back ends that could have been chosen.
+  ConfigurationVersion version = 0;  ///< Of the routes that decided.
+};
+
+class TokenSteering : public FlowSteering {
+ public:
+  TokenSteering(const TokenSteeringOptions& options, Random& random);
+
+  Verdict onPacket(const PacketSummary& packet, Time now) override;
+  void onTick(Time now) override;
+
+  /// Says whether the view is in step with the store, as far as this daemon can know.
+  void setViewCurrent(bool current) { viewCurrent_ = current; }
+  /// Call after the process was suspended: openings that waited meanwhile have been sent again,
+  /// and a late second answer would break their flow. They are dropped until onQueueDrained().
+  void onResume() { openingsAreStale_ = true; }
+  /// Call when every packet that waited has been handled.
+  void onQueueDrained() { openingsAreStale_ = false; }
+
+  BackendRegistry& backends() { return backends_; }
+  const BackendRegistry& backends() const { return backends_; }
+  RouteTable& routes() { return routes_; }
+  const RouteTable& routes() const { return routes_; }
+
+  const TokenSteeringCounters& counters() const { return counters_; }
+  const TokenFlows& flows() const { return flows_; }
+  /// @return how the last opening was decided.
+  const OpeningDecision& lastDecision() const { return decision_; }
+
+ private:
+  Verdict steerOpening(const PacketSummary& packet, Time now);
+  Verdict steerOpen(const PacketSummary& packet, Time now);
+  Verdict repeatOpening(const PacketSummary& packet, TokenFlow& flow, Time now);
+  Verdict placeOpening(const PacketSummary& packet, RouteEntry& route, RouteReason reason,
+                       BackendId avoided, Time now);
+  /// @return the least loaded back end of a service, or kNoBackend.
+  BackendId chooseBackend(ServiceId service, BackendId avoided, Time now);
+  /// @return a figure that is lower where a new flow is served sooner.
+  double loadOf(const PlacementCandidate& candidate, Time now) const;
+  void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
+  Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
+  Verdict forward(const BackendAddress& backend, RouteReason reason) const;
+  Verdict count(Verdict verdict);
+
+  TokenSteeringOptions options_;
+  Random& random_;
+  BackendRegistry backends_;
+  RouteTable routes_;
+  TokenFlows flows_;
+  BackendEvidence evidence_;
+  TokenSteeringCounters counters_;
+  OpeningDecision decision_;
+  bool viewCurrent_ = false;
+  bool openingsAreStale_ = false;
+  Time nextMaintenance_{};
+};
+
+}  // namespace cobaltgauge::core
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -47,11 +47,19 @@
 /// What the transport header says about a packet's place in its flow. UDP always gives kUnknown.
 enum class PacketKind : std::uint8_t { kUnknown, kOpening, kContinuing, kClosing };
 
+/// Names a back end in a field that both ends of a flow return in every packet.
+enum class SteeringToken : std::uint32_t {};
+inline constexpr SteeringToken kNoToken{0};
+
 /// All that the core needs to know of a packet.
 struct PacketSummary {
   FlowKey flow;
   PacketKind kind = PacketKind::kUnknown;
   std::uint32_t length = 0;  ///< Inner packet length in bytes.
+  // Only packets whose format carries a token have the fields below.
+  SteeringToken token = kNoToken;
+  std::uint32_t openingCopy = 0;     ///< How often the caller has sent this opening before.
+  std::uint32_t acknowledgement = 0; ///< Bytes of the back end that the caller has received.
 };
 
 /// Keyed 64-bit hash of a flow key. Zero is never a fingerprint.
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -16,6 +16,14 @@
       return "home_old_flow";
     case RouteReason::kHomeNewFlow:
       return "home_new_flow";
+    case RouteReason::kCarriedToken:
+      return "carried_token";
+    case RouteReason::kPlaced:
+      return "placed";
+    case RouteReason::kRepeated:
+      return "repeated";
+    case RouteReason::kReplaced:
+      return "replaced";
   }
   return "invalid";
 }
@@ -32,6 +40,12 @@
       return "too_many_hops";
     case DropReason::kHomeSyncing:
       return "home_syncing";
+    case DropReason::kUnknownToken:
+      return "unknown_token";
+    case DropReason::kStaleView:
+      return "stale_view";
+    case DropReason::kStaleOpening:
+      return "stale_opening";
   }
   return "invalid";
 }
@@ -46,6 +60,12 @@
       return "no_backend";
     case RefuseReason::kCutOff:
       return "cut_off";
+    case RefuseReason::kNoRoute:
+      return "no_route";
+    case RefuseReason::kRouteDropped:
+      return "route_dropped";
+    case RefuseReason::kBackendEnded:
+      return "backend_ended";
   }
   return "invalid";
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -2,6 +2,7 @@
 /// What the core decides about a packet.
 #pragma once
 
+#include <cstddef>
 #include <variant>
 
 #include "core/configuration.h"
@@ -17,7 +18,12 @@
   kHomeRecord,     ///< The home holds a record of the flow.
   kHomeOldFlow,    ///< The home assumes an old flow while listing is under way.
   kHomeNewFlow,    ///< The home knows all old flows; this one is new.
+  kCarriedToken,   ///< The packet carries the token of its back end.
+  kPlaced,         ///< The packet opens a flow; the back end was chosen by weight and load.
+  kRepeated,       ///< A repeated opening; goes where the first one went.
+  kReplaced,       ///< A repeated opening; the first back end is suspected to be silent.
 };
+inline constexpr std::size_t kRouteReasons = 10;
 
 /// Why a packet was dropped.
 enum class DropReason : std::uint8_t {
@@ -26,7 +32,11 @@
   kFenced,           ///< The process was suspended and waits for a fresh view.
   kTooManyHops,      ///< Passed between daemons too often.
   kHomeSyncing,      ///< The home waits for records; the sender must retry.
+  kUnknownToken,     ///< No back end known here has the token; it may be newer than the view.
+  kStaleView,        ///< The opening cannot be placed, and the view may be out of date.
+  kStaleOpening,     ///< The opening waited while the process was suspended; it was sent again.
 };
+inline constexpr std::size_t kDropReasons = 8;
 
 /// Why a packet was refused with an answer.
 enum class RefuseReason : std::uint8_t {
@@ -34,7 +44,11 @@
   kBackendLimit,  ///< The back end holds as many flows as it may.
   kNoBackend,     ///< No back end takes new flows.
   kCutOff,        ///< Records of the flow may be on the other side of a cut.
+  kNoRoute,       ///< No route in force has this address and port.
+  kRouteDropped,  ///< A configuration dropped the flow's route.
+  kBackendEnded,  ///< The flow's back end has ended; another one uses its address.
 };
+inline constexpr std::size_t kRefuseReasons = 7;
 
 /// Whether a refused request can have been executed.
 enum class RefusalCertainty : std::uint8_t {
@@ -47,6 +61,7 @@
   BackendAddress backend;
   ConfigurationVersion version = 0;
   RouteReason reason = RouteReason::kKnownFlow;
+  SteeringToken token = kNoToken;  ///< To be written into the packet; kNoToken leaves it as it is.
 };
 
 /// Send the packet to the daemon that can decide.
--- /dev/null
+++ b/src/core/view_updater.h
@@ -0,0 +1,49 @@
+/// @file
+/// Puts what the store says into the view by which flows are steered, and reports each change of
+/// what this daemon believes.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/store_reader.h"
+#include "core/token_steering.h"
+
+namespace cobaltgauge::core {
+
+/// One change of the view, or the refusal of one; for logs.
+struct ViewChange {
+  enum class Kind : std::uint8_t { kBackend, kRoutes, kUnreadable, kOlderRoutes };
+  Kind kind = Kind::kBackend;
+  std::string key;
+  Revision revision = 0;
+  RegistryEvent backendEvent = RegistryEvent::kNone;
+  std::string service;
+  ConfigurationVersion version = 0;  ///< Of the route set.
+  std::string reason;                ///< Why an item cannot be read.
+};
+
+class ViewUpdater : public StoreSink {
+ public:
+  using Listener = std::function<void(const ViewChange&)>;
+
+  ViewUpdater(BackendRegistry& backends, RouteTable& routes, Listener listener)
+      : backends_(backends), routes_(routes), listener_(std::move(listener)) {}
+
+  void onChange(const StoreChange& change, Time now) override;
+  void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) override;
+
+ private:
+  void take(const StoreChange& change, const Registration& registration, Time now);
+  void take(const StoreChange& change, const RouteSet& routes, Time now);
+  void take(const StoreChange& change, const RemovedItem& removed, Time now);
+  void take(const StoreChange& change, const UnreadableItem& unreadable, Time now);
+  void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
+                     const std::string& service);
+
+  BackendRegistry& backends_;
+  RouteTable& routes_;
+  Listener listener_;
+};
+
+}  // namespace cobaltgauge::core
--- a/src/ctl/offline_commands.cc
+++ b/src/ctl/offline_commands.cc
@@ -9,7 +9,7 @@
 #include "core/constants.h"
 #include "core/service_placement.h"
 #include "net/address.h"
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::ctl {
 namespace {
@@ -21,13 +21,13 @@
 };
 
 std::optional<Compiled> compile(const std::string& text, std::string& reason) {
-  platform::ConfigurationParser parser;
+  configuration::ConfigurationParser parser;
   const std::optional<core::ConfigurationDocument> document = parser.parse(text);
   if (!document) {
     reason = parser.lastReason();
     return std::nullopt;
   }
-  platform::JsonConfigurationCompiler compiler;
+  configuration::JsonConfigurationCompiler compiler;
   std::optional<std::vector<core::Service>> services = compiler.compile(*document);
   if (!services) {
     reason = compiler.lastReason();
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -60,7 +60,7 @@
     return false;
   }
   reader_ = std::make_unique<PlatformReader>(
-      platform::PlatformClient(net::formatAddress(settings_.platform.address),
+      configuration::PlatformClient(net::formatAddress(settings_.platform.address),
                                settings_.platform.port, settings_.platformTimeout),
       [this](PlatformReading reading) {
         asio::post(context_, [this, reading = std::move(reading)]() mutable {
@@ -85,6 +85,7 @@
   context_.run();
   reader_.reset();
   admin_.reset();
+  flushLog();
 }
 
 void Daemon::scheduleTick() {
@@ -104,6 +105,7 @@
   flush();
   logChanges();
   stopIfDone(now);
+  flushLog();
 }
 
 void Daemon::flush() {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,7 +6,6 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <memory>
-#include <random>
 #include <string>
 
 #include "core/balancer.h"
@@ -15,21 +14,12 @@
 #include "daemon/metrics.h"
 #include "daemon/platform_reader.h"
 #include "daemon/settings.h"
+#include "daemon/system_random.h"
 #include "net/peer_transport.h"
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::daemon {
 
-/// Randomness of the running daemon, seeded by the operating system.
-class SystemRandom : public core::Random {
- public:
-  SystemRandom() : engine_(std::random_device{}()) {}
-  std::uint64_t below(std::uint64_t bound) override { return engine_() % bound; }
-
- private:
-  std::mt19937_64 engine_;
-};
-
 class Daemon {
  public:
   explicit Daemon(Settings settings);
@@ -57,7 +47,7 @@
   Settings settings_;
   asio::io_context context_;
   SystemRandom random_;
-  platform::JsonConfigurationCompiler compiler_;
+  configuration::JsonConfigurationCompiler compiler_;
   net::PeerTransport peers_;
   std::unique_ptr<core::Balancer> balancer_;
   std::unique_ptr<DataPlane> data_;
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -1,21 +1,39 @@
 #include "daemon/log.h"
 
+#include <unistd.h>
+
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iomanip>
-#include <iostream>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/smart_ptr/make_shared.hpp>
 #include <sstream>
 
+#include "daemon/log_buffer.h"
+
 namespace cobaltgauge::daemon {
 namespace {
 
 namespace logging = boost::log;
 
+/// Some seconds of lines at the highest volume that is logged.
+constexpr std::size_t kBufferBytes = 256U << 10U;
+
+LogBuffer& buffer() {
+  static LogBuffer lines(kBufferBytes);
+  return lines;
+}
+
+/// Boost.Log's way to the buffer.
+class BufferSink : public logging::sinks::basic_formatted_sink_backend<char> {
+ public:
+  void consume(const logging::record_view&, const string_type& line) { buffer().append(line); }
+};
+
 std::string& processName() {
   static std::string name;
   return name;
@@ -68,13 +86,22 @@
 void initializeLog(LogLevel least, const std::string& daemonName) {
   processName() = daemonName;
   logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
-  const auto sink = logging::add_console_log(std::clog);
+  using Sink = logging::sinks::synchronous_sink<BufferSink>;
+  const auto sink = boost::make_shared<Sink>();
   sink->set_formatter(&formatRecord);
-  sink->locked_backend()->auto_flush(true);
+  logging::core::get()->add_sink(sink);
+  setLogLevel(least);
+}
+
+void setLogLevel(LogLevel least) {
   logging::core::get()->set_filter(logging::expressions::attr<int>("Severity") >=
                                    static_cast<int>(least));
 }
 
+void flushLog() { buffer().flush(STDOUT_FILENO); }
+
+std::uint64_t droppedLogLines() { return buffer().dropped(); }
+
 void logEvent(LogLevel level, const char* event, const LogFields& fields) {
   static logging::sources::severity_logger_mt<int> logger;
   std::ostringstream line;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -5,22 +5,30 @@
 #include "daemon/daemon.h"
 #include "daemon/log.h"
 #include "daemon/settings.h"
+#include "daemon/token_daemon.h"
 
 namespace {
 
 constexpr int kUsageError = 2;
 
-int runDaemon(const cobaltgauge::daemon::Settings& settings) {
-  cobaltgauge::daemon::initializeLog(settings.logLevel, settings.name);
-  cobaltgauge::daemon::Daemon daemon(settings);
-  if (!daemon.open()) {
-    std::cerr << "cobaltgauged: " << daemon.lastReason() << "\n";
+template <typename Process>
+int run(const cobaltgauge::daemon::Settings& settings) {
+  Process process(settings);
+  if (!process.open()) {
+    std::cerr << "cobaltgauged: " << process.lastReason() << "\n";
     return 1;
   }
-  daemon.run();
+  process.run();
   return 0;
 }
 
+int runDaemon(const cobaltgauge::daemon::Settings& settings) {
+  using cobaltgauge::daemon::SteeringMode;
+  cobaltgauge::daemon::initializeLog(settings.logLevel, settings.name);
+  return settings.steering == SteeringMode::kToken ? run<cobaltgauge::daemon::TokenDaemon>(settings)
+                                                   : run<cobaltgauge::daemon::Daemon>(settings);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
--- /dev/null
+++ b/src/daemon/packet_port.cc
@@ -0,0 +1,111 @@
+#include "daemon/packet_port.h"
+
+#include <asio/buffer.hpp>
+
+#include "daemon/clock.h"
+#include "net/address.h"
+
+namespace cobaltgauge::daemon {
+namespace {
+
+/// Packets handled before other work gets its turn.
+constexpr int kBatchSize = 64;
+/// Some seconds of packets; waiting bytes count towards the process's memory.
+constexpr int kSocketBufferBytes = 1 << 20;
+constexpr std::size_t kLongestDatagram = 2048;
+
+}  // namespace
+
+PacketPort::PacketPort(asio::io_context& context, net::PacketFormat& format,
+                       core::FlowSteering& steering)
+    : format_(format),
+      steering_(steering),
+      socket_(context),
+      buffer_(format.prefixBytes() + kLongestDatagram) {}
+
+bool PacketPort::open(const core::Endpoint& endpoint) {
+  local_ = endpoint;
+  const asio::ip::udp::endpoint local = net::toUdp(endpoint);
+  asio::error_code error;
+  socket_.open(local.protocol(), error);
+  if (!error) {
+    socket_.bind(local, error);
+  }
+  if (error) {
+    lastReason_ =
+        "cannot bind data endpoint " + net::formatEndpoint(endpoint) + ": " + error.message();
+    return false;
+  }
+  local_.port = socket_.local_endpoint().port();
+  asio::error_code ignored;
+  socket_.set_option(asio::socket_base::receive_buffer_size(kSocketBufferBytes), ignored);
+  socket_.non_blocking(true);
+  waitForPackets();
+  return true;
+}
+
+void PacketPort::waitForPackets() {
+  socket_.async_wait(asio::socket_base::wait_read, [this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    receiveBatch();
+    waitForPackets();
+  });
+}
+
+void PacketPort::receiveBatch() {
+  const core::Time now = bootTime();
+  if (onBatch_) {
+    onBatch_(now);
+  }
+  const std::size_t prefix = format_.prefixBytes();
+  for (int i = 0; i < kBatchSize; ++i) {
+    asio::ip::udp::endpoint sender;
+    asio::error_code error;
+    const std::size_t size = socket_.receive_from(
+        asio::buffer(buffer_.data() + prefix, kLongestDatagram), sender, 0, error);
+    if (error) {
+      if (onDrained_) {
+        onDrained_();
+      }
+      return;
+    }
+    lastPacketAt_ = now;
+    onPacket(std::span(buffer_.data(), prefix + size), now);
+  }
+}
+
+void PacketPort::onPacket(std::span<std::uint8_t> datagram, core::Time now) {
+  ++counters_.received;
+  const net::ByteView packet = datagram.subspan(format_.prefixBytes());
+  const std::optional<core::PacketSummary> summary = format_.read(packet);
+  if (!summary) {
+    ++counters_.faults[static_cast<std::size_t>(format_.lastFault())];
+    return;
+  }
+  const core::Verdict verdict = steering_.onPacket(*summary, now);
+  if (const auto* forward = std::get_if<core::ForwardToBackend>(&verdict)) {
+    format_.stamp(*forward, datagram);
+    counters_.sentToBackends += send(forward->backend.endpoint, datagram) ? 1U : 0U;
+  } else if (std::holds_alternative<core::Refuse>(verdict)) {
+    sendRefusal(*summary, packet);
+  }
+  if (onVerdict_) {
+    onVerdict_(*summary, verdict);
+  }
+}
+
+void PacketPort::sendRefusal(const core::PacketSummary& summary, net::ByteView packet) {
+  const std::vector<std::uint8_t> refusal = format_.refusal(packet);
+  counters_.refusalsSent += send(format_.callerEndpoint(summary.flow, local_), refusal) ? 1U : 0U;
+}
+
+bool PacketPort::send(const core::Endpoint& destination, net::ByteView bytes) {
+  asio::error_code error;
+  socket_.send_to(asio::buffer(bytes.data(), bytes.size()), net::toUdp(destination), 0, error);
+  counters_.sendErrors += error ? 1U : 0U;
+  return !error;
+}
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/packet_port.h
@@ -0,0 +1,67 @@
+/// @file
+/// Moves packets of token steering: a datagram in, a verdict of the core, a datagram out.
+#pragma once
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "core/flow_steering.h"
+#include "net/packet_format.h"
+
+namespace cobaltgauge::daemon {
+
+/// Counters of a PacketPort; see docs/METRICS.md.
+struct PacketPortCounters {
+  std::uint64_t received = 0;
+  std::uint64_t sentToBackends = 0;
+  std::uint64_t refusalsSent = 0;
+  std::uint64_t sendErrors = 0;
+  std::array<std::uint64_t, net::kPacketFaults> faults{};
+};
+
+class PacketPort {
+ public:
+  /// Called before each batch, with the time at which it is handled.
+  using BatchListener = std::function<void(core::Time now)>;
+  /// Called after each verdict, for logs.
+  using VerdictListener = std::function<void(const core::PacketSummary&, const core::Verdict&)>;
+
+  PacketPort(asio::io_context& context, net::PacketFormat& format, core::FlowSteering& steering);
+
+  void setBatchListener(BatchListener listener) { onBatch_ = std::move(listener); }
+  void setVerdictListener(VerdictListener listener) { onVerdict_ = std::move(listener); }
+  /// Called when every waiting packet has been handled.
+  void setDrainedListener(std::function<void()> listener) { onDrained_ = std::move(listener); }
+
+  /// Binds the socket. @return false on failure; see lastReason().
+  bool open(const core::Endpoint& endpoint);
+  const std::string& lastReason() const { return lastReason_; }
+
+  const PacketPortCounters& counters() const { return counters_; }
+  core::Time lastPacketAt() const { return lastPacketAt_; }
+
+ private:
+  void waitForPackets();
+  void receiveBatch();
+  void onPacket(std::span<std::uint8_t> datagram, core::Time now);
+  void sendRefusal(const core::PacketSummary& summary, net::ByteView packet);
+  bool send(const core::Endpoint& destination, net::ByteView bytes);
+
+  net::PacketFormat& format_;
+  core::FlowSteering& steering_;
+  asio::ip::udp::socket socket_;
+  core::Endpoint local_;
+  std::vector<std::uint8_t> buffer_;
+  BatchListener onBatch_;
+  VerdictListener onVerdict_;
+  std::function<void()> onDrained_;
+  core::Time lastPacketAt_{};
+  std::string lastReason_;
+  PacketPortCounters counters_;
+};
+
+}  // namespace cobaltgauge::daemon
--- a/src/daemon/platform_reader.cc
+++ b/src/daemon/platform_reader.cc
@@ -2,7 +2,7 @@
 
 namespace cobaltgauge::daemon {
 
-PlatformReader::PlatformReader(platform::PlatformClient client,
+PlatformReader::PlatformReader(configuration::PlatformClient client,
                                std::function<void(PlatformReading)> deliver)
     : client_(std::move(client)), deliver_(std::move(deliver)), thread_([this] { run(); }) {}
 
@@ -27,12 +27,12 @@
   PlatformReading reading;
   core::ConfigurationDocument document;
   switch (client_.readConfiguration(document)) {
-    case platform::ReadResult::kNew:
+    case configuration::ReadResult::kNew:
       reading.configuration = std::move(document);
       break;
-    case platform::ReadResult::kUnchanged:
+    case configuration::ReadResult::kUnchanged:
       break;
-    case platform::ReadResult::kFailed:
+    case configuration::ReadResult::kFailed:
       reading.failure = client_.lastReason();
       break;
   }
--- a/src/daemon/platform_reader.h
+++ b/src/daemon/platform_reader.h
@@ -9,21 +9,21 @@
 #include <string>
 #include <thread>
 
-#include "platform/platform_client.h"
+#include "configuration/platform_client.h"
 
 namespace cobaltgauge::daemon {
 
 /// Everything that one round of reads gave.
 struct PlatformReading {
   std::optional<core::ConfigurationDocument> configuration;
-  std::optional<platform::MachineList> machines;
+  std::optional<configuration::MachineList> machines;
   std::string failure;  ///< Empty where both reads succeeded.
 };
 
 class PlatformReader {
  public:
   /// @param deliver called on the reader's thread after each round.
-  PlatformReader(platform::PlatformClient client, std::function<void(PlatformReading)> deliver);
+  PlatformReader(configuration::PlatformClient client, std::function<void(PlatformReading)> deliver);
   ~PlatformReader();
   PlatformReader(const PlatformReader&) = delete;
   PlatformReader& operator=(const PlatformReader&) = delete;
@@ -35,7 +35,7 @@
   void run();
   PlatformReading readOnce();
 
-  platform::PlatformClient client_;
+  configuration::PlatformClient client_;
   std::function<void(PlatformReading)> deliver_;
   std::mutex mutex_;
   std::condition_variable wake_;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -13,6 +13,12 @@
 
 namespace cobaltgauge::daemon {
 
+/// How packets of open flows find their back end.
+enum class SteeringMode : std::uint8_t {
+  kRecorded,  ///< Geneve packets; daemons record the flows that do not follow the table.
+  kToken,     ///< Packets of the surrounding platform, which return a token of ours.
+};
+
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 struct Settings {
@@ -34,6 +40,10 @@
   core::Endpoint adminListen{{{127, 0, 0, 1}, false}, 9901};
   LogLevel logLevel = LogLevel::kInfo;
   std::chrono::milliseconds linger{2000};
+  SteeringMode steering = SteeringMode::kRecorded;
+  std::chrono::seconds longestFlow{60};
+  std::chrono::milliseconds stopGrace{6000};
+  core::Endpoint readinessListen;
 };
 
 /// One setting: where it stands, what it means, what is allowed.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -83,6 +83,11 @@
   return false;
 }
 
+bool assignSteering(Settings& settings, const std::string& text) {
+  settings.steering = text == "token" ? SteeringMode::kToken : SteeringMode::kRecorded;
+  return text == "token" || text == "recorded";
+}
+
 bool assignKey(Settings& settings, const std::string& text) {
   settings.clusterKey = text;
   return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes;
@@ -110,8 +115,21 @@
                                "New flows this daemon admits over all services; 0: no limit",
                                &Settings::newFlowsPerSecond, 0, kMaxRate));
   fields.push_back(endpointField("data", "fabric_return",
-                                 "Where answers to callers are sent (Geneve over UDP)",
-                                 &Settings::fabricReturn, true));
+                                 "Where answers to callers are sent (Geneve over UDP); required "
+                                 "where steering.mode is recorded",
+                                 &Settings::fabricReturn));
+  fields.push_back(field("steering", "mode", "How packets of open flows find their back end",
+                         "recorded or token", assignSteering));
+  fields.push_back(numberField("steering", "longest_flow_seconds",
+                               "Age that no flow exceeds; departed back ends are kept as long",
+                               &Settings::longestFlow, 1, 86'400));
+  fields.push_back(numberField("steering", "stop_grace_ms",
+                               "Time from SIGTERM until the process must have ended",
+                               &Settings::stopGrace, 1'000, 600'000));
+  fields.push_back(endpointField("readiness", "listen",
+                                 "Where GET /ready is answered; required where steering.mode is "
+                                 "token",
+                                 &Settings::readinessListen));
   fields.push_back(nameField("cluster", "name", "Name of the cluster", &Settings::clusterName));
   fields.push_back(field("cluster", "key", "Secret shared by the cluster's daemons",
                          "16 to 256 bytes", assignKey, true));
--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -70,6 +70,17 @@
          "; allowed is " + field.allowed;
 }
 
+/// @return the setting that the way of steering needs and that is not there, or null.
+const char* missingForSteering(const Settings& settings) {
+  if (settings.steering == SteeringMode::kRecorded && settings.fabricReturn == core::Endpoint{}) {
+    return "data.fabric_return";
+  }
+  if (settings.steering == SteeringMode::kToken && settings.readinessListen == core::Endpoint{}) {
+    return "readiness.listen";
+  }
+  return nullptr;
+}
+
 struct FreeContext {
   void operator()(poptContext context) const { poptFreeContext(context); }
 };
@@ -182,6 +193,9 @@
                   ")");
     }
   }
+  if (const char* missing = missingForSteering(settings)) {
+    return fail(std::string(missing) + ": missing; steering.mode needs it");
+  }
   return settings;
 }
 
--- /dev/null
+++ b/src/daemon/store_link.cc
@@ -0,0 +1,71 @@
+#include "daemon/store_link.h"
+
+#include "daemon/clock.h"
+
+namespace cobaltgauge::daemon {
+
+StoreLink::StoreLink(asio::io_context& context, const core::Endpoint& store,
+                     const net::StoreDialect& dialect, core::StoreReader& reader,
+                     Listener listener)
+    : dialect_(dialect),
+      reader_(reader),
+      listener_(std::move(listener)),
+      client_(context, store),
+      timer_(context) {}
+
+void StoreLink::start() {
+  if (reader_.isReading()) {
+    return;
+  }
+  const core::Time now = bootTime();
+  const std::optional<core::StoreRead> read = reader_.nextRead(now);
+  if (!read) {
+    timer_.expires_after(reader_.nextReadAt() - now);
+    timer_.async_wait([this](const asio::error_code& error) {
+      if (!error) {
+        start();
+      }
+    });
+    return;
+  }
+  const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(read->timeout);
+  client_.get(dialect_.target(*read), timeout,
+              [this, request = *read](net::HttpAnswer answer) {
+                onAnswer(request, std::move(answer));
+              });
+}
+
+void StoreLink::restart() {
+  client_.cancel();
+  timer_.cancel();
+  reader_.onResume(bootTime());
+  start();
+}
+
+void StoreLink::onAnswer(const core::StoreRead& read, net::HttpAnswer answer) {
+  const core::StoreReply reply = toReply(std::move(answer));
+  reader_.onReply(reply, bootTime());
+  listener_(read, reply);
+  start();
+}
+
+core::StoreReply StoreLink::toReply(net::HttpAnswer answer) const {
+  core::StoreReply reply;
+  reply.reason = answer.reason;
+  switch (answer.failure) {
+    case net::HttpFailure::kNone:
+      return dialect_.parse(answer.status, answer.body);
+    case net::HttpFailure::kTimedOut:
+      reply.outcome = core::ReadOutcome::kTimedOut;
+      break;
+    case net::HttpFailure::kConnectionLost:
+      reply.outcome = core::ReadOutcome::kConnectionLost;
+      break;
+    case net::HttpFailure::kMalformed:
+      reply.outcome = core::ReadOutcome::kMalformed;
+      break;
+  }
+  return reply;
+}
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/token_daemon.cc
@@ -0,0 +1,165 @@
+#include "daemon/token_daemon.h"
+
+#include <csignal>
+
+#include "core/constants.h"
+#include "core/hashing.h"
+#include "daemon/clock.h"
+#include "daemon/log.h"
+#include "daemon/token_log.h"
+#include "net/address.h"
+
+namespace cobaltgauge::daemon {
+namespace {
+
+constexpr auto kTick = std::chrono::milliseconds(200);
+/// The router needs this long to notice that a daemon is no longer ready: two probes half a second
+/// apart, and some time for the last packets.
+constexpr core::Duration kRouterNotices = std::chrono::milliseconds(1600);
+/// A leaving daemon without packets for this long has nothing left to forward.
+constexpr core::Duration kQuiet = std::chrono::milliseconds(600);
+/// Time kept in reserve before the process would be killed.
+constexpr core::Duration kStopReserve = std::chrono::milliseconds(700);
+constexpr int kNotReady = 503;
+constexpr int kNotFound = 404;
+
+core::TokenSteeringOptions steeringOptions(const Settings& settings) {
+  core::TokenSteeringOptions options;
+  options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
+  options.flowEntries = settings.flowTableEntries;
+  options.longestFlow = settings.longestFlow;
+  return options;
+}
+
+}  // namespace
+
+TokenDaemon::TokenDaemon(Settings settings)
+    : settings_(std::move(settings)),
+      formats_(net::makeEdgeFormats()),
+      steering_(steeringOptions(settings_), random_),
+      updater_(steering_.backends(), steering_.routes(), logViewChange),
+      reader_(updater_, random_),
+      packets_(context_, *formats_.packets, steering_),
+      readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
+      timer_(context_),
+      signals_(context_, SIGTERM, SIGINT) {}
+
+bool TokenDaemon::open() {
+  packets_.setBatchListener([this](core::Time now) { onBatch(now); });
+  packets_.setDrainedListener([this] { steering_.onQueueDrained(); });
+  packets_.setVerdictListener([this](const core::PacketSummary& packet, const core::Verdict& v) {
+    logVerdict(packet, v, steering_, reader_.revision());
+  });
+  if (!packets_.open(settings_.dataListen)) {
+    lastReason_ = packets_.lastReason();
+    return false;
+  }
+  if (!readiness_.open(settings_.readinessListen)) {
+    lastReason_ = readiness_.lastReason();
+    return false;
+  }
+  store_ = std::make_unique<StoreLink>(
+      context_, settings_.platform, *formats_.store, reader_,
+      [this](const core::StoreRead& read, const core::StoreReply& reply) {
+        onStoreAnswer(read, reply);
+      });
+  signals_.async_wait([this](const asio::error_code& error, int) {
+    if (!error) {
+      onSignal();
+    }
+  });
+  logEvent(LogLevel::kInfo, "started",
+           {{"zone", settings_.zone},
+            {"data", net::formatEndpoint(settings_.dataListen)},
+            {"store", net::formatEndpoint(settings_.platform)}});
+  lastActive_ = bootTime();
+  store_->start();
+  scheduleTick();
+  return true;
+}
+
+void TokenDaemon::run() {
+  context_.run();
+  flushLog();
+}
+
+bool TokenDaemon::isReady() const { return reader_.isComplete() && !leaving_; }
+
+net::HttpResponse TokenDaemon::answerReadiness(const std::string& path) const {
+  if (path != "/ready") {
+    return {kNotFound, "text/plain", "only /ready is here\n"};
+  }
+  return isReady() ? net::HttpResponse{200, "text/plain", "ready\n"}
+                   : net::HttpResponse{kNotReady, "text/plain", "not ready\n"};
+}
+
+void TokenDaemon::scheduleTick() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      onTick();
+      scheduleTick();
+    }
+  });
+}
+
+void TokenDaemon::onBatch(core::Time now) {
+  noticeSuspension(now);
+  steering_.setViewCurrent(reader_.isCurrent(now));
+}
+
+void TokenDaemon::onTick() {
+  const core::Time now = bootTime();
+  noticeSuspension(now);
+  steering_.onTick(now);
+  stopIfDone(now);
+  flushLog();
+}
+
+void TokenDaemon::noticeSuspension(core::Time now) {
+  const core::Duration gap = now - lastActive_;
+  lastActive_ = now;
+  if (gap < core::kFreezeGap) {
+    return;
+  }
+  logEvent(LogLevel::kWarning, "resumed",
+           {{"gap_ms", std::to_string(gap / std::chrono::milliseconds(1))}});
+  steering_.onResume();
+  store_->restart();
+}
+
+void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply) {
+  const bool answered = reply.outcome == core::ReadOutcome::kAnswered ||
+                        reply.outcome == core::ReadOutcome::kHistoryGone;
+  if (answered == storeReachable_) {
+    return;
+  }
+  storeReachable_ = answered;
+  logEvent(answered ? LogLevel::kInfo : LogLevel::kWarning,
+           answered ? "store_regained" : "store_lost",
+           {{"read", read.kind == core::StoreRead::Kind::kList ? "list" : "watch"},
+            {"outcome", toString(reply.outcome)},
+            {"reason", reply.reason},
+            {"revision", std::to_string(reader_.revision())}});
+}
+
+void TokenDaemon::onSignal() {
+  logEvent(LogLevel::kInfo, "planned_stop_began");
+  leaving_ = true;
+  leavingSince_ = bootTime();
+}
+
+void TokenDaemon::stopIfDone(core::Time now) {
+  if (!leaving_ || now - leavingSince_ < kRouterNotices) {
+    return;
+  }
+  const bool quiet = now - packets_.lastPacketAt() > kQuiet;
+  const core::Duration grace = std::chrono::duration_cast<core::Duration>(settings_.stopGrace);
+  if (!quiet && now - leavingSince_ < grace - kStopReserve) {
+    return;
+  }
+  logEvent(LogLevel::kInfo, "planned_stop_ended", {{"quiet", quiet ? "yes" : "no"}});
+  context_.stop();
+}
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/token_daemon.h
@@ -0,0 +1,64 @@
+/// @file
+/// The daemon process where packets carry a token: owns the core's token steering and connects it
+/// to the data socket, the configuration store and the operators. One thread.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+
+#include "core/store_reader.h"
+#include "core/token_steering.h"
+#include "core/view_updater.h"
+#include "daemon/packet_port.h"
+#include "daemon/settings.h"
+#include "daemon/store_link.h"
+#include "daemon/system_random.h"
+#include "net/http_server.h"
+#include "net/store_dialect.h"
+
+namespace cobaltgauge::daemon {
+
+class TokenDaemon {
+ public:
+  explicit TokenDaemon(Settings settings);
+
+  /// Opens every socket. @return false on failure; see lastReason().
+  bool open();
+  /// Runs until a planned stop has ended.
+  void run();
+  const std::string& lastReason() const { return lastReason_; }
+
+ private:
+  bool isReady() const;
+  net::HttpResponse answerReadiness(const std::string& path) const;
+  void onBatch(core::Time now);
+  void onTick();
+  void scheduleTick();
+  void noticeSuspension(core::Time now);
+  void onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply);
+  void onSignal();
+  void stopIfDone(core::Time now);
+
+  Settings settings_;
+  asio::io_context context_;
+  SystemRandom random_;
+  net::EdgeFormats formats_;
+  core::TokenSteering steering_;
+  core::ViewUpdater updater_;
+  core::StoreReader reader_;
+  PacketPort packets_;
+  std::unique_ptr<StoreLink> store_;
+  net::HttpServer readiness_;
+  asio::steady_timer timer_;
+  asio::signal_set signals_;
+  core::Time lastActive_{};
+  core::Time leavingSince_{};
+  bool leaving_ = false;
+  bool storeReachable_ = true;
+  std::string lastReason_;
+};
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/token_log.cc
@@ -0,0 +1,89 @@
+#include "daemon/token_log.h"
+
+#include "daemon/log.h"
+#include "net/address.h"
+
+namespace cobaltgauge::daemon {
+namespace {
+
+std::string hex(core::BackendId id) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%llx",
+                static_cast<unsigned long long>(static_cast<std::uint64_t>(id)));
+  return text;
+}
+
+std::string flowText(const core::FlowKey& flow) {
+  return net::formatEndpoint(flow.source) + ">" + net::formatEndpoint(flow.destination);
+}
+
+void logForward(const core::PacketSummary& packet, const core::ForwardToBackend& forward,
+                const core::TokenSteering& steering, core::Revision viewRevision) {
+  if (forward.reason == core::RouteReason::kCarriedToken) {
+    return;
+  }
+  const core::OpeningDecision& decision = steering.lastDecision();
+  logEvent(LogLevel::kInfo, "opening_forwarded",
+           {{"flow", flowText(packet.flow)},
+            {"copy", std::to_string(packet.openingCopy)},
+            {"rule", toString(forward.reason)},
+            {"backend", hex(forward.backend.id)},
+            {"route", decision.route},
+            {"open_flows", std::to_string(decision.openFlows)},
+            {"candidates", std::to_string(decision.candidates)},
+            {"version", std::to_string(decision.version)},
+            {"revision", std::to_string(viewRevision)}});
+}
+
+}  // namespace
+
+void logVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
+                const core::TokenSteering& steering, core::Revision viewRevision) {
+  if (const auto* forward = std::get_if<core::ForwardToBackend>(&verdict)) {
+    logForward(packet, *forward, steering, viewRevision);
+    return;
+  }
+  const auto* refusal = std::get_if<core::Refuse>(&verdict);
+  const auto* drop = std::get_if<core::Drop>(&verdict);
+  const char* reason = refusal != nullptr ? toString(refusal->reason)
+                       : drop != nullptr  ? toString(drop->reason)
+                                          : "none";
+  logEvent(LogLevel::kWarning, refusal != nullptr ? "packet_refused" : "packet_dropped",
+           {{"flow", flowText(packet.flow)},
+            {"reason", reason},
+            {"token", std::to_string(static_cast<std::uint32_t>(packet.token))},
+            {"copy", std::to_string(packet.openingCopy)},
+            {"version", std::to_string(steering.routes().version())},
+            {"revision", std::to_string(viewRevision)}});
+}
+
+void logViewChange(const core::ViewChange& change) {
+  switch (change.kind) {
+    case core::ViewChange::Kind::kBackend:
+      logEvent(LogLevel::kInfo, "backend_changed",
+               {{"key", change.key},
+                {"change", toString(change.backendEvent)},
+                {"service", change.service},
+                {"revision", std::to_string(change.revision)}});
+      return;
+    case core::ViewChange::Kind::kRoutes:
+      logEvent(LogLevel::kInfo, "routes_in_force",
+               {{"version", std::to_string(change.version)},
+                {"revision", std::to_string(change.revision)}});
+      return;
+    case core::ViewChange::Kind::kOlderRoutes:
+      logEvent(LogLevel::kWarning, "routes_refused",
+               {{"reason", "older than the version in force"},
+                {"version", std::to_string(change.version)},
+                {"revision", std::to_string(change.revision)}});
+      return;
+    case core::ViewChange::Kind::kUnreadable:
+      logEvent(LogLevel::kError, "item_unreadable",
+               {{"key", change.key},
+                {"revision", std::to_string(change.revision)},
+                {"reason", change.reason}});
+      return;
+  }
+}
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/token_log.h
@@ -0,0 +1,19 @@
+/// @file
+/// Log lines of token steering: one for each decision that touches a flow, and one for each change
+/// of what the daemon believes. The flow's key is its id.
+#pragma once
+
+#include "core/store_reader.h"
+#include "core/token_steering.h"
+#include "core/view_updater.h"
+
+namespace cobaltgauge::daemon {
+
+/// Logs a verdict on a packet. Forwarding a packet of an open flow is no decision and not logged.
+void logVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
+                const core::TokenSteering& steering, core::Revision viewRevision);
+
+/// Logs a change of the view.
+void logViewChange(const core::ViewChange& change);
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,198 @@
+#include "net/http_client.h"
+
+#include <http_parser.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "net/address.h"
+
+namespace cobaltgauge::net {
+namespace {
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+/// Answers above this size are refused; a store's page is about 1 MB, base64 in JSON 1.4 MB.
+constexpr std::size_t kMaxBodyBytes = 8U << 20U;
+/// A connection without sign of life for kKeepIdle + kKeepCount x kKeepInterval is dead.
+constexpr int kKeepIdleSeconds = 1;
+constexpr int kKeepIntervalSeconds = 1;
+constexpr int kKeepCount = 2;
+constexpr int kUserTimeoutMilliseconds = 3000;
+
+void setOption(asio::ip::tcp::socket& socket, int level, int name, int value) {
+  ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+/// One connection and the request on it.
+class HttpClient::Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  Exchange(asio::io_context& context, const core::Endpoint& server)
+      : server_(toTcp(server)), host_(formatEndpoint(server)), socket_(context), timer_(context) {
+    settings_ = http_parser_settings{};
+    settings_.on_body = [](http_parser* parser, const char* data, std::size_t size) {
+      return static_cast<Exchange*>(parser->data)->onBody(data, size);
+    };
+    settings_.on_message_complete = [](http_parser* parser) {
+      static_cast<Exchange*>(parser->data)->complete_ = true;
+      return 0;
+    };
+  }
+
+  void start(const std::string& target, std::chrono::milliseconds timeout, Handler handler) {
+    handler_ = std::move(handler);
+    request_ = "GET " + target + " HTTP/1.1\r\nHost: " + host_ + "\r\n\r\n";
+    answer_ = HttpAnswer{};
+    complete_ = false;
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& error) {
+      if (!error) {
+        self->finish(HttpFailure::kTimedOut, "no answer in time");
+      }
+    });
+    if (connected_) {
+      send();
+    } else {
+      connect();
+    }
+  }
+
+  bool isReusable() const { return connected_ && !handler_; }
+
+  void close() {
+    handler_ = nullptr;
+    connected_ = false;
+    timer_.cancel();
+    asio::error_code ignored;
+    socket_.close(ignored);
+  }
+
+ private:
+  int onBody(const char* data, std::size_t size) {
+    answer_.body.append(data, size);
+    return answer_.body.size() > kMaxBodyBytes ? 1 : 0;
+  }
+
+  void connect() {
+    asio::error_code error;
+    socket_.open(server_.protocol(), error);
+    if (error) {
+      asio::post(socket_.get_executor(), [self = shared_from_this(), error] {
+        self->finish(HttpFailure::kConnectionLost, error.message());
+      });
+      return;
+    }
+    setOption(socket_, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(socket_, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(socket_, IPPROTO_TCP, TCP_KEEPIDLE, kKeepIdleSeconds);
+    setOption(socket_, IPPROTO_TCP, TCP_KEEPINTVL, kKeepIntervalSeconds);
+    setOption(socket_, IPPROTO_TCP, TCP_KEEPCNT, kKeepCount);
+    setOption(socket_, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMilliseconds);
+    socket_.async_connect(server_, [self = shared_from_this()](const asio::error_code& failure) {
+      if (failure) {
+        self->finish(HttpFailure::kConnectionLost, failure.message());
+        return;
+      }
+      self->connected_ = true;
+      self->send();
+    });
+  }
+
+  void send() {
+    asio::async_write(socket_, asio::buffer(request_),
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                        if (error) {
+                          self->finish(HttpFailure::kConnectionLost, error.message());
+                          return;
+                        }
+                        self->receive();
+                      });
+  }
+
+  void receive() {
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
+          self->onReceived(error, size);
+        });
+  }
+
+  void onReceived(const asio::error_code& error, std::size_t size) {
+    if (!handler_) {
+      return;
+    }
+    // A length of zero tells the parser that the connection ended, which may end the body.
+    const std::size_t length = error ? 0 : size;
+    const std::size_t parsed =
+        http_parser_execute(&parser_, &settings_, buffer_.data(), length);
+    if (complete_) {
+      answer_.status = parser_.status_code;
+      connected_ = !error && http_should_keep_alive(&parser_) != 0;
+      finish(HttpFailure::kNone, "");
+    } else if (error) {
+      finish(HttpFailure::kConnectionLost, error.message());
+    } else if (parsed != length || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+      finish(HttpFailure::kMalformed, http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
+    } else {
+      receive();
+    }
+  }
+
+  void finish(HttpFailure failure, std::string reason) {
+    if (!handler_) {
+      return;
+    }
+    Handler handler = std::exchange(handler_, nullptr);
+    timer_.cancel();
+    answer_.failure = failure;
+    answer_.reason = std::move(reason);
+    if (failure != HttpFailure::kNone || !connected_) {
+      close();
+    }
+    handler(std::move(answer_));
+  }
+
+  asio::ip::tcp::endpoint server_;
+  std::string host_;
+  asio::ip::tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::array<char, kReadBytes> buffer_{};
+  std::string request_;
+  Handler handler_;
+  HttpAnswer answer_;
+  http_parser parser_{};
+  http_parser_settings settings_{};
+  bool connected_ = false;
+  bool complete_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context& context, const core::Endpoint& server)
+    : context_(context), server_(server) {}
+
+HttpClient::~HttpClient() { cancel(); }
+
+void HttpClient::get(const std::string& target, std::chrono::milliseconds timeout,
+                     Handler handler) {
+  if (exchange_ == nullptr || !exchange_->isReusable()) {
+    cancel();
+    exchange_ = std::make_shared<Exchange>(context_, server_);
+  }
+  exchange_->start(target, timeout, std::move(handler));
+}
+
+void HttpClient::cancel() {
+  if (exchange_ != nullptr) {
+    exchange_->close();
+    exchange_.reset();
+  }
+}
+
+}  // namespace cobaltgauge::net
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,51 @@
+/// @file
+/// One HTTP/1.1 request at a time over a kept connection, on the caller's event loop. Parsing is
+/// http-parser's. Keep-alive probes and TCP_USER_TIMEOUT tell a dead connection while a request
+/// waits long for its answer.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/types.h"
+
+namespace cobaltgauge::net {
+
+enum class HttpFailure : std::uint8_t { kNone, kTimedOut, kConnectionLost, kMalformed };
+
+/// What a request gave; `status` and `body` count only without failure.
+struct HttpAnswer {
+  HttpFailure failure = HttpFailure::kNone;
+  int status = 0;
+  std::string body;
+  std::string reason;  ///< Of a failure.
+};
+
+class HttpClient {
+ public:
+  using Handler = std::function<void(HttpAnswer)>;
+
+  HttpClient(asio::io_context& context, const core::Endpoint& server);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends a GET; `handler` is called once, unless cancel() comes first.
+  /// @param target path and query, already encoded.
+  void get(const std::string& target, std::chrono::milliseconds timeout, Handler handler);
+
+  /// Gives the request under way up and closes the connection.
+  void cancel();
+
+ private:
+  class Exchange;
+
+  asio::io_context& context_;
+  core::Endpoint server_;
+  std::shared_ptr<Exchange> exchange_;
+};
+
+}  // namespace cobaltgauge::net
--- a/src/sim/caching_compiler.h
+++ b/src/sim/caching_compiler.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::sim {
 
@@ -23,7 +23,7 @@
     std::string reason;
   };
 
-  platform::JsonConfigurationCompiler compiler_;
+  configuration::JsonConfigurationCompiler compiler_;
   std::map<std::uint64_t, Outcome> outcomes_;
   std::string lastReason_;
 };
--- a/tests/platform/configuration_json_test.cc
+++ b/tests/configuration/configuration_json_test.cc
@@ -1,10 +1,10 @@
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
 using namespace cobaltgauge;
-using namespace cobaltgauge::platform;
+using namespace cobaltgauge::configuration;
 using nlohmann::json;
 
 namespace {
--- a/tests/fuzz/fuzz_configuration.cc
+++ b/tests/fuzz/fuzz_configuration.cc
@@ -2,11 +2,11 @@
 /// libFuzzer target: the platform's configuration, policies included.
 #include <cstdlib>
 
-#include "platform/configuration_json.h"
+#include "configuration/configuration_json.h"
 
 // NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  using namespace cobaltgauge::platform;
+  using namespace cobaltgauge::configuration;
   ConfigurationParser parser;
   const auto document = parser.parse({reinterpret_cast<const char*>(data), size});
   if (!document) {
