Confirm a watch that was cut by a short one

Change: the first watch after a lost one waits 300 ms; its answer proves that nothing was missed. Ruled out: slow connections (all daemons were answered 410 at the next change, in the same ms).

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -85,6 +85,9 @@
 
 /// How long the store may hold a watch. Keep-alive probes tell a dead connection much earlier.
 inline constexpr std::chrono::milliseconds kWatchWait = 10s;
+/// Wait of the first watch after a lost one. The store may be about to drop its history, and answers
+/// such a watch only when its wait is over; an answer proves that nothing was missed.
+inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
 /// Time-out of a first read of the store; doubled with each failure in a row, so that a store that
 /// is slow is reached in the end and one that is silent costs little at start.
 inline constexpr Duration kReadTimeout = 500ms;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -41,8 +41,8 @@
     ++counters_.watches;
     read.kind = StoreRead::Kind::kWatch;
     read.afterRevision = revision_;
-    read.wait = kWatchWait;
-    read.timeout = kWatchWait + timeoutNow();
+    read.wait = confirming_ ? kConfirmWait : kWatchWait;
+    read.timeout = read.wait + timeoutNow();
   }
   return read;
 }
@@ -85,6 +85,7 @@
   // A store that answers an older state than was seen before must not move the watch back.
   revision_ = std::max(revision_, listedAt_);
   listing_ = false;
+  confirming_ = false;
   complete_ = true;
   afterKey_.clear();
   listedKeys_.clear();
@@ -96,11 +97,13 @@
     sink_.onChange(change, now);
   }
   revision_ = std::max(revision_, reply.at);
+  confirming_ = false;
 }
 
 void StoreReader::onFailure(const StoreReply& reply, Time now) {
   ++counters_.failures;
   ++failuresInRow_;
+  confirming_ = true;
   const bool watchEnded = !listing_ && failuresInRow_ == 1 &&
                           reply.outcome == ReadOutcome::kConnectionLost;
   // Waiting watches are cut now and then; the first retry need not wait.
@@ -115,6 +118,7 @@
 
 void StoreReader::onResume(Time now) {
   reading_ = false;
+  confirming_ = true;
   nextReadAt_ = now;
 }
 
@@ -122,7 +126,7 @@
   if (!complete_ || listing_) {
     return false;
   }
-  const bool watching = reading_ && failuresInRow_ == 0;
+  const bool watching = reading_ && !confirming_;
   return watching || now - lastAnswerAt_ < kViewCurrentFor;
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -110,6 +110,7 @@
   bool reading_ = false;
   bool listing_ = true;
   bool complete_ = false;
+  bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time lastAnswerAt_{};
   Revision revision_ = 0;   ///< Changes up to this one are known; base of the next watch.
--- /dev/null
+++ b/tests/core/store_reader_test.cc
@@ -0,0 +1,175 @@
+#include "core/store_reader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/constants.h"
+#include "core/view_updater.h"
+#include "sim/seeded_random.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::ReadOutcome;
+using core::StoreRead;
+using namespace std::chrono_literals;
+
+/// A reader with the view it fills, and a store to answer it.
+struct ReaderFixture {
+  sim::SeededRandom random{1};
+  core::BackendRegistry backends{60s};
+  core::RouteTable routes{0};
+  std::vector<core::ViewChange> changes;
+  core::ViewUpdater updater{backends, routes,
+                            [this](const core::ViewChange& change) { changes.push_back(change); }};
+  core::StoreReader reader{updater, random};
+  FakeStore store;
+  core::Time now = 1s;
+
+  /// Advances to the next read. @return it.
+  StoreRead nextRead() {
+    now = std::max(now, reader.nextReadAt());
+    const std::optional<StoreRead> read = reader.nextRead(now);
+    BOOST_REQUIRE(read.has_value());
+    return *read;
+  }
+
+  void answerNext() { reader.onReply(store.answer(nextRead()), now); }
+  void failNext(ReadOutcome outcome) {
+    nextRead();
+    reader.onReply(failedRead(outcome), now);
+  }
+
+  /// Lists a store that holds routes of version 7 and two back ends.
+  void begin() {
+    store.put("op/config", makeRoutes(7, {{1, "web"}}));
+    store.put("servers/1", makeRegistration(1, "web", 1, 1));
+    store.put("servers/2", makeRegistration(2, "web", 1, 2));
+    answerNext();
+  }
+
+  std::size_t activeBackends() const {
+    return backends.candidates(core::serviceIdOf("web")).size();
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(StoreReaderTest, ReaderFixture)
+
+BOOST_AUTO_TEST_CASE(lists_then_watches_from_the_listing) {
+  begin();
+  BOOST_TEST(reader.isComplete());
+  BOOST_TEST(routes.version() == 7U);
+  BOOST_TEST(activeBackends() == 2U);
+  const StoreRead read = nextRead();
+  BOOST_TEST((read.kind == StoreRead::Kind::kWatch));
+  BOOST_TEST(read.afterRevision == 3U);
+  BOOST_TEST(reader.isCurrent(now));
+}
+
+BOOST_AUTO_TEST_CASE(makes_one_read_at_a_time) {
+  nextRead();
+  BOOST_TEST(!reader.nextRead(now + 10s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(takes_changes_that_happen_between_pages) {
+  store.pageSize = 1;
+  store.put("op/config", makeRoutes(7, {{1, "web"}}));
+  store.put("servers/1", makeRegistration(1, "web", 1, 1));
+  store.put("servers/2", makeRegistration(2, "web", 1, 2));
+  answerNext();
+  answerNext();
+  // The first page's item changes and the second page's goes while the third is still to come.
+  store.put("op/config", makeRoutes(8, {{1, "web"}}));
+  store.put("servers/1", core::RemovedItem{});
+  answerNext();
+  BOOST_TEST(reader.isComplete());
+  answerNext();
+  BOOST_TEST(routes.version() == 8U);
+  BOOST_TEST(activeBackends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_again_where_the_history_is_gone) {
+  begin();
+  store.put("servers/1", core::RemovedItem{});
+  store.compact();
+  answerNext();
+  BOOST_TEST(!reader.isCurrent(now + core::kViewCurrentFor));
+  const StoreRead read = nextRead();
+  BOOST_TEST((read.kind == StoreRead::Kind::kList));
+  reader.onReply(store.answer(read), now);
+  BOOST_TEST(activeBackends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_item_never_replaces_a_newer_one) {
+  begin();
+  core::StoreReply late;
+  late.at = 2;
+  core::Registration old = makeRegistration(1, "other", 1, 9);
+  late.changes.push_back({"servers/1", 1, old});
+  late.changes.push_back({"op/config", 1, makeRoutes(6, {{1, "old"}})});
+  nextRead();
+  reader.onReply(late, now);
+  BOOST_TEST(activeBackends() == 2U);
+  BOOST_TEST(routes.version() == 7U);
+  BOOST_TEST(reader.revision() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(an_unreadable_item_changes_nothing_and_is_reported) {
+  begin();
+  changes.clear();
+  store.put("servers/1", core::UnreadableItem{"no address"});
+  answerNext();
+  BOOST_TEST(activeBackends() == 2U);
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(changes[0].key == "servers/1");
+  BOOST_TEST(changes[0].revision == 4U);
+  BOOST_TEST(changes[0].reason == "no address");
+}
+
+// A store that was just about to drop its history parked the watch that came at once after the cut,
+// and answered it only with the next change: routes stayed five seconds behind (trouble-3).
+BOOST_AUTO_TEST_CASE(a_watch_that_was_cut_is_confirmed_by_a_short_one) {
+  begin();
+  failNext(ReadOutcome::kConnectionLost);
+  const StoreRead read = nextRead();
+  BOOST_TEST((read.kind == StoreRead::Kind::kWatch));
+  BOOST_TEST(read.wait.count() == core::kConfirmWait.count());
+  BOOST_TEST(!reader.isCurrent(now + core::kViewCurrentFor));
+  reader.onReply(store.answer(read), now);
+  BOOST_TEST(nextRead().wait.count() == core::kWatchWait.count());
+}
+
+BOOST_AUTO_TEST_CASE(time_outs_grow_and_shrink_again) {
+  const core::Duration first = nextRead().timeout;
+  reader.onReply(failedRead(ReadOutcome::kTimedOut), now);
+  const core::Duration second = nextRead().timeout;
+  reader.onReply(failedRead(ReadOutcome::kTimedOut), now);
+  BOOST_TEST(second.count() == 2 * first.count());
+  begin();
+  BOOST_TEST(nextRead().timeout.count() == (core::kWatchWait + first).count());
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_refuses_is_not_hammered) {
+  begin();
+  std::size_t reads = 0;
+  for (const core::Time end = now + 10s; now < end; ++reads) {
+    failNext(ReadOutcome::kUnavailable);
+  }
+  BOOST_TEST(reads < 30U);
+  BOOST_TEST(reads > 10U);
+  BOOST_TEST(activeBackends() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_process_reads_at_once) {
+  begin();
+  nextRead();
+  now += 5s;
+  reader.onResume(now);
+  BOOST_TEST(reader.nextReadAt().count() == now.count());
+  BOOST_TEST(nextRead().wait.count() == core::kConfirmWait.count());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
--- /dev/null
+++ b/tests/support/store_fixtures.h
@@ -0,0 +1,109 @@
+/// @file
+/// A store of items with revisions, history and its faults, as far as tests of readers need it.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/backend_registry.h"
+#include "core/store_reader.h"
+#include "support/core_fixtures.h"
+
+namespace cobaltgauge::tests {
+
+/// @return a registration of an active back end at 10.`network`.0.`host`:8000.
+inline core::Registration makeRegistration(std::uint64_t id, const std::string& service,
+                                           std::uint8_t network, std::uint8_t host) {
+  core::Registration registration;
+  registration.id = core::BackendId{id};
+  registration.service = service;
+  registration.endpoint = endpoint(network, host, 8000);
+  registration.zone = "a";
+  registration.capacity = 2;
+  return registration;
+}
+
+/// @return a route set with one route for each (address host number, service).
+inline core::RouteSet makeRoutes(
+    core::ConfigurationVersion version,
+    const std::vector<std::pair<std::uint8_t, std::string>>& services) {
+  core::RouteSet set;
+  set.version = version;
+  for (const auto& [host, service] : services) {
+    set.routes.push_back({"r-" + service, endpoint(90, host, 443), {{service, 1}}});
+  }
+  return set;
+}
+
+/// Answers reads as a store does. Time and loss are the test's.
+class FakeStore {
+ public:
+  std::size_t pageSize = 500;
+
+  core::Revision put(const std::string& key, decltype(core::StoreChange::item) item) {
+    const core::StoreChange change{key, ++revision_, std::move(item)};
+    if (std::holds_alternative<core::RemovedItem>(change.item)) {
+      items_.erase(key);
+    } else {
+      items_[key] = change;
+    }
+    history_.push_back(change);
+    return revision_;
+  }
+
+  /// Forgets the history up to now.
+  void compact() {
+    history_.clear();
+    historyFrom_ = revision_;
+  }
+
+  core::Revision revision() const { return revision_; }
+
+  core::StoreReply answer(const core::StoreRead& read) const {
+    return read.kind == core::StoreRead::Kind::kList ? list(read) : watch(read);
+  }
+
+ private:
+  core::StoreReply list(const core::StoreRead& read) const {
+    core::StoreReply reply;
+    reply.at = revision_;
+    auto item = items_.upper_bound(read.afterKey);
+    for (; item != items_.end() && reply.changes.size() < pageSize; ++item) {
+      reply.changes.push_back(item->second);
+      reply.lastKey = item->first;
+    }
+    reply.hasMore = item != items_.end();
+    return reply;
+  }
+
+  core::StoreReply watch(const core::StoreRead& read) const {
+    core::StoreReply reply;
+    reply.at = revision_;
+    if (read.afterRevision < historyFrom_) {
+      reply.outcome = core::ReadOutcome::kHistoryGone;
+      return reply;
+    }
+    for (const core::StoreChange& change : history_) {
+      if (change.revision > read.afterRevision) {
+        reply.changes.push_back(change);
+      }
+    }
+    return reply;
+  }
+
+  core::Revision revision_ = 0;
+  core::Revision historyFrom_ = 0;
+  std::map<std::string, core::StoreChange> items_;
+  std::vector<core::StoreChange> history_;
+};
+
+/// @return the reply of a read that failed.
+inline core::StoreReply failedRead(core::ReadOutcome outcome) {
+  core::StoreReply reply;
+  reply.outcome = outcome;
+  reply.reason = "test";
+  return reply;
+}
+
+}  // namespace cobaltgauge::tests
