--- a/src/configuration/configuration_json.cc
+++ b/src/configuration/configuration_json.cc
@@ -4,9 +4,9 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "configuration/json_reader.h"
 #include "core/hashing.h"
 #include "net/address.h"
-#include "configuration/json_reader.h"
 
 namespace cobaltgauge::configuration {
 namespace {
--- a/src/configuration/platform_client.h
+++ b/src/configuration/platform_client.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "configuration/configuration_json.h"
 #include "core/configuration.h"
 #include "core/messages.h"
-#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::configuration {
 
--- /dev/null
+++ b/src/core/backend_health.h
@@ -0,0 +1,82 @@
+/// @file
+/// What this daemon believes of the life of back ends. Signs come from the callers' packets alone:
+/// an opening without answer, or data that is sent again, ask something of the back end; a packet
+/// that acknowledges new bytes proves an answer. A sign steers new flows away at once. Whether open
+/// flows are given up is decided by a probe, a connection to the back end's address, since a lost
+/// packet or a slow answer looks the same from here.
+///
+/// Invariant: where most back ends seem dead, none is believed to be: this daemon is likelier cut
+/// off than all of them gone.
+#pragma once
+
+#include <unordered_map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// How a probe of a back end ended.
+enum class ProbeResult : std::uint8_t {
+  kConnected,  ///< Something listens there.
+  kRefused,    ///< The machine answers, nothing listens.
+  kTimedOut,   ///< No answer: without power, or cut off.
+};
+
+const char* toString(ProbeResult result);
+
+/// Counters of a BackendHealth; see docs/METRICS.md.
+struct BackendHealthCounters {
+  std::uint64_t probes = 0;
+  std::uint64_t declaredDead = 0;
+  std::uint64_t revived = 0;
+};
+
+class BackendHealth {
+ public:
+  /// Notes that an opening was sent on to the back end.
+  void onOpening(BackendId backend, Time now);
+  /// Notes that a caller sent data again which it first sent at `firstSentAt`.
+  void onRepeatedData(BackendId backend, Time firstSentAt, Time now);
+  /// Notes that a caller has received something new from the back end.
+  void onAnswer(BackendId backend, Time now);
+
+  /// Asks for a probe soon, and for more while the back end is departed: its flows must be told
+  /// when it ends.
+  void watchDeparted(BackendId backend, Time now);
+
+  /// @return true where new flows should go elsewhere if they can.
+  bool isSuspected(BackendId backend, Time now) const;
+  bool isDead(BackendId backend) const;
+
+  /// @param known how many back ends there are.
+  /// @return back ends to be probed now; each must be answered by onProbe().
+  std::vector<BackendId> takeProbes(std::size_t known, Time now);
+  /// Takes the result of a probe. @return true where the back end is dead from now on.
+  bool onProbe(BackendId backend, ProbeResult result, Time now);
+
+  /// Call after the process was suspended: what is unanswered since before means nothing.
+  void onResume();
+  /// Forgets back ends without recent signs.
+  void expire(Time now);
+
+  const BackendHealthCounters& counters() const { return counters_; }
+
+ private:
+  struct Signs {
+    Time lastSign{};         ///< Of either kind; for forgetting.
+    Time unansweredSince{};  ///< When the first unanswered thing was sent; zero: all answered.
+    Time nextProbe{};
+    bool departed = false;
+    bool probing = false;
+    bool dead = false;
+  };
+
+  void ask(Signs& signs, Time since, Time now);
+
+  std::unordered_map<BackendId, Signs> signs_;
+  std::size_t dead_ = 0;
+  BackendHealthCounters counters_;
+};
+
+}  // namespace cobaltgauge::core
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -31,8 +31,7 @@
 }
 
 SteeringToken tokenOf(BackendId id) {
-  const auto hash =
-      static_cast<std::uint32_t>(mixHash(static_cast<std::uint64_t>(id), kTokenSalt));
+  const auto hash = static_cast<std::uint32_t>(mixHash(static_cast<std::uint64_t>(id), kTokenSalt));
   return SteeringToken{hash == 0 ? 1 : hash};
 }
 
@@ -156,8 +155,8 @@
   for (const std::string& key : services_[service]) {
     const Entry& entry = entries_.at(key);
     if (isCandidate(key, entry)) {
-      list.push_back({entry.address.id, std::max(entry.registration.capacity, 1U),
-                      entry.warmUntil, entry.registration.zone});
+      list.push_back({entry.address.id, std::max(entry.registration.capacity, 1U), entry.warmUntil,
+                      entry.registration.zone});
     }
   }
   candidates_[service] = std::move(list);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -75,18 +75,21 @@
 
 /// Callers of formats with a token send an opening for at most this long.
 inline constexpr Duration kOpeningSpan = 1500ms;
-/// An opening that is unanswered for this long is a sign that its back end is silent. Below the
-/// callers' first repetition (200 ms), above any answer of a back end that listens.
-inline constexpr Duration kOpeningPatience = 150ms;
-/// How long a back end is spared after a sign of silence.
-inline constexpr Duration kSilenceSuspicion = 1500ms;
+/// A back end that leaves an opening or repeated data unanswered for this long is suspected. Below
+/// the callers' first repetition (200 ms), above any answer of a back end that listens.
+inline constexpr Duration kAnswerPatience = 150ms;
+/// How long a probe waits for a connection, and the time between two probes of one back end.
+inline constexpr Duration kProbeTimeout = 400ms;
+inline constexpr Duration kProbeAgainAfter = 1000ms;
+/// How long signs of a back end are remembered.
+inline constexpr Duration kSignsMemory = 15s;
 /// Back ends of one service that are compared for one opening; bounds its cost in large services.
 inline constexpr std::size_t kPlacementLooks = 32;
 
 /// How long the store may hold a watch. Keep-alive probes tell a dead connection much earlier.
 inline constexpr std::chrono::milliseconds kWatchWait = 10s;
-/// Wait of the first watch after a lost one. The store may be about to drop its history, and answers
-/// such a watch only when its wait is over; an answer proves that nothing was missed.
+/// Wait of the first watch after a lost one. The store may be about to drop its history, and
+/// answers such a watch only when its wait is over; an answer proves that nothing was missed.
 inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
 /// Time-out of a first read of the store; doubled with each failure in a row, so that a store that
 /// is slow is reached in the end and one that is silent costs little at start.
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -21,8 +21,7 @@
     const bool sameSplit = known != nullptr && known->route.targets == route.targets;
     WeightedSplit split =
         sameSplit ? known->split
-                  : WeightedSplit(route.targets,
-                                  startPoint_ ^ EndpointHash{}(route.endpoint));
+                  : WeightedSplit(route.targets, startPoint_ ^ EndpointHash{}(route.endpoint));
     next.insert_or_assign(route.endpoint, RouteEntry{route, std::move(split)});
     dropped_.erase(route.endpoint);
   }
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -104,8 +104,8 @@
   ++counters_.failures;
   ++failuresInRow_;
   confirming_ = true;
-  const bool watchEnded = !listing_ && failuresInRow_ == 1 &&
-                          reply.outcome == ReadOutcome::kConnectionLost;
+  const bool watchEnded =
+      !listing_ && failuresInRow_ == 1 && reply.outcome == ReadOutcome::kConnectionLost;
   // Waiting watches are cut now and then; the first retry need not wait.
   nextReadAt_ = watchEnded ? now : now + backOffNow();
 }
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -113,8 +113,8 @@
   bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time lastAnswerAt_{};
-  Revision revision_ = 0;   ///< Changes up to this one are known; base of the next watch.
-  Revision listedAt_ = 0;   ///< Of the listing's first page.
+  Revision revision_ = 0;  ///< Changes up to this one are known; base of the next watch.
+  Revision listedAt_ = 0;  ///< Of the listing's first page.
   std::string afterKey_;
   std::set<std::string> listedKeys_;
   std::uint32_t failuresInRow_ = 0;
--- a/src/core/token_flows.cc
+++ b/src/core/token_flows.cc
@@ -44,6 +44,28 @@
   return found == open_.end() ? 0 : found->second;
 }
 
+std::vector<BackendId> TokenFlows::backendsWithFlows() const {
+  std::vector<BackendId> backends;
+  backends.reserve(open_.size());
+  for (const auto& [backend, count] : open_) {
+    backends.push_back(backend);
+  }
+  return backends;
+}
+
+std::vector<TokenFlow> TokenFlows::takeAllOf(BackendId backend) {
+  std::vector<TokenFlow> taken;
+  for (auto flow = order_.begin(); flow != order_.end();) {
+    const auto next = std::next(flow);
+    if (flow->backend == backend) {
+      taken.push_back(*flow);
+      drop(flow);
+    }
+    flow = next;
+  }
+  return taken;
+}
+
 void TokenFlows::drop(Order::iterator flow) {
   const auto open = open_.find(flow->backend);
   if (--open->second == 0) {
--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <list>
 #include <unordered_map>
+#include <vector>
 
 #include "core/types.h"
 
@@ -14,11 +15,13 @@
 /// One flow as this daemon has seen it.
 struct TokenFlow {
   FlowFingerprint fingerprint{0};
+  FlowKey key;
   BackendId backend = kNoBackend;
   ServiceId service{0};
-  Time openedAt{};     ///< When the first opening was placed here; zero where it was not.
+  Time openedAt{};  ///< When the first opening was placed here; zero where it was not.
   Time lastSeen{};
-  Time forwardedAt{};  ///< When its last opening was sent on.
+  Time dataSentAt{};          ///< When the caller's last new data passed.
+  std::uint32_t dataEnd = 0;  ///< Sequence number after the caller's last data.
   std::uint32_t acknowledgement = 0;
   bool answered = false;  ///< The caller has shown that the back end answered.
 };
@@ -41,8 +44,12 @@
   /// Forgets flows that were idle for longer than `idle`.
   void expire(Time now, Duration idle);
 
-  /// @return flows on the back end that passed here.
+  /// @return how many flows of the back end passed here and are open.
   std::uint32_t openOn(BackendId backend) const;
+  /// @return every back end that has an open flow here.
+  std::vector<BackendId> backendsWithFlows() const;
+  /// Forgets every flow of a back end. @return the forgotten flows.
+  std::vector<TokenFlow> takeAllOf(BackendId backend);
 
   std::size_t size() const { return index_.size(); }
   std::uint64_t evictions() const { return evictions_; }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -36,9 +36,12 @@
     return Drop{DropReason::kUnknownToken};
   }
   if (backends_.hasEnded(backend->id)) {
-    flows_.erase(fingerprintOf(packet.flow, options_.hashSeed));
+    resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
     return refuse(RefuseReason::kBackendEnded, RefusalCertainty::kOutcomeUnknown);
   }
+  if (health_.isDead(backend->id)) {
+    return refuse(RefuseReason::kBackendDead, RefusalCertainty::kOutcomeUnknown);
+  }
   noteSigns(packet, *backend, now);
   return forward(*backend, RouteReason::kCarriedToken);
 }
@@ -52,21 +55,36 @@
     return;
   }
   if (flow == nullptr || flow->backend != backend.id) {
-    TokenFlow learned{fingerprint, backend.id, backend.service};
+    TokenFlow learned{fingerprint, packet.flow, backend.id, backend.service};
     learned.acknowledgement = packet.acknowledgement;
     learned.answered = true;
-    flows_.put(learned, now);
+    noteData(packet, flows_.put(learned, now), now);
     return;
   }
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
   if (newBytes || !flow->answered) {
     flow->acknowledgement = packet.acknowledgement;
     flow->answered = true;
-    evidence_.onAnswer(backend.id, now);
+    health_.onAnswer(backend.id, now);
   }
+  noteData(packet, *flow, now);
   flows_.touch(*flow, now);
 }
 
+void TokenSteering::noteData(const PacketSummary& packet, TokenFlow& flow, Time now) {
+  if (packet.dataLength == 0) {
+    return;
+  }
+  const std::uint32_t end = packet.sequence + packet.dataLength;
+  const bool isNew = flow.dataSentAt == Time{} || static_cast<std::int32_t>(end - flow.dataEnd) > 0;
+  if (isNew) {
+    flow.dataEnd = end;
+    flow.dataSentAt = now;
+  } else {
+    health_.onRepeatedData(flow.backend, flow.dataSentAt, now);
+  }
+}
+
 Verdict TokenSteering::steerOpening(const PacketSummary& packet, Time now) {
   decision_ = OpeningDecision{};
   decision_.version = routes_.version();
@@ -83,8 +101,8 @@
   }
   decision_.route = route->route.name;
   TokenFlow* known = flows_.find(fingerprintOf(packet.flow, options_.hashSeed));
-  const bool isRepeat = known != nullptr && known->openedAt != Time{} &&
-                        now - known->openedAt < kOpeningSpan;
+  const bool isRepeat =
+      known != nullptr && known->openedAt != Time{} && now - known->openedAt < kOpeningSpan;
   if (!isRepeat) {
     return placeOpening(packet, *route, RouteReason::kPlaced, kNoBackend, now);
   }
@@ -92,22 +110,17 @@
     // The flow is open. A second back end that answered would take its later packets.
     return Drop{DropReason::kStaleOpening};
   }
-  if (now - known->forwardedAt > kOpeningPatience) {
-    evidence_.onSilence(known->backend, known->forwardedAt, now);
-  }
-  if (evidence_.isSuspected(known->backend, now) || !backends_.takesNewFlows(known->backend)) {
+  if (health_.isSuspected(known->backend, now) || !backends_.takesNewFlows(known->backend)) {
     const BackendId silent = known->backend;
     return placeOpening(packet, *route, RouteReason::kReplaced, silent, now);
   }
-  return repeatOpening(packet, *known, now);
+  return repeatOpening(*known, now);
 }
 
-Verdict TokenSteering::repeatOpening(const PacketSummary& packet, TokenFlow& flow, Time now) {
+Verdict TokenSteering::repeatOpening(TokenFlow& flow, Time now) {
   const BackendAddress* backend = backends_.find(flow.backend);
   decision_.backend = flow.backend;
   decision_.openFlows = flows_.openOn(flow.backend);
-  flow.acknowledgement = packet.acknowledgement;
-  flow.forwardedAt = now;
   flows_.touch(flow, now);
   return forward(*backend, RouteReason::kRepeated);
 }
@@ -128,13 +141,13 @@
                         : Verdict(Drop{DropReason::kStaleView});
   }
   const BackendAddress& backend = *backends_.find(chosen);
-  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), chosen, backend.service};
+  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, chosen,
+                 backend.service};
   flow.openedAt = now;
-  flow.forwardedAt = now;
-  flow.acknowledgement = packet.acknowledgement;
   decision_.backend = chosen;
   decision_.openFlows = flows_.openOn(chosen);
   flows_.put(flow, now);
+  health_.onOpening(chosen, now);
   return forward(backend, reason);
 }
 
@@ -149,11 +162,10 @@
   const std::size_t start = candidates.empty() ? 0 : random_.below(candidates.size());
   for (std::size_t i = 0; i < looks; ++i) {
     const PlacementCandidate& candidate = candidates[(start + i) % candidates.size()];
-    const bool suspected = candidate.id == avoided || evidence_.isSuspected(candidate.id, now);
+    const bool suspected = candidate.id == avoided || health_.isSuspected(candidate.id, now);
     const double load = loadOf(candidate, now);
-    const bool better =
-        best == kNoBackend || (bestSuspected && !suspected) ||
-        (suspected == bestSuspected && load < bestLoad);
+    const bool better = best == kNoBackend || (bestSuspected && !suspected) ||
+                        (suspected == bestSuspected && load < bestLoad);
     const bool equal = best != kNoBackend && suspected == bestSuspected && load == bestLoad;
     if (better) {
       ties = 1;
@@ -194,13 +206,55 @@
   return verdict;
 }
 
+void TokenSteering::onResume() {
+  openingsAreStale_ = true;
+  health_.onResume();
+}
+
+std::vector<BackendAddress> TokenSteering::takeProbes(Time now) {
+  std::vector<BackendAddress> probes;
+  for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
+    if (const BackendAddress* backend = backends_.find(id)) {
+      probes.push_back(*backend);
+    } else {
+      health_.onProbe(id, ProbeResult::kConnected, now);
+    }
+  }
+  return probes;
+}
+
+void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
+  if (health_.onProbe(backend, result, now)) {
+    resetFlowsOf(backend, RefuseReason::kBackendDead);
+  }
+}
+
+void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
+  for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
+    resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
+  }
+}
+
+std::vector<FlowReset> TokenSteering::takeResets() { return std::exchange(resets_, {}); }
+
+void TokenSteering::watchDeparted(Time now) {
+  for (const BackendId id : flows_.backendsWithFlows()) {
+    if (backends_.hasEnded(id)) {
+      resetFlowsOf(id, RefuseReason::kBackendEnded);
+    } else if (!backends_.takesNewFlows(id)) {
+      health_.watchDeparted(id, now);
+    }
+  }
+}
+
 void TokenSteering::onTick(Time now) {
   if (now < nextMaintenance_) {
     return;
   }
   nextMaintenance_ = now + kMaintenanceInterval;
   flows_.expire(now, options_.flowIdleTimeout);
-  evidence_.expire(now);
+  health_.expire(now);
+  watchDeparted(now);
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -4,14 +4,14 @@
 /// docs/design/004-carried-token.md.
 ///
 /// Invariants:
-///  - An open flow is never moved, and reset only where its back end has ended or a configuration
-///    dropped its route.
+///  - An open flow is never moved, and reset only where its back end has ended, or was silent and
+///    failed a probe, or a configuration dropped its route.
 ///  - A refusal of an opening is given only by a view that is known to be current.
 #pragma once
 
 #include <array>
 
-#include "core/backend_evidence.h"
+#include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
 #include "core/random.h"
@@ -55,10 +55,16 @@
   void setViewCurrent(bool current) { viewCurrent_ = current; }
   /// Call after the process was suspended: openings that waited meanwhile have been sent again,
   /// and a late second answer would break their flow. They are dropped until onQueueDrained().
-  void onResume() { openingsAreStale_ = true; }
+  void onResume();
   /// Call when every packet that waited has been handled.
   void onQueueDrained() { openingsAreStale_ = false; }
 
+  /// @return back ends whose address should be connected to; answer each by onProbe().
+  std::vector<BackendAddress> takeProbes(Time now);
+  void onProbe(BackendId backend, ProbeResult result, Time now);
+  /// @return flows whose callers are to be told that their back end is gone.
+  std::vector<FlowReset> takeResets();
+
   BackendRegistry& backends() { return backends_; }
   const BackendRegistry& backends() const { return backends_; }
   RouteTable& routes() { return routes_; }
@@ -66,13 +72,14 @@
 
   const TokenSteeringCounters& counters() const { return counters_; }
   const TokenFlows& flows() const { return flows_; }
+  const BackendHealth& health() const { return health_; }
   /// @return how the last opening was decided.
   const OpeningDecision& lastDecision() const { return decision_; }
 
  private:
   Verdict steerOpening(const PacketSummary& packet, Time now);
   Verdict steerOpen(const PacketSummary& packet, Time now);
-  Verdict repeatOpening(const PacketSummary& packet, TokenFlow& flow, Time now);
+  Verdict repeatOpening(TokenFlow& flow, Time now);
   Verdict placeOpening(const PacketSummary& packet, RouteEntry& route, RouteReason reason,
                        BackendId avoided, Time now);
   /// @return the least loaded back end of a service, or kNoBackend.
@@ -80,6 +87,9 @@
   /// @return a figure that is lower where a new flow is served sooner.
   double loadOf(const PlacementCandidate& candidate, Time now) const;
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
+  void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
+  void resetFlowsOf(BackendId backend, RefuseReason reason);
+  void watchDeparted(Time now);
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
   Verdict forward(const BackendAddress& backend, RouteReason reason) const;
   Verdict count(Verdict verdict);
@@ -89,7 +99,8 @@
   BackendRegistry backends_;
   RouteTable routes_;
   TokenFlows flows_;
-  BackendEvidence evidence_;
+  BackendHealth health_;
+  std::vector<FlowReset> resets_;
   TokenSteeringCounters counters_;
   OpeningDecision decision_;
   bool viewCurrent_ = false;
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -66,6 +66,8 @@
       return "route_dropped";
     case RefuseReason::kBackendEnded:
       return "backend_ended";
+    case RefuseReason::kBackendDead:
+      return "backend_dead";
   }
   return "invalid";
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -47,8 +47,9 @@
   kNoRoute,       ///< No route in force has this address and port.
   kRouteDropped,  ///< A configuration dropped the flow's route.
   kBackendEnded,  ///< The flow's back end has ended; another one uses its address.
+  kBackendDead,   ///< The flow's back end was silent and failed a probe.
 };
-inline constexpr std::size_t kRefuseReasons = 7;
+inline constexpr std::size_t kRefuseReasons = 8;
 
 /// Whether a refused request can have been executed.
 enum class RefusalCertainty : std::uint8_t {
@@ -85,6 +86,14 @@
   DropReason reason = DropReason::kNoService;
 };
 
+/// A refusal without a packet: the flow of a back end that is gone, to be told to its caller.
+struct FlowReset {
+  FlowKey flow;
+  std::uint32_t acknowledgement = 0;  ///< The caller's last one.
+  BackendId backend = kNoBackend;
+  RefuseReason reason = RefuseReason::kBackendDead;
+};
+
 using Verdict = std::variant<ForwardToBackend, ForwardToPeer, Refuse, Drop>;
 
 const char* toString(RouteReason reason);
--- a/src/ctl/offline_commands.cc
+++ b/src/ctl/offline_commands.cc
@@ -6,10 +6,10 @@
 #include <sstream>
 #include <vector>
 
+#include "configuration/configuration_json.h"
 #include "core/constants.h"
 #include "core/service_placement.h"
 #include "net/address.h"
-#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::ctl {
 namespace {
--- /dev/null
+++ b/src/daemon/backend_prober.h
@@ -0,0 +1,30 @@
+/// @file
+/// Probes back ends by opening a connection and closing it again, on the daemon's event loop.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+
+#include "core/backend_health.h"
+#include "core/configuration.h"
+
+namespace cobaltgauge::daemon {
+
+class BackendProber {
+ public:
+  using Handler = std::function<void(const core::BackendAddress&, core::ProbeResult)>;
+
+  BackendProber(asio::io_context& context, Handler handler)
+      : context_(context), handler_(std::move(handler)) {}
+
+  /// Starts a probe; the handler is called once with its result.
+  void probe(const core::BackendAddress& backend);
+
+ private:
+  struct Attempt;
+
+  asio::io_context& context_;
+  Handler handler_;
+};
+
+}  // namespace cobaltgauge::daemon
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -61,7 +61,7 @@
   }
   reader_ = std::make_unique<PlatformReader>(
       configuration::PlatformClient(net::formatAddress(settings_.platform.address),
-                               settings_.platform.port, settings_.platformTimeout),
+                                    settings_.platform.port, settings_.platformTimeout),
       [this](PlatformReading reading) {
         asio::post(context_, [this, reading = std::move(reading)]() mutable {
           onReading(std::move(reading));
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "configuration/configuration_json.h"
 #include "core/balancer.h"
 #include "daemon/admin_server.h"
 #include "daemon/data_plane.h"
@@ -16,7 +17,6 @@
 #include "daemon/settings.h"
 #include "daemon/system_random.h"
 #include "net/peer_transport.h"
-#include "configuration/configuration_json.h"
 
 namespace cobaltgauge::daemon {
 
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -5,11 +5,11 @@
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/sinks/basic_sink_backend.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <sstream>
 
--- a/src/daemon/packet_port.cc
+++ b/src/daemon/packet_port.cc
@@ -67,7 +67,7 @@
         asio::buffer(buffer_.data() + prefix, kLongestDatagram), sender, 0, error);
     if (error) {
       if (onDrained_) {
-        onDrained_();
+        onDrained_(now);
       }
       return;
     }
@@ -89,16 +89,16 @@
     format_.stamp(*forward, datagram);
     counters_.sentToBackends += send(forward->backend.endpoint, datagram) ? 1U : 0U;
   } else if (std::holds_alternative<core::Refuse>(verdict)) {
-    sendRefusal(*summary, packet);
+    refuse(summary->flow, summary->acknowledgement);
   }
   if (onVerdict_) {
     onVerdict_(*summary, verdict);
   }
 }
 
-void PacketPort::sendRefusal(const core::PacketSummary& summary, net::ByteView packet) {
-  const std::vector<std::uint8_t> refusal = format_.refusal(packet);
-  counters_.refusalsSent += send(format_.callerEndpoint(summary.flow, local_), refusal) ? 1U : 0U;
+void PacketPort::refuse(const core::FlowKey& flow, std::uint32_t acknowledgement) {
+  const std::vector<std::uint8_t> refusal = format_.refusal(flow, acknowledgement);
+  counters_.refusalsSent += send(format_.callerEndpoint(flow, local_), refusal) ? 1U : 0U;
 }
 
 bool PacketPort::send(const core::Endpoint& destination, net::ByteView bytes) {
--- a/src/daemon/packet_port.h
+++ b/src/daemon/packet_port.h
@@ -25,17 +25,20 @@
 
 class PacketPort {
  public:
-  /// Called before each batch, with the time at which it is handled.
+  /// Called with the time at which a batch is handled.
   using BatchListener = std::function<void(core::Time now)>;
   /// Called after each verdict, for logs.
   using VerdictListener = std::function<void(const core::PacketSummary&, const core::Verdict&)>;
 
   PacketPort(asio::io_context& context, net::PacketFormat& format, core::FlowSteering& steering);
 
+  /// Tells a caller that its flow is refused.
+  void refuse(const core::FlowKey& flow, std::uint32_t acknowledgement);
+
   void setBatchListener(BatchListener listener) { onBatch_ = std::move(listener); }
   void setVerdictListener(VerdictListener listener) { onVerdict_ = std::move(listener); }
   /// Called when every waiting packet has been handled.
-  void setDrainedListener(std::function<void()> listener) { onDrained_ = std::move(listener); }
+  void setDrainedListener(BatchListener listener) { onDrained_ = std::move(listener); }
 
   /// Binds the socket. @return false on failure; see lastReason().
   bool open(const core::Endpoint& endpoint);
@@ -48,7 +51,6 @@
   void waitForPackets();
   void receiveBatch();
   void onPacket(std::span<std::uint8_t> datagram, core::Time now);
-  void sendRefusal(const core::PacketSummary& summary, net::ByteView packet);
   bool send(const core::Endpoint& destination, net::ByteView bytes);
 
   net::PacketFormat& format_;
@@ -58,7 +60,7 @@
   std::vector<std::uint8_t> buffer_;
   BatchListener onBatch_;
   VerdictListener onVerdict_;
-  std::function<void()> onDrained_;
+  BatchListener onDrained_;
   core::Time lastPacketAt_{};
   std::string lastReason_;
   PacketPortCounters counters_;
--- a/src/daemon/platform_reader.h
+++ b/src/daemon/platform_reader.h
@@ -23,7 +23,8 @@
 class PlatformReader {
  public:
   /// @param deliver called on the reader's thread after each round.
-  PlatformReader(configuration::PlatformClient client, std::function<void(PlatformReading)> deliver);
+  PlatformReader(configuration::PlatformClient client,
+                 std::function<void(PlatformReading)> deliver);
   ~PlatformReader();
   PlatformReader(const PlatformReader&) = delete;
   PlatformReader& operator=(const PlatformReader&) = delete;
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -5,8 +5,7 @@
 namespace cobaltgauge::daemon {
 
 StoreLink::StoreLink(asio::io_context& context, const core::Endpoint& store,
-                     const net::StoreDialect& dialect, core::StoreReader& reader,
-                     Listener listener)
+                     const net::StoreDialect& dialect, core::StoreReader& reader, Listener listener)
     : dialect_(dialect),
       reader_(reader),
       listener_(std::move(listener)),
@@ -29,10 +28,9 @@
     return;
   }
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(read->timeout);
-  client_.get(dialect_.target(*read), timeout,
-              [this, request = *read](net::HttpAnswer answer) {
-                onAnswer(request, std::move(answer));
-              });
+  client_.get(dialect_.target(*read), timeout, [this, request = *read](net::HttpAnswer answer) {
+    onAnswer(request, std::move(answer));
+  });
 }
 
 void StoreLink::restart() {
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -40,13 +40,15 @@
       updater_(steering_.backends(), steering_.routes(), logViewChange),
       reader_(updater_, random_),
       packets_(context_, *formats_.packets, steering_),
+      prober_(context_, [this](const core::BackendAddress& backend,
+                               core::ProbeResult result) { onProbe(backend, result); }),
       readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
       timer_(context_),
       signals_(context_, SIGTERM, SIGINT) {}
 
 bool TokenDaemon::open() {
   packets_.setBatchListener([this](core::Time now) { onBatch(now); });
-  packets_.setDrainedListener([this] { steering_.onQueueDrained(); });
+  packets_.setDrainedListener([this](core::Time now) { onDrained(now); });
   packets_.setVerdictListener([this](const core::PacketSummary& packet, const core::Verdict& v) {
     logVerdict(packet, v, steering_, reader_.revision());
   });
@@ -108,10 +110,33 @@
   steering_.setViewCurrent(reader_.isCurrent(now));
 }
 
+void TokenDaemon::onDrained(core::Time now) {
+  steering_.onQueueDrained();
+  carryOutHealth(now);
+}
+
+void TokenDaemon::carryOutHealth(core::Time now) {
+  for (const core::BackendAddress& backend : steering_.takeProbes(now)) {
+    prober_.probe(backend);
+  }
+  for (const core::FlowReset& reset : steering_.takeResets()) {
+    packets_.refuse(reset.flow, reset.acknowledgement);
+    logReset(reset, reader_.revision());
+  }
+}
+
+void TokenDaemon::onProbe(const core::BackendAddress& backend, core::ProbeResult result) {
+  const core::Time now = bootTime();
+  logProbe(backend, result);
+  steering_.onProbe(backend.id, result, now);
+  carryOutHealth(now);
+}
+
 void TokenDaemon::onTick() {
   const core::Time now = bootTime();
   noticeSuspension(now);
   steering_.onTick(now);
+  carryOutHealth(now);
   stopIfDone(now);
   flushLog();
 }
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -12,6 +12,7 @@
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_updater.h"
+#include "daemon/backend_prober.h"
 #include "daemon/packet_port.h"
 #include "daemon/settings.h"
 #include "daemon/store_link.h"
@@ -35,6 +36,10 @@
   bool isReady() const;
   net::HttpResponse answerReadiness(const std::string& path) const;
   void onBatch(core::Time now);
+  void onDrained(core::Time now);
+  /// Starts the probes and sends the resets that the steering wants.
+  void carryOutHealth(core::Time now);
+  void onProbe(const core::BackendAddress& backend, core::ProbeResult result);
   void onTick();
   void scheduleTick();
   void noticeSuspension(core::Time now);
@@ -50,6 +55,7 @@
   core::ViewUpdater updater_;
   core::StoreReader reader_;
   PacketPort packets_;
+  BackendProber prober_;
   std::unique_ptr<StoreLink> store_;
   net::HttpServer readiness_;
   asio::steady_timer timer_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -57,6 +57,21 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logReset(const core::FlowReset& reset, core::Revision viewRevision) {
+  logEvent(LogLevel::kWarning, "flow_reset",
+           {{"flow", flowText(reset.flow)},
+            {"reason", toString(reset.reason)},
+            {"backend", hex(reset.backend)},
+            {"revision", std::to_string(viewRevision)}});
+}
+
+void logProbe(const core::BackendAddress& backend, core::ProbeResult result) {
+  logEvent(LogLevel::kInfo, "backend_probed",
+           {{"backend", hex(backend.id)},
+            {"address", net::formatEndpoint(backend.endpoint)},
+            {"result", toString(result)}});
+}
+
 void logViewChange(const core::ViewChange& change) {
   switch (change.kind) {
     case core::ViewChange::Kind::kBackend:
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -13,6 +13,12 @@
 void logVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
                 const core::TokenSteering& steering, core::Revision viewRevision);
 
+/// Logs that a flow's caller is told that its back end is gone.
+void logReset(const core::FlowReset& reset, core::Revision viewRevision);
+
+/// Logs the result of a probe.
+void logProbe(const core::BackendAddress& backend, core::ProbeResult result);
+
 /// Logs a change of the view.
 void logViewChange(const core::ViewChange& change);
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -131,8 +131,7 @@
     }
     // A length of zero tells the parser that the connection ended, which may end the body.
     const std::size_t length = error ? 0 : size;
-    const std::size_t parsed =
-        http_parser_execute(&parser_, &settings_, buffer_.data(), length);
+    const std::size_t parsed = http_parser_execute(&parser_, &settings_, buffer_.data(), length);
     if (complete_) {
       answer_.status = parser_.status_code;
       connected_ = !error && http_should_keep_alive(&parser_) != 0;
--- a/src/net/packet_format.h
+++ b/src/net/packet_format.h
@@ -41,8 +41,10 @@
   virtual void stamp(const core::ForwardToBackend& forward,
                      std::span<std::uint8_t> datagram) const = 0;
 
-  /// @return the refusal of a packet, for its sender.
-  virtual std::vector<std::uint8_t> refusal(ByteView packet) const = 0;
+  /// @return the refusal of a flow, for its caller.
+  /// @param acknowledgement the caller's last one; any while the flow is not open.
+  virtual std::vector<std::uint8_t> refusal(const core::FlowKey& flow,
+                                            std::uint32_t acknowledgement) const = 0;
   /// @return where answers to the flow's caller are sent.
   /// @param local where this daemon takes packets.
   virtual core::Endpoint callerEndpoint(const core::FlowKey& flow,
--- /dev/null
+++ b/tests/core/backend_registry_test.cc
@@ -0,0 +1,94 @@
+#include "core/backend_registry.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/hashing.h"
+#include "core/weighted_split.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::BackendId;
+using core::RegistryEvent;
+using namespace std::chrono_literals;
+
+struct RegistryFixture {
+  core::BackendRegistry registry{60s};
+  core::Time now = 100s;
+  core::ServiceId web = core::serviceIdOf("web");
+};
+
+BOOST_FIXTURE_TEST_SUITE(BackendRegistryTest, RegistryFixture)
+
+BOOST_AUTO_TEST_CASE(reports_what_an_item_changed) {
+  core::Registration item = makeRegistration(1, "web", 1, 1);
+  BOOST_TEST((registry.put("servers/1", item, 1, now) == RegistryEvent::kAdded));
+  BOOST_TEST((registry.put("servers/1", item, 2, now) == RegistryEvent::kNone));
+  item.softwareVersion = "v2";
+  BOOST_TEST((registry.put("servers/1", item, 3, now) == RegistryEvent::kChanged));
+  item.state = core::BackendState::kLeaving;
+  BOOST_TEST((registry.put("servers/1", item, 4, now) == RegistryEvent::kLeaving));
+  BOOST_TEST((registry.remove("servers/1", 5, now) == RegistryEvent::kVanished));
+  BOOST_TEST((registry.remove("servers/1", 6, now) == RegistryEvent::kNone));
+  item.state = core::BackendState::kActive;
+  BOOST_TEST((registry.put("servers/1", item, 7, now) == RegistryEvent::kReturned));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_item_does_not_bring_a_removed_back_end_back) {
+  const core::Registration item = makeRegistration(1, "web", 1, 1);
+  registry.put("servers/1", item, 1, now);
+  registry.remove("servers/1", 5, now);
+  BOOST_TEST((registry.put("servers/1", item, 4, now) == RegistryEvent::kNone));
+  BOOST_TEST(!registry.takesNewFlows(BackendId{1}));
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_removes_what_is_not_on_it_but_nothing_newer) {
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
+  registry.put("servers/2", makeRegistration(2, "web", 1, 2), 2, now);
+  registry.put("servers/3", makeRegistration(3, "web", 1, 3), 9, now);
+  const std::vector<std::string> vanished = registry.retainOnly({"servers/1"}, 5, now);
+  BOOST_TEST(vanished == std::vector<std::string>{"servers/2"});
+  BOOST_TEST(registry.candidates(web).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(two_back_ends_with_one_token_do_not_both_take_flows) {
+  // Ids whose tokens collide are found by search, as the token has 32 bits.
+  std::unordered_map<core::SteeringToken, std::uint64_t> seen;
+  std::uint64_t id = 1;
+  while (seen.try_emplace(core::tokenOf(BackendId{id}), id).second) {
+    ++id;
+  }
+  const std::uint64_t other = seen.at(core::tokenOf(BackendId{id}));
+  registry.put("servers/a", makeRegistration(other, "web", 1, 1), 1, now);
+  registry.put("servers/b", makeRegistration(id, "web", 1, 2), 2, now);
+  BOOST_TEST(registry.takesNewFlows(BackendId{other}));
+  BOOST_TEST(!registry.takesNewFlows(BackendId{id}));
+  BOOST_TEST((registry.findByToken(core::tokenOf(BackendId{id}))->id == BackendId{other}));
+}
+
+BOOST_AUTO_TEST_CASE(departed_back_ends_are_forgotten_in_time) {
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
+  registry.remove("servers/1", 2, now);
+  registry.forgetDeparted(now + 59s);
+  BOOST_TEST(registry.size() == 1U);
+  registry.forgetDeparted(now + 60s);
+  BOOST_TEST(registry.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(splits_that_start_apart_keep_the_weights_between_them) {
+  int first = 0;
+  constexpr int kDaemons = 200;
+  for (std::uint64_t start = 0; start < kDaemons; ++start) {
+    core::WeightedSplit split({{"a", 90}, {"b", 10}}, core::mixHash(start, 1));
+    first += split.next() == 0 ? 1 : 0;
+  }
+  // A plain round robin would begin with the first target at every daemon.
+  BOOST_TEST(first > 160);
+  BOOST_TEST(first < 195);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
--- /dev/null
+++ b/tests/core/token_steering_test.cc
@@ -0,0 +1,237 @@
+#include "core/token_steering.h"
+
+#include <map>
+
+#include "core/constants.h"
+#include "support/token_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::BackendId;
+using core::DropReason;
+using core::ProbeResult;
+using core::RefuseReason;
+using core::RouteReason;
+
+BOOST_FIXTURE_TEST_SUITE(TokenSteeringTest, TokenFixture)
+
+BOOST_AUTO_TEST_CASE(an_opening_is_placed_and_stamped_with_the_back_ends_token) {
+  const core::Verdict verdict = open(1);
+  const auto* forward = std::get_if<core::ForwardToBackend>(&verdict);
+  BOOST_REQUIRE(forward != nullptr);
+  BOOST_TEST((forward->token == core::tokenOf(forward->backend.id)));
+  BOOST_TEST((ruleOf(verdict) == RouteReason::kPlaced));
+}
+
+BOOST_AUTO_TEST_CASE(an_open_flow_follows_its_token_at_a_daemon_that_never_saw_it) {
+  const core::Verdict verdict = send(1, BackendId{2}, 500, 10);
+  BOOST_TEST((backendOf(verdict) == BackendId{2}));
+  BOOST_TEST((ruleOf(verdict) == RouteReason::kCarriedToken));
+}
+
+BOOST_AUTO_TEST_CASE(new_flows_go_where_the_fewest_are_open) {
+  std::map<BackendId, int> flows;
+  for (std::uint16_t port = 1; port <= 30; ++port) {
+    ++flows[openAndAnswer(port)];
+  }
+  for (const auto& [backend, count] : flows) {
+    BOOST_TEST(count == 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_back_end_keeps_its_flows_and_gets_no_new_one) {
+  core::Registration leaving = makeRegistration(1, "web", 1, 1);
+  leaving.state = core::BackendState::kLeaving;
+  putBackend(1, leaving);
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    BOOST_TEST((backendOf(open(port)) != BackendId{1}));
+  }
+  BOOST_TEST((backendOf(send(99, BackendId{1}, 5, 10)) == BackendId{1}));
+}
+
+BOOST_AUTO_TEST_CASE(a_vanished_back_end_is_reachable_by_token_until_no_flow_can_be_left) {
+  steering.backends().remove(keyOf(1), ++revision, now);
+  BOOST_TEST((backendOf(send(99, BackendId{1}, 5, 10)) == BackendId{1}));
+  now += 61s;
+  steering.onTick(now);
+  BOOST_TEST((dropOf(send(99, BackendId{1}, 5, 10)) == DropReason::kUnknownToken));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_token_is_dropped_and_never_reset) {
+  BOOST_TEST((dropOf(send(1, BackendId{77}, 5, 10)) == DropReason::kUnknownToken));
+}
+
+BOOST_AUTO_TEST_CASE(a_reused_address_ends_the_old_back_end) {
+  const BackendId old = openAndAnswer(1);
+  const auto host = static_cast<std::uint8_t>(old);
+  putBackend(50, makeRegistration(50, "other", 1, host));
+  BOOST_TEST((refusalOf(send(1, old, 5, 10)) == RefuseReason::kBackendEnded));
+  const std::vector<core::FlowReset> resets = steering.takeResets();
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST(resets[0].flow.source.port == 1);
+}
+
+BOOST_AUTO_TEST_CASE(idle_flows_of_an_ended_back_end_are_reset_unasked) {
+  const BackendId old = openAndAnswer(1);
+  putBackend(50, makeRegistration(50, "web", 1, static_cast<std::uint8_t>(old)));
+  now += 1s;
+  steering.onTick(now);
+  BOOST_TEST(steering.takeResets().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_opening_without_route_is_refused_only_by_a_current_view) {
+  core::PacketSummary stray = packet(1, core::PacketKind::kOpening);
+  stray.flow.destination = endpoint(90, 9, 443);
+  const core::Verdict refused = steering.onPacket(stray, now);
+  BOOST_TEST((refusalOf(refused) == RefuseReason::kNoRoute));
+  BOOST_TEST((std::get<core::Refuse>(refused).certainty == core::RefusalCertainty::kNotRun));
+  steering.setViewCurrent(false);
+  BOOST_TEST((dropOf(steering.onPacket(stray, now)) == DropReason::kStaleView));
+}
+
+BOOST_AUTO_TEST_CASE(flows_of_a_dropped_route_are_reset_and_others_are_not) {
+  const BackendId backend = openAndAnswer(1);
+  steering.routes().offer(makeRoutes(2, {{2, "web"}}), now);
+  BOOST_TEST((refusalOf(send(1, backend, 5, 10)) == RefuseReason::kRouteDropped));
+  steering.routes().offer(makeRoutes(3, {{1, "web"}}), now);
+  BOOST_TEST((backendOf(send(1, backend, 5, 10)) == backend));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_placed_before_the_first_routes) {
+  core::TokenSteering empty(core::TokenSteeringOptions{}, random);
+  const core::Verdict verdict = empty.onPacket(packet(1, core::PacketKind::kOpening), now);
+  BOOST_TEST((dropOf(verdict) == DropReason::kNoConfiguration));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_back_ends_refuses_as_not_run) {
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    steering.backends().remove(keyOf(id), ++revision, now);
+  }
+  const core::Verdict verdict = open(1);
+  BOOST_TEST((refusalOf(verdict) == RefuseReason::kNoBackend));
+  BOOST_TEST((std::get<core::Refuse>(verdict).certainty == core::RefusalCertainty::kNotRun));
+}
+
+BOOST_AUTO_TEST_CASE(a_split_keeps_its_weights_and_serves_all_where_a_part_is_empty) {
+  core::RouteSet routes = makeRoutes(2, {{1, "web"}});
+  routes.routes[0].targets = {{"web", 75}, {"api", 25}};
+  steering.routes().offer(routes, now);
+  putBackend(60, makeRegistration(60, "api", 2, 1));
+  int api = 0;
+  for (std::uint16_t port = 1; port <= 200; ++port) {
+    api += openAndAnswer(port) == BackendId{60} ? 1 : 0;
+  }
+  BOOST_TEST(api >= 49);
+  BOOST_TEST(api <= 51);
+  steering.backends().remove(keyOf(60), ++revision, now);
+  for (std::uint16_t port = 201; port <= 240; ++port) {
+    BOOST_TEST((backendOf(open(port)) != BackendId{60}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_part_of_weight_zero_gets_nothing) {
+  core::RouteSet routes = makeRoutes(2, {{1, "web"}});
+  routes.routes[0].targets = {{"api", 0}, {"web", 1}};
+  steering.routes().offer(routes, now);
+  putBackend(60, makeRegistration(60, "api", 2, 1));
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    BOOST_TEST((openAndAnswer(port) != BackendId{60}));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_opening_stays_where_a_lost_answer_is_likely) {
+  const BackendId first = backendOf(open(1));
+  now += 50ms;
+  // Another flow proves that the back end lives.
+  send(2, first, 1, 10);
+  send(2, first, 2, 10, 1010);
+  now += 150ms;
+  const core::Verdict again = open(1, 1);
+  BOOST_TEST((backendOf(again) == first));
+  BOOST_TEST((ruleOf(again) == RouteReason::kRepeated));
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_opening_leaves_a_silent_back_end) {
+  const BackendId first = backendOf(open(1));
+  now += 200ms;
+  const core::Verdict again = open(1, 1);
+  BOOST_TEST((backendOf(again) != first));
+  BOOST_TEST((ruleOf(again) == RouteReason::kReplaced));
+}
+
+// Openings used to go on to a silent back end: it has the fewest open flows (cflc scale-1).
+BOOST_AUTO_TEST_CASE(a_silent_back_end_attracts_no_further_openings) {
+  const BackendId silent = backendOf(open(1));
+  now += 200ms;
+  for (std::uint16_t port = 10; port <= 40; ++port) {
+    BOOST_TEST((openAndAnswer(port) != silent));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_opening_of_a_flow_that_is_open_is_not_sent_to_a_second_back_end) {
+  openAndAnswer(1);
+  now += 600ms;
+  BOOST_TEST((dropOf(open(1, 2)) == DropReason::kStaleOpening));
+}
+
+BOOST_AUTO_TEST_CASE(a_port_that_is_used_again_opens_a_new_flow) {
+  openAndAnswer(1);
+  now += core::kOpeningSpan + 1s;
+  BOOST_TEST((ruleOf(open(1)) == RouteReason::kPlaced));
+}
+
+BOOST_AUTO_TEST_CASE(openings_that_waited_through_a_suspension_are_dropped) {
+  steering.onResume();
+  BOOST_TEST((dropOf(open(1)) == DropReason::kStaleOpening));
+  BOOST_TEST((backendOf(send(2, BackendId{1}, 1, 10)) == BackendId{1}));
+  steering.onQueueDrained();
+  BOOST_TEST((ruleOf(open(3)) == RouteReason::kPlaced));
+}
+
+// A request to a back end without power ran into its deadline on every flow (cflc scale-1).
+BOOST_AUTO_TEST_CASE(flows_of_a_silent_back_end_are_reset_once_a_probe_failed) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 200ms;
+  BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
+  const std::vector<core::BackendAddress> probes = steering.takeProbes(now);
+  BOOST_REQUIRE(probes.size() == 1U);
+  BOOST_TEST((probes[0].id == backend));
+  BOOST_TEST(steering.takeResets().empty());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  const std::vector<core::FlowReset> resets = steering.takeResets();
+  BOOST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST(resets[0].acknowledgement == 1U);
+  BOOST_TEST((refusalOf(send(2, backend, 7, 10)) == RefuseReason::kBackendDead));
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_back_end_that_takes_connections_keeps_its_flows) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 700ms;
+  send(1, backend, 1, 100);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kConnected, now);
+  BOOST_TEST(steering.takeResets().empty());
+  BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
+}
+
+BOOST_AUTO_TEST_CASE(flows_left_on_a_departed_back_end_are_reset_when_it_ends) {
+  const BackendId backend = openAndAnswer(1);
+  steering.backends().remove(keyOf(static_cast<std::uint64_t>(backend)), ++revision, now);
+  now += 1s;
+  steering.onTick(now);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kConnected, now);
+  BOOST_TEST(steering.takeResets().empty());
+  now += 1s;
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kRefused, now);
+  BOOST_TEST(steering.takeResets().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
--- /dev/null
+++ b/tests/support/token_fixtures.h
@@ -0,0 +1,90 @@
+/// @file
+/// A token steering with a view, and builders of the packets that reach it.
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+
+#include "core/token_steering.h"
+#include "sim/seeded_random.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+
+using namespace std::chrono_literals;
+
+/// Routes 10.90.0.1:443 to "web" with three back ends; time is the test's.
+struct TokenFixture {
+  sim::SeededRandom random{1};
+  core::TokenSteering steering{core::TokenSteeringOptions{}, random};
+  core::Time now = 100s;
+  core::Revision revision = 0;
+
+  TokenFixture() {
+    steering.routes().offer(makeRoutes(1, {{1, "web"}}), now);
+    for (std::uint8_t host = 1; host <= 3; ++host) {
+      putBackend(host, makeRegistration(host, "web", 1, host));
+    }
+    steering.setViewCurrent(true);
+  }
+
+  static std::string keyOf(std::uint64_t id) { return "servers/" + std::to_string(id); }
+
+  void putBackend(std::uint64_t id, const core::Registration& registration) {
+    steering.backends().put(keyOf(id), registration, ++revision, now);
+  }
+
+  static core::PacketSummary packet(std::uint16_t port, core::PacketKind kind) {
+    core::PacketSummary summary;
+    summary.flow.protocol = core::Protocol::kTcp;
+    summary.flow.source = endpoint(64, 1, port);
+    summary.flow.destination = endpoint(90, 1, 443);
+    summary.kind = kind;
+    return summary;
+  }
+
+  core::Verdict open(std::uint16_t port, std::uint32_t copy = 0) {
+    core::PacketSummary summary = packet(port, core::PacketKind::kOpening);
+    summary.openingCopy = copy;
+    return steering.onPacket(summary, now);
+  }
+
+  /// Opens a flow and lets its caller confirm it. @return its back end.
+  core::BackendId openAndAnswer(std::uint16_t port) {
+    const core::BackendId backend = backendOf(open(port));
+    send(port, backend, 1, 0);
+    return backend;
+  }
+
+  /// Sends a packet of an open flow.
+  core::Verdict send(std::uint16_t port, core::BackendId backend, std::uint32_t acknowledgement,
+                     std::uint32_t dataLength, std::uint32_t sequence = 1000) {
+    core::PacketSummary summary = packet(port, core::PacketKind::kContinuing);
+    summary.token = core::tokenOf(backend);
+    summary.acknowledgement = acknowledgement;
+    summary.sequence = sequence;
+    summary.dataLength = dataLength;
+    return steering.onPacket(summary, now);
+  }
+
+  static core::BackendId backendOf(const core::Verdict& verdict) {
+    const auto* forward = std::get_if<core::ForwardToBackend>(&verdict);
+    BOOST_REQUIRE(forward != nullptr);
+    return forward->backend.id;
+  }
+  static std::optional<core::RouteReason> ruleOf(const core::Verdict& verdict) {
+    const auto* forward = std::get_if<core::ForwardToBackend>(&verdict);
+    return forward == nullptr ? std::nullopt : std::optional(forward->reason);
+  }
+  static std::optional<core::RefuseReason> refusalOf(const core::Verdict& verdict) {
+    const auto* refusal = std::get_if<core::Refuse>(&verdict);
+    return refusal == nullptr ? std::nullopt : std::optional(refusal->reason);
+  }
+  static std::optional<core::DropReason> dropOf(const core::Verdict& verdict) {
+    const auto* drop = std::get_if<core::Drop>(&verdict);
+    return drop == nullptr ? std::nullopt : std::optional(drop->reason);
+  }
+};
+
+}  // namespace cobaltgauge::tests
