Pace bursts of openings and don't refuse a service that was just emptied

Change: a back end that was just given an opening is passed over; where all were, the opening is left to the caller's repetition, but never the last one. A service without back ends is refused only after 1.5 s, and back ends that vanished unannounced stand in for 2 s.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -132,6 +132,11 @@
   return key != keys_.end() && entries_.at(key->second).ended;
 }
 
+PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) {
+  return {entry.address.id, std::max(entry.registration.capacity, 1U), entry.warmUntil,
+          entry.registration.zone};
+}
+
 bool BackendRegistry::isCandidate(const std::string& key, const Entry& entry) const {
   const auto owner = tokens_.find(tokenOf(entry.address.id));
   const bool ownsToken = owner != tokens_.end() && owner->second == key;
@@ -150,6 +155,23 @@
   return found == candidates_.end() ? kNone : found->second;
 }
 
+std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
+                                                               Time since) const {
+  std::vector<PlacementCandidate> list;
+  const auto keys = services_.find(service);
+  if (keys == services_.end()) {
+    return list;
+  }
+  for (const std::string& key : keys->second) {
+    const Entry& entry = entries_.at(key);
+    const bool unannounced = entry.registration.state == BackendState::kActive;
+    if (!entry.present && !entry.ended && unannounced && entry.removedAt > since) {
+      list.push_back(candidateOf(entry));
+    }
+  }
+  return list;
+}
+
 void BackendRegistry::rebuild(ServiceId service) {
   std::vector<PlacementCandidate> list;
   for (const std::string& key : services_[service]) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -67,6 +67,9 @@
   /// @return back ends of a service that may be given new flows.
   const std::vector<PlacementCandidate>& candidates(ServiceId service) const;
 
+  /// @return back ends of a service that vanished after `since` without having announced it.
+  std::vector<PlacementCandidate> vanishedSince(ServiceId service, Time since) const;
+
   /// Forgets back ends that have been gone for long enough.
   void forgetDeparted(Time now);
 
@@ -84,6 +87,7 @@
     Time warmUntil{};
   };
 
+  static PlacementCandidate candidateOf(const Entry& entry);
   bool isCandidate(const std::string& key, const Entry& entry) const;
   void markEnded(const Entry& successor);
   void rebuild(ServiceId service);
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -86,6 +86,18 @@
 /// Back ends of one service that are compared for one opening; bounds its cost in large services.
 inline constexpr std::size_t kPlacementLooks = 32;
 
+/// Time between two openings that one daemon gives a back end with one slot; with more slots it is
+/// shorter. Ten daemons fill the queue of a back end with two slots in a tenth of a second, which
+/// works off as much meanwhile.
+inline constexpr Duration kOpeningSpacing = 100ms;
+/// The last copy of an opening that a caller sends; it is never left to a later one.
+inline constexpr std::uint32_t kLastOpeningCopy = 2;
+/// How long a service without back ends is taken for one whose registrations are on their way.
+inline constexpr Duration kEmptyServicePatience = 1500ms;
+/// How long a back end that vanished without a word may stand in where its service has no other.
+/// Below the time for which such a back end serves on.
+inline constexpr Duration kVanishedFallback = 2000ms;
+
 /// How long the store may hold a watch. Keep-alive probes tell a dead connection much earlier.
 inline constexpr std::chrono::milliseconds kWatchWait = 10s;
 /// Wait of the first watch after a lost one. The store may be about to drop its history, and
@@ -93,15 +105,17 @@
 inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
 /// Time-out of a first read of the store; doubled with each failure in a row, so that a store that
 /// is slow is reached in the end and one that is silent costs little at start.
-inline constexpr Duration kReadTimeout = 500ms;
+inline constexpr Duration kReadTimeout = 250ms;
+/// Time beyond its wait that a watch may take.
+inline constexpr Duration kWatchSlack = 1000ms;
 inline constexpr std::uint32_t kReadTimeoutDoublings = 3;
 /// Wait before a failed read is repeated: doubled likewise, half of it random, and short while a
 /// starting daemon has no view at all.
 inline constexpr Duration kReadBackOff = 100ms;
 inline constexpr Duration kReadBackOffLongest = 800ms;
 inline constexpr Duration kReadBackOffAtStart = 100ms;
-/// Changes that follow each other within kBurstGap are a burst; the watch that follows one waits for
-/// kBurstPause, so that a burst costs few reads. A single change is taken at once.
+/// Changes that follow each other within kBurstGap are a burst; the watch that follows one waits
+/// for kBurstPause, so that a burst costs few reads. A single change is taken at once.
 inline constexpr Duration kBurstGap = 1000ms;
 inline constexpr Duration kBurstPause = 400ms;
 /// A view counts as current for this long after the store's last answer.
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -42,7 +42,7 @@
     read.kind = StoreRead::Kind::kWatch;
     read.afterRevision = revision_;
     read.wait = confirming_ ? kConfirmWait : kWatchWait;
-    read.timeout = read.wait + timeoutNow();
+    read.timeout = read.wait + std::max(kWatchSlack, timeoutNow());
   }
   return read;
 }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -1,6 +1,7 @@
 #include "core/token_steering.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "core/constants.h"
@@ -127,64 +128,102 @@
 
 Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry& route,
                                     RouteReason reason, BackendId avoided, Time now) {
-  const std::size_t first = route.split.next();
-  const std::vector<RouteTarget>& targets = route.route.targets;
-  BackendId chosen = kNoBackend;
-  // Another part of the split is allowed to run the flow, and better than refusing it.
-  for (std::size_t i = 0; i < targets.size() && chosen == kNoBackend; ++i) {
-    const RouteTarget& target = targets[(first + i) % targets.size()];
-    const bool takesPart = i == 0 || target.weight > 0;
-    chosen = takesPart ? chooseBackend(serviceIdOf(target.service), avoided, now) : kNoBackend;
+  const Choice choice = chooseForRoute(route, avoided, now);
+  if (choice.id == kNoBackend) {
+    return withoutBackend(route.route, now);
   }
-  if (chosen == kNoBackend) {
-    return viewCurrent_ ? refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun)
-                        : Verdict(Drop{DropReason::kStaleView});
+  emptySince_.erase(route.route.endpoint);
+  if (choice.busy && packet.openingCopy < kLastOpeningCopy) {
+    return Drop{DropReason::kPaced};
   }
-  const BackendAddress& backend = *backends_.find(chosen);
-  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, chosen,
+  const BackendAddress& backend = *backends_.find(choice.id);
+  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, choice.id,
                  backend.service};
   flow.openedAt = now;
-  decision_.backend = chosen;
-  decision_.openFlows = flows_.openOn(chosen);
+  decision_.backend = choice.id;
+  decision_.openFlows = flows_.openOn(choice.id);
   flows_.put(flow, now);
-  health_.onOpening(chosen, now);
+  health_.onOpening(choice.id, now);
+  pacer_.onOpening(choice.id, choice.capacity, now);
   return forward(backend, reason);
 }
 
-BackendId TokenSteering::chooseBackend(ServiceId service, BackendId avoided, Time now) {
-  const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
+Verdict TokenSteering::withoutBackend(const Route& route, Time now) {
+  if (!viewCurrent_) {
+    return Drop{DropReason::kStaleView};
+  }
+  const Time emptySince = emptySince_.try_emplace(route.endpoint, now).first->second;
+  if (now - emptySince < kEmptyServicePatience) {
+    return Drop{DropReason::kEmptyService};
+  }
+  return refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun);
+}
+
+TokenSteering::Choice TokenSteering::chooseForRoute(RouteEntry& route, BackendId avoided,
+                                                    Time now) {
+  const std::vector<RouteTarget>& targets = route.route.targets;
+  const RouteTarget& first = targets[route.split.next()];
+  std::vector<ServiceId> services{serviceIdOf(first.service)};
+  for (const RouteTarget& target : targets) {
+    if (target.weight > 0 && target.service != first.service) {
+      services.push_back(serviceIdOf(target.service));
+    }
+  }
+  // Another part of the split is allowed to run the flow, and better than refusing it.
+  for (const ServiceId service : services) {
+    const Choice choice = chooseAmong(backends_.candidates(service), avoided, now);
+    if (choice.id != kNoBackend) {
+      return choice;
+    }
+  }
+  for (const ServiceId service : services) {
+    const Choice choice =
+        chooseAmong(backends_.vanishedSince(service, now - kVanishedFallback), avoided, now);
+    if (choice.id != kNoBackend) {
+      return choice;
+    }
+  }
+  return Choice{};
+}
+
+TokenSteering::Choice TokenSteering::chooseAmong(const std::vector<PlacementCandidate>& candidates,
+                                                 BackendId avoided, Time now) {
+  Choice best;
+  if (candidates.empty()) {
+    return best;
+  }
   decision_.candidates = candidates.size();
-  BackendId best = kNoBackend;
-  double bestLoad = 0;
-  bool bestSuspected = true;
   std::uint64_t ties = 0;
   const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
-  const std::size_t start = candidates.empty() ? 0 : random_.below(candidates.size());
+  const std::size_t start = random_.below(candidates.size());
   for (std::size_t i = 0; i < looks; ++i) {
-    const PlacementCandidate& candidate = candidates[(start + i) % candidates.size()];
-    const bool suspected = candidate.id == avoided || health_.isSuspected(candidate.id, now);
-    const double load = loadOf(candidate, now);
-    const bool better = best == kNoBackend || (bestSuspected && !suspected) ||
-                        (suspected == bestSuspected && load < bestLoad);
-    const bool equal = best != kNoBackend && suspected == bestSuspected && load == bestLoad;
-    if (better) {
-      ties = 1;
-    } else if (equal) {
-      ++ties;
-    }
-    if (better || (equal && random_.below(ties) == 0)) {
-      best = candidate.id;
-      bestLoad = load;
-      bestSuspected = suspected;
+    const Choice choice = assess(candidates[(start + i) % candidates.size()], avoided, now);
+    const bool better = best.id == kNoBackend || isBetter(choice, best);
+    const bool worse = !better && isBetter(best, choice);
+    ties = better ? 1 : ties + (worse ? 0U : 1U);
+    if (better || (!worse && random_.below(ties) == 0)) {
+      best = choice;
     }
   }
   return best;
 }
 
-double TokenSteering::loadOf(const PlacementCandidate& candidate, Time now) const {
+TokenSteering::Choice TokenSteering::assess(const PlacementCandidate& candidate, BackendId avoided,
+                                            Time now) const {
   const double flows = flows_.openOn(candidate.id) + 1.0;
   const double factor = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
-  return flows * factor / candidate.capacity;
+  Choice choice;
+  choice.id = candidate.id;
+  choice.capacity = candidate.capacity;
+  choice.suspected = candidate.id == avoided || health_.isSuspected(candidate.id, now);
+  choice.busy = pacer_.isBusy(candidate.id, now);
+  choice.load = flows * factor / candidate.capacity;
+  return choice;
+}
+
+bool TokenSteering::isBetter(const Choice& left, const Choice& right) {
+  return std::tie(left.suspected, left.busy, left.load) <
+         std::tie(right.suspected, right.busy, right.load);
 }
 
 Verdict TokenSteering::refuse(RefuseReason reason, RefusalCertainty certainty) const {
@@ -254,6 +293,7 @@
   nextMaintenance_ = now + kMaintenanceInterval;
   flows_.expire(now, options_.flowIdleTimeout);
   health_.expire(now);
+  pacer_.expire(now);
   watchDeparted(now);
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -14,6 +14,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/opening_pacer.h"
 #include "core/random.h"
 #include "core/route_table.h"
 #include "core/token_flows.h"
@@ -82,10 +83,22 @@
   Verdict repeatOpening(TokenFlow& flow, Time now);
   Verdict placeOpening(const PacketSummary& packet, RouteEntry& route, RouteReason reason,
                        BackendId avoided, Time now);
-  /// @return the least loaded back end of a service, or kNoBackend.
-  BackendId chooseBackend(ServiceId service, BackendId avoided, Time now);
-  /// @return a figure that is lower where a new flow is served sooner.
-  double loadOf(const PlacementCandidate& candidate, Time now) const;
+  /// The better of two back ends for a new flow.
+  struct Choice {
+    BackendId id = kNoBackend;
+    std::uint32_t capacity = 1;
+    bool suspected = true;
+    bool busy = true;
+    double load = 0;
+  };
+  /// @return the best back end for a route, with kNoBackend where there is none.
+  Choice chooseForRoute(RouteEntry& route, BackendId avoided, Time now);
+  Choice chooseAmong(const std::vector<PlacementCandidate>& candidates, BackendId avoided,
+                     Time now);
+  Choice assess(const PlacementCandidate& candidate, BackendId avoided, Time now) const;
+  static bool isBetter(const Choice& left, const Choice& right);
+  /// @return what an opening gets where no back end of its route takes flows.
+  Verdict withoutBackend(const Route& route, Time now);
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
@@ -100,6 +113,8 @@
   RouteTable routes_;
   TokenFlows flows_;
   BackendHealth health_;
+  OpeningPacer pacer_;
+  std::unordered_map<Endpoint, Time, EndpointHash> emptySince_;  ///< Routes without back ends.
   std::vector<FlowReset> resets_;
   TokenSteeringCounters counters_;
   OpeningDecision decision_;
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -46,6 +46,10 @@
       return "stale_view";
     case DropReason::kStaleOpening:
       return "stale_opening";
+    case DropReason::kPaced:
+      return "paced";
+    case DropReason::kEmptyService:
+      return "empty_service";
   }
   return "invalid";
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -35,8 +35,10 @@
   kUnknownToken,     ///< No back end known here has the token; it may be newer than the view.
   kStaleView,        ///< The opening cannot be placed, and the view may be out of date.
   kStaleOpening,     ///< The opening waited while the process was suspended; it was sent again.
+  kPaced,            ///< Every back end was just given an opening; the caller repeats this one.
+  kEmptyService,     ///< No back end yet, or just now; the caller repeats the opening.
 };
-inline constexpr std::size_t kDropReasons = 8;
+inline constexpr std::size_t kDropReasons = 10;
 
 /// Why a packet was refused with an answer.
 enum class RefuseReason : std::uint8_t {
--- a/tests/support/token_fixtures.h
+++ b/tests/support/token_fixtures.h
@@ -35,6 +35,13 @@
     steering.backends().put(keyOf(id), registration, ++revision, now);
   }
 
+  /// Removes the items of all three back ends.
+  void removeBackends() {
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      steering.backends().remove(keyOf(id), ++revision, now);
+    }
+  }
+
   static core::PacketSummary packet(std::uint16_t port, core::PacketKind kind) {
     core::PacketSummary summary;
     summary.flow.protocol = core::Protocol::kTcp;
