--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -40,12 +40,6 @@
   }
 }
 
-void BackendHealth::watchDeparted(BackendId backend, Time now) {
-  Signs& signs = signs_[backend];
-  signs.lastSign = now;
-  signs.departed = true;
-}
-
 bool BackendHealth::isSuspected(BackendId backend, Time now) const {
   const auto found = signs_.find(backend);
   if (found == signs_.end()) {
@@ -68,7 +62,7 @@
   for (const auto& [id, signs] : signs_) {
     const bool suspected = isSuspected(id, now);
     suspects.insert(suspects.end(), suspected ? 1 : 0, id);
-    if ((suspected || signs.departed) && !signs.probing && now >= signs.nextProbe) {
+    if (suspected && !signs.probing && now >= signs.nextProbe) {
       due.push_back(id);
     }
   }
@@ -94,8 +88,8 @@
     onAnswer(backend, now);
     return false;
   }
-  const bool answeredMeanwhile = signs.unansweredSince == Time{} && !signs.departed;
-  if (answeredMeanwhile || signs.dead) {
+  const bool answeredMeanwhile = signs.unansweredSince == Time{};
+  if (result == ProbeResult::kRefused || answeredMeanwhile || signs.dead) {
     return false;
   }
   signs.dead = true;
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -19,7 +19,9 @@
 /// How a probe of a back end ended.
 enum class ProbeResult : std::uint8_t {
   kConnected,  ///< Something listens there.
-  kRefused,    ///< The machine answers, nothing listens.
+  kRefused,    ///< The machine answers, nothing listens. A back end that is about to end as planned
+               ///< stops listening before its last flows end, and a machine whose back end crashed
+               ///< resets the flows itself: no reason to give flows up.
   kTimedOut,   ///< No answer: without power, or cut off.
 };
 
@@ -41,10 +43,6 @@
   /// Notes that a caller has received something new from the back end.
   void onAnswer(BackendId backend, Time now);
 
-  /// Asks for a probe soon, and for more while the back end is departed: its flows must be told
-  /// when it ends.
-  void watchDeparted(BackendId backend, Time now);
-
   /// @return true where new flows should go elsewhere if they can.
   bool isSuspected(BackendId backend, Time now) const;
   bool isDead(BackendId backend) const;
@@ -67,7 +65,6 @@
     Time lastSign{};         ///< Of either kind; for forgetting.
     Time unansweredSince{};  ///< When the first unanswered thing was sent; zero: all answered.
     Time nextProbe{};
-    bool departed = false;
     bool probing = false;
     bool dead = false;
   };
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -281,12 +281,10 @@
 
 std::vector<FlowReset> TokenSteering::takeResets() { return std::exchange(resets_, {}); }
 
-void TokenSteering::watchDeparted(Time now) {
+void TokenSteering::resetFlowsOfEnded() {
   for (const BackendId id : flows_.backendsWithFlows()) {
     if (backends_.hasEnded(id)) {
       resetFlowsOf(id, RefuseReason::kBackendEnded);
-    } else if (!backends_.takesNewFlows(id)) {
-      health_.watchDeparted(id, now);
     }
   }
 }
@@ -299,7 +297,7 @@
   flows_.expire(now, options_.flowIdleTimeout);
   health_.expire(now);
   pacer_.expire(now);
-  watchDeparted(now);
+  resetFlowsOfEnded();
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -104,7 +104,7 @@
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
-  void watchDeparted(Time now);
+  void resetFlowsOfEnded();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
   Verdict forward(const BackendAddress& backend, RouteReason reason) const;
   Verdict count(Verdict verdict);
