Take up changed settings, serve metrics and latency histograms

Change: the settings file is read again on SIGHUP and when it changes; what may change is taken up, a wrong file is refused with a line. A planned stop ends after half of the grace time. Counters and three latency histograms at admin.listen.

--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -21,6 +21,7 @@
   Time openedAt{};  ///< When the first opening was placed here; zero where it was not.
   Time lastSeen{};
   Time dataSentAt{};          ///< When the caller's last new data passed.
+  bool dataAnswered = true;   ///< New bytes were acknowledged since.
   std::uint32_t dataEnd = 0;  ///< Sequence number after the caller's last data.
   std::uint32_t acknowledgement = 0;
   bool answered = false;  ///< The caller has shown that the back end answered.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -65,14 +65,24 @@
   }
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
   if (newBytes || !flow->answered) {
+    noteAnswer(*flow, now);
     flow->acknowledgement = packet.acknowledgement;
-    flow->answered = true;
-    health_.onAnswer(backend.id, now);
   }
   noteData(packet, *flow, now);
   flows_.touch(*flow, now);
 }
 
+void TokenSteering::noteAnswer(TokenFlow& flow, Time now) {
+  health_.onAnswer(flow.backend, now);
+  if (latencies_ != nullptr && !flow.answered && flow.openedAt != Time{}) {
+    latencies_->onOpeningAnswered(now - flow.openedAt);
+  } else if (latencies_ != nullptr && !flow.dataAnswered) {
+    latencies_->onDataAnswered(now - flow.dataSentAt);
+  }
+  flow.answered = true;
+  flow.dataAnswered = true;
+}
+
 void TokenSteering::noteData(const PacketSummary& packet, TokenFlow& flow, Time now) {
   if (packet.dataLength == 0) {
     return;
@@ -82,6 +92,7 @@
   if (isNew) {
     flow.dataEnd = end;
     flow.dataSentAt = now;
+    flow.dataAnswered = false;
   } else {
     health_.onRepeatedData(flow.backend, flow.dataSentAt, now);
   }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -45,11 +45,24 @@
   ConfigurationVersion version = 0;  ///< Of the routes that decided.
 };
 
+/// Takes the times that a steering sees; for histograms.
+class LatencyObserver {
+ public:
+  virtual ~LatencyObserver() = default;
+  /// From placing an opening to the caller's first packet that shows an answer.
+  virtual void onOpeningAnswered(Duration latency) = 0;
+  /// From a caller's new data to its first acknowledgement of new bytes.
+  virtual void onDataAnswered(Duration latency) = 0;
+};
+
 class TokenSteering : public FlowSteering {
  public:
   /// @param weights outlives the steering.
   TokenSteering(const TokenSteeringOptions& options, PlacementWeights& weights, Random& random);
 
+  /// @param observer outlives the steering; null for none.
+  void setLatencyObserver(LatencyObserver* observer) { latencies_ = observer; }
+
   Verdict onPacket(const PacketSummary& packet, Time now) override;
   void onTick(Time now) override;
 
@@ -102,6 +115,7 @@
   /// @return what an opening gets where no back end of its route takes flows.
   Verdict withoutBackend(const Route& route, Time now);
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
+  void noteAnswer(TokenFlow& flow, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
   void resetFlowsOfEnded();
@@ -120,6 +134,7 @@
   std::vector<FlowReset> resets_;
   TokenSteeringCounters counters_;
   OpeningDecision decision_;
+  LatencyObserver* latencies_ = nullptr;
   bool viewCurrent_ = false;
   bool openingsAreStale_ = false;
   Time nextMaintenance_{};
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -12,8 +12,7 @@
 constexpr int kUsageError = 2;
 
 template <typename Process>
-int run(const cobaltgauge::daemon::Settings& settings) {
-  Process process(settings);
+int run(Process& process) {
   if (!process.open()) {
     std::cerr << "cobaltgauged: " << process.lastReason() << "\n";
     return 1;
@@ -22,11 +21,16 @@
   return 0;
 }
 
-int runDaemon(const cobaltgauge::daemon::Settings& settings) {
+int runDaemon(const cobaltgauge::daemon::Settings& settings,
+              const cobaltgauge::daemon::CommandLine& commandLine) {
   using cobaltgauge::daemon::SteeringMode;
   cobaltgauge::daemon::initializeLog(settings.logLevel, settings.name);
-  return settings.steering == SteeringMode::kToken ? run<cobaltgauge::daemon::TokenDaemon>(settings)
-                                                   : run<cobaltgauge::daemon::Daemon>(settings);
+  if (settings.steering == SteeringMode::kToken) {
+    cobaltgauge::daemon::TokenDaemon daemon(settings, commandLine);
+    return run(daemon);
+  }
+  cobaltgauge::daemon::Daemon daemon(settings);
+  return run(daemon);
 }
 
 }  // namespace
@@ -55,5 +59,5 @@
     std::cout << "settings are valid\n";
     return 0;
   }
-  return runDaemon(*settings);
+  return runDaemon(*settings, *commandLine);
 }
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -1,51 +1,15 @@
 #include "daemon/metrics.h"
 
-#include <prometheus/metric_family.h>
-#include <prometheus/text_serializer.h>
-
-#include <functional>
 #include <vector>
 
+#include "daemon/metric_table.h"
+
 namespace cobaltgauge::daemon {
 namespace {
 
-/// One sample: the value of the metric's label, empty for a metric without label, and a number.
-struct Sample {
-  std::string label;
-  double value = 0;
-};
-
-struct MetricDefinition {
-  const char* name;
-  const char* help;
-  const char* label;  ///< Null for a metric without label.
-  prometheus::MetricType type;
-  std::function<std::vector<Sample>(const MetricSources&)> read;
-};
-
 using prometheus::MetricType;
-
-std::vector<Sample> single(std::uint64_t value) { return {{"", static_cast<double>(value)}}; }
-
-template <typename Reason, std::size_t N>
-std::vector<Sample> byReason(const std::array<std::uint64_t, N>& counts) {
-  std::vector<Sample> samples;
-  samples.reserve(N);
-  for (std::size_t i = 0; i < N; ++i) {
-    samples.push_back({toString(static_cast<Reason>(i)), static_cast<double>(counts[i])});
-  }
-  return samples;
-}
-
-template <typename Error>
-std::vector<Sample> byError(const std::map<Error, std::uint64_t>& counts) {
-  std::vector<Sample> samples;
-  samples.reserve(counts.size());
-  for (const auto& [error, count] : counts) {
-    samples.push_back({toString(error), static_cast<double>(count)});
-  }
-  return samples;
-}
+using Sample = MetricSample;
+using Definition = MetricDefinition<MetricSources>;
 
 std::vector<Sample> membersByState(const MetricSources& sources) {
   std::vector<Sample> samples{{"joining", 0}, {"alive", 0}, {"leaving", 0},
@@ -64,8 +28,8 @@
           {"invalid", static_cast<double>(counters.invalid)}};
 }
 
-const std::vector<MetricDefinition>& definitions() {
-  static const std::vector<MetricDefinition> kDefinitions{
+const std::vector<Definition>& definitions() {
+  static const std::vector<Definition> kDefinitions{
       {"cobaltgauge_packets_received_total", "Datagrams that arrived at the data socket", nullptr,
        MetricType::Counter,
        [](const MetricSources& s) { return single(s.data.counters().packetsReceived); }},
@@ -147,24 +111,7 @@
 }  // namespace
 
 std::string metricsText(const MetricSources& sources) {
-  std::vector<prometheus::MetricFamily> families;
-  for (const MetricDefinition& definition : definitions()) {
-    prometheus::MetricFamily family{definition.name, definition.help, definition.type, {}};
-    for (const Sample& sample : definition.read(sources)) {
-      prometheus::ClientMetric metric;
-      if (definition.label != nullptr) {
-        metric.label.push_back({definition.label, sample.label});
-      }
-      if (definition.type == MetricType::Counter) {
-        metric.counter.value = sample.value;
-      } else {
-        metric.gauge.value = sample.value;
-      }
-      family.metric.push_back(std::move(metric));
-    }
-    families.push_back(std::move(family));
-  }
-  return prometheus::TextSerializer().Serialize(families);
+  return renderMetrics(readTable(definitions(), sources));
 }
 
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +46,8 @@
   std::chrono::milliseconds stopGrace{6000};
   core::Endpoint readinessListen;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
+  /// What the file and the flags gave, by flag; for telling what a reload changes.
+  std::map<std::string, std::string> given;
 };
 
 /// One setting: where it stands, what it means, what is allowed.
@@ -56,6 +59,7 @@
   bool required = false;
   /// Parses and stores a value. @return false where the value is not allowed.
   std::function<bool(Settings&, const std::string&)> assign;
+  bool reloadable = false;  ///< Takes effect while the daemon runs.
 
   /// @return the flag's name without dashes, "section-key" with '-' for '_'.
   std::string flag() const;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -19,7 +19,13 @@
 
 SettingField field(const char* section, const char* key, const char* documentation,
                    std::string allowed, Assign assign, bool required = false) {
-  return {section, key, documentation, std::move(allowed), required, std::move(assign)};
+  return {section, key, documentation, std::move(allowed), required, std::move(assign), false};
+}
+
+/// @return true for settings that take effect while the daemon runs (token steering).
+bool isReloadable(const std::string& flag) {
+  return flag == "log-level" || flag == "steering-stop-grace-ms" ||
+         flag == "steering-policy-file" || flag == "platform-address";
 }
 
 bool isName(const std::string& text) {
@@ -152,6 +158,9 @@
                                  &Settings::adminListen));
   fields.push_back(field("log", "level", "Least severity that is logged",
                          "one of debug, info, warning, error", assignLogLevel));
+  for (SettingField& item : fields) {
+    item.reloadable = isReloadable(item.flag());
+  }
   return fields;
 }
 
--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -168,6 +168,7 @@
         return false;
       }
       seen.push_back(field->flag());
+      settings.given[field->flag()] = *value;
     }
   }
   return true;
@@ -184,6 +185,7 @@
       return fail("--" + field->flag() + ": " + complaint(*field, value));
     }
     seen.push_back(field->flag());
+    settings.given[field->flag()] = value;
   }
   for (const SettingField& field : settingFields()) {
     const bool given = std::find(seen.begin(), seen.end(), field.flag()) != seen.end();
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -28,9 +28,10 @@
     return;
   }
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(read->timeout);
-  client_.get(dialect_.target(*read), timeout, [this, request = *read](net::HttpAnswer answer) {
-    onAnswer(request, std::move(answer));
-  });
+  client_.get(dialect_.target(*read), timeout,
+              [this, request = *read, now](net::HttpAnswer answer) {
+                onAnswer(request, now, std::move(answer));
+              });
 }
 
 void StoreLink::restart() {
@@ -40,10 +41,11 @@
   start();
 }
 
-void StoreLink::onAnswer(const core::StoreRead& read, net::HttpAnswer answer) {
+void StoreLink::onAnswer(const core::StoreRead& read, core::Time sentAt, net::HttpAnswer answer) {
+  const core::Time now = bootTime();
   const core::StoreReply reply = toReply(std::move(answer));
-  reader_.onReply(reply, bootTime());
-  listener_(read, reply);
+  reader_.onReply(reply, now);
+  listener_(read, reply, now - sentAt);
   start();
 }
 
--- a/src/daemon/store_link.h
+++ b/src/daemon/store_link.h
@@ -16,7 +16,8 @@
 class StoreLink {
  public:
   /// Called after each answer, once the reader has taken it.
-  using Listener = std::function<void(const core::StoreRead&, const core::StoreReply&)>;
+  using Listener =
+      std::function<void(const core::StoreRead&, const core::StoreReply&, core::Duration latency)>;
 
   StoreLink(asio::io_context& context, const core::Endpoint& store,
             const net::StoreDialect& dialect, core::StoreReader& reader, Listener listener);
@@ -29,7 +30,7 @@
   void restart();
 
  private:
-  void onAnswer(const core::StoreRead& read, net::HttpAnswer answer);
+  void onAnswer(const core::StoreRead& read, core::Time sentAt, net::HttpAnswer answer);
   core::StoreReply toReply(net::HttpAnswer answer) const;
 
   const net::StoreDialect& dialect_;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -20,11 +20,21 @@
 constexpr core::Duration kRouterNotices = std::chrono::milliseconds(1600);
 /// A leaving daemon without packets for this long has nothing left to forward.
 constexpr core::Duration kQuiet = std::chrono::milliseconds(600);
-/// Time kept in reserve before the process would be killed.
-constexpr core::Duration kStopReserve = std::chrono::milliseconds(700);
+/// Share of the time until the process would be killed that it uses at most. Where packets still
+/// come after that, no other daemon takes them, and a quick restart serves them best.
+constexpr int kStopShare = 2;
+constexpr core::Duration kSettingsCheckInterval = std::chrono::seconds(2);
 constexpr int kNotReady = 503;
 constexpr int kNotFound = 404;
 
+std::string joined(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text += (text.empty() ? "" : ",") + name;
+  }
+  return text;
+}
+
 core::TokenSteeringOptions steeringOptions(const Settings& settings) {
   core::TokenSteeringOptions options;
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
@@ -35,8 +45,9 @@
 
 }  // namespace
 
-TokenDaemon::TokenDaemon(Settings settings)
+TokenDaemon::TokenDaemon(Settings settings, CommandLine commandLine)
     : settings_(std::move(settings)),
+      settingsWatch_(std::move(commandLine)),
       formats_(net::makeEdgeFormats()),
       weights_(settings_.zone),
       steering_(steeringOptions(settings_), weights_, random_),
@@ -46,8 +57,9 @@
       prober_(context_, [this](const core::BackendAddress& backend,
                                core::ProbeResult result) { onProbe(backend, result); }),
       readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
+      admin_(context_, [this](const std::string& path) { return answerAdmin(path); }),
       timer_(context_),
-      signals_(context_, SIGTERM, SIGINT) {}
+      signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
 bool TokenDaemon::open() {
   packets_.setBatchListener([this](core::Time now) { onBatch(now); });
@@ -66,26 +78,40 @@
     lastReason_ = readiness_.lastReason();
     return false;
   }
-  store_ = std::make_unique<StoreLink>(
-      context_, settings_.platform, *formats_.store, reader_,
-      [this](const core::StoreRead& read, const core::StoreReply& reply) {
-        onStoreAnswer(read, reply);
-      });
-  signals_.async_wait([this](const asio::error_code& error, int) {
-    if (!error) {
-      onSignal();
-    }
-  });
+  if (!admin_.open(settings_.adminListen)) {
+    // Serving matters more than being watched.
+    logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
+  }
+  steering_.setLatencyObserver(&latencies_);
+  waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
             {"data", net::formatEndpoint(settings_.dataListen)},
             {"store", net::formatEndpoint(settings_.platform)}});
   lastActive_ = bootTime();
-  store_->start();
+  connectStore();
   scheduleTick();
   return true;
 }
 
+void TokenDaemon::connectStore() {
+  store_ = std::make_unique<StoreLink>(
+      context_, settings_.platform, *formats_.store, reader_,
+      [this](const core::StoreRead& read, const core::StoreReply& reply, core::Duration latency) {
+        onStoreAnswer(read, reply, latency);
+      });
+  store_->restart();
+}
+
+void TokenDaemon::waitForSignal() {
+  signals_.async_wait([this](const asio::error_code& error, int signal) {
+    if (!error) {
+      onSignal(signal);
+      waitForSignal();
+    }
+  });
+}
+
 bool TokenDaemon::loadPolicy() {
   if (settings_.policyFile.empty()) {
     return true;
@@ -118,6 +144,14 @@
                    : net::HttpResponse{kNotReady, "text/plain", "not ready\n"};
 }
 
+net::HttpResponse TokenDaemon::answerAdmin(const std::string& path) const {
+  if (path != "/metrics") {
+    return {kNotFound, "text/plain", "only /metrics is here\n"};
+  }
+  const TokenMetricSources sources{steering_, reader_, packets_, latencies_, isReady()};
+  return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
+}
+
 void TokenDaemon::scheduleTick() {
   timer_.expires_after(kTick);
   timer_.async_wait([this](const asio::error_code& error) {
@@ -160,6 +194,12 @@
   noticeSuspension(now);
   steering_.onTick(now);
   carryOutHealth(now);
+  if (now >= nextSettingsCheck_) {
+    nextSettingsCheck_ = now + kSettingsCheckInterval;
+    if (settingsWatch_.hasChanged()) {
+      reloadSettings("file");
+    }
+  }
   stopIfDone(now);
   flushLog();
 }
@@ -176,7 +216,11 @@
   store_->restart();
 }
 
-void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply) {
+void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
+                                core::Duration latency) {
+  if (read.kind == core::StoreRead::Kind::kList) {
+    latencies_.onStoreAnswer(latency);
+  }
   const bool answered = reply.outcome == core::ReadOutcome::kAnswered ||
                         reply.outcome == core::ReadOutcome::kHistoryGone;
   if (answered == storeReachable_) {
@@ -191,19 +235,50 @@
             {"revision", std::to_string(reader_.revision())}});
 }
 
-void TokenDaemon::onSignal() {
+void TokenDaemon::onSignal(int signal) {
+  if (signal == SIGHUP) {
+    reloadSettings("signal");
+  } else if (!leaving_) {
+    beginStop();
+  }
+}
+
+void TokenDaemon::beginStop() {
   logEvent(LogLevel::kInfo, "planned_stop_began");
   leaving_ = true;
   leavingSince_ = bootTime();
 }
 
+void TokenDaemon::reloadSettings(const char* cause) {
+  const core::Endpoint storeBefore = settings_.platform;
+  const std::optional<SettingsChange> change = settingsWatch_.reload(settings_);
+  if (!change) {
+    logEvent(LogLevel::kError, "reload_refused",
+             {{"cause", cause}, {"reason", settingsWatch_.lastReason()}});
+    return;
+  }
+  setLogLevel(settings_.logLevel);
+  const bool policyTaken = loadPolicy();
+  if (policyTaken) {
+    steering_.backends().reweigh();
+  }
+  if (settings_.platform != storeBefore) {
+    connectStore();
+  }
+  logEvent(LogLevel::kInfo, "reloaded",
+           {{"cause", cause},
+            {"taken", joined(change->taken)},
+            {"needs_restart", joined(change->needsRestart)},
+            {"policy", policyTaken ? "taken" : lastReason_}});
+}
+
 void TokenDaemon::stopIfDone(core::Time now) {
   if (!leaving_ || now - leavingSince_ < kRouterNotices) {
     return;
   }
   const bool quiet = now - packets_.lastPacketAt() > kQuiet;
   const core::Duration grace = std::chrono::duration_cast<core::Duration>(settings_.stopGrace);
-  if (!quiet && now - leavingSince_ < grace - kStopReserve) {
+  if (!quiet && now - leavingSince_ < grace / kStopShare) {
     return;
   }
   logEvent(LogLevel::kInfo, "planned_stop_ended", {{"quiet", quiet ? "yes" : "no"}});
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -16,8 +16,10 @@
 #include "daemon/packet_port.h"
 #include "daemon/policy_weights.h"
 #include "daemon/settings.h"
+#include "daemon/settings_watch.h"
 #include "daemon/store_link.h"
 #include "daemon/system_random.h"
+#include "daemon/token_metrics.h"
 #include "net/http_server.h"
 #include "net/store_dialect.h"
 
@@ -25,7 +27,8 @@
 
 class TokenDaemon {
  public:
-  explicit TokenDaemon(Settings settings);
+  /// @param commandLine names the settings file, which is read again when it changes.
+  TokenDaemon(Settings settings, CommandLine commandLine);
 
   /// Opens every socket. @return false on failure; see lastReason().
   bool open();
@@ -37,6 +40,7 @@
   bool loadPolicy();
   bool isReady() const;
   net::HttpResponse answerReadiness(const std::string& path) const;
+  net::HttpResponse answerAdmin(const std::string& path) const;
   void onBatch(core::Time now);
   void onDrained(core::Time now);
   /// Starts the probes and sends the resets that the steering wants.
@@ -45,11 +49,17 @@
   void onTick();
   void scheduleTick();
   void noticeSuspension(core::Time now);
-  void onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply);
-  void onSignal();
+  void onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
+                     core::Duration latency);
+  void waitForSignal();
+  void onSignal(int signal);
+  void beginStop();
+  void reloadSettings(const char* cause);
+  void connectStore();
   void stopIfDone(core::Time now);
 
   Settings settings_;
+  SettingsWatch settingsWatch_;
   asio::io_context context_;
   SystemRandom random_;
   net::EdgeFormats formats_;
@@ -57,13 +67,16 @@
   core::TokenSteering steering_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
+  LatencyHistograms latencies_;
   PacketPort packets_;
   BackendProber prober_;
   std::unique_ptr<StoreLink> store_;
   net::HttpServer readiness_;
+  net::HttpServer admin_;
   asio::steady_timer timer_;
   asio::signal_set signals_;
   core::Time lastActive_{};
+  core::Time nextSettingsCheck_{};
   core::Time leavingSince_{};
   bool leaving_ = false;
   bool storeReachable_ = true;
--- /dev/null
+++ b/src/daemon/token_metrics.cc
@@ -0,0 +1,123 @@
+#include "daemon/token_metrics.h"
+
+#include "daemon/log.h"
+#include "daemon/metric_table.h"
+#include "net/packet_format.h"
+
+namespace cobaltgauge::daemon {
+namespace {
+
+using prometheus::MetricType;
+using Sources = TokenMetricSources;
+using Definition = MetricDefinition<Sources>;
+
+/// Upper bounds in seconds, from a packet inside a zone to the longest that a caller waits.
+const prometheus::Histogram::BucketBoundaries kLatencyBounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+                                                             0.1,   0.2,   0.5,   1.0,  2.0,  5.0};
+
+double seconds(core::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+const std::vector<Definition>& definitions() {
+  static const std::vector<Definition> kDefinitions{
+      {"cobaltgauge_packets_received_total", "Datagrams that arrived at the data socket", nullptr,
+       MetricType::Counter, [](const Sources& s) { return single(s.packets.counters().received); }},
+      {"cobaltgauge_packets_to_backends_total", "Packets sent to back ends", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.packets.counters().sentToBackends); }},
+      {"cobaltgauge_packets_routed_total", "Packets routed, by the rule that chose", "reason",
+       MetricType::Counter,
+       [](const Sources& s) { return byReason<core::RouteReason>(s.steering.counters().routed); }},
+      {"cobaltgauge_packets_dropped_total", "Packets dropped by the core", "reason",
+       MetricType::Counter,
+       [](const Sources& s) { return byReason<core::DropReason>(s.steering.counters().dropped); }},
+      {"cobaltgauge_packets_refused_total", "Packets refused", "reason", MetricType::Counter,
+       [](const Sources& s) {
+         return byReason<core::RefuseReason>(s.steering.counters().refused);
+       }},
+      {"cobaltgauge_packet_faults_total", "Datagrams that are no packet of the format", "reason",
+       MetricType::Counter,
+       [](const Sources& s) { return byReason<net::PacketFault>(s.packets.counters().faults); }},
+      {"cobaltgauge_refusals_sent_total", "Refusals and resets sent to callers", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.packets.counters().refusalsSent); }},
+      {"cobaltgauge_data_send_errors_total", "Packets the kernel would not send", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.packets.counters().sendErrors); }},
+      {"cobaltgauge_open_flows", "Flows that passed here and are open", nullptr, MetricType::Gauge,
+       [](const Sources& s) { return single(s.steering.flows().size()); }},
+      {"cobaltgauge_flow_evictions_total", "Open flows that the table had to forget", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.flows().evictions()); }},
+      {"cobaltgauge_backends_known", "Back ends reachable by token, departed ones too", nullptr,
+       MetricType::Gauge, [](const Sources& s) { return single(s.steering.backends().size()); }},
+      {"cobaltgauge_backends_active", "Back ends that take new flows", nullptr, MetricType::Gauge,
+       [](const Sources& s) { return single(s.steering.backends().activeCount()); }},
+      {"cobaltgauge_backend_probes_total", "Connections opened to silent back ends", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.health().counters().probes); }},
+      {"cobaltgauge_backends_declared_dead_total", "Back ends whose flows were given up", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.health().counters().declaredDead); }},
+      {"cobaltgauge_routes_version", "Configuration version in force", nullptr, MetricType::Gauge,
+       [](const Sources& s) { return single(s.steering.routes().version()); }},
+      {"cobaltgauge_store_revision", "Store revision up to which changes are known", nullptr,
+       MetricType::Gauge, [](const Sources& s) { return single(s.reader.revision()); }},
+      {"cobaltgauge_store_reads_total", "Reads of the store, by kind", "kind", MetricType::Counter,
+       [](const Sources& s) {
+         return std::vector<MetricSample>{
+             {"list", static_cast<double>(s.reader.counters().lists)},
+             {"watch", static_cast<double>(s.reader.counters().watches)}};
+       }},
+      {"cobaltgauge_store_failures_total", "Reads of the store that failed", nullptr,
+       MetricType::Counter, [](const Sources& s) { return single(s.reader.counters().failures); }},
+      {"cobaltgauge_store_history_gone_total", "Watches that began before the store's history",
+       nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.reader.counters().historyGone); }},
+      {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
+       nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
+      {"cobaltgauge_ready", "1 while this daemon asks for packets", nullptr, MetricType::Gauge,
+       [](const Sources& s) { return single(s.ready ? 1 : 0); }}};
+  return kDefinitions;
+}
+
+prometheus::MetricFamily family(const char* name, const char* help,
+                                const prometheus::Histogram& histogram) {
+  return {name, help, MetricType::Histogram, {histogram.Collect()}};
+}
+
+}  // namespace
+
+LatencyHistograms::LatencyHistograms()
+    : openings_(kLatencyBounds), answers_(kLatencyBounds), storeReads_(kLatencyBounds) {}
+
+void LatencyHistograms::onOpeningAnswered(core::Duration latency) {
+  openings_.Observe(seconds(latency));
+}
+
+void LatencyHistograms::onDataAnswered(core::Duration latency) {
+  answers_.Observe(seconds(latency));
+}
+
+void LatencyHistograms::onStoreAnswer(core::Duration latency) {
+  storeReads_.Observe(seconds(latency));
+}
+
+std::vector<prometheus::MetricFamily> LatencyHistograms::collect() const {
+  return {
+      family("cobaltgauge_opening_seconds",
+             "From placing an opening to the caller's first packet after the answer", openings_),
+      family("cobaltgauge_answer_seconds",
+             "From a caller's new data to its first acknowledgement of new bytes", answers_),
+      family("cobaltgauge_store_list_seconds", "Time of one page of the store's listing",
+             storeReads_)};
+}
+
+std::string tokenMetricsText(const TokenMetricSources& sources) {
+  std::vector<prometheus::MetricFamily> families = readTable(definitions(), sources);
+  for (prometheus::MetricFamily& histogram : sources.latencies.collect()) {
+    families.push_back(std::move(histogram));
+  }
+  return renderMetrics(families);
+}
+
+}  // namespace cobaltgauge::daemon
--- /dev/null
+++ b/src/daemon/token_metrics.h
@@ -0,0 +1,48 @@
+/// @file
+/// Metrics of token steering in the Prometheus text format; docs/METRICS.md repeats the table for
+/// operators.
+#pragma once
+
+#include <prometheus/histogram.h>
+#include <prometheus/metric_family.h>
+
+#include <string>
+#include <vector>
+
+#include "core/store_reader.h"
+#include "core/token_steering.h"
+#include "daemon/packet_port.h"
+
+namespace cobaltgauge::daemon {
+
+/// Histograms of latencies, in seconds.
+class LatencyHistograms : public core::LatencyObserver {
+ public:
+  LatencyHistograms();
+
+  void onOpeningAnswered(core::Duration latency) override;
+  void onDataAnswered(core::Duration latency) override;
+  void onStoreAnswer(core::Duration latency);
+
+  /// @return one family for each histogram.
+  std::vector<prometheus::MetricFamily> collect() const;
+
+ private:
+  prometheus::Histogram openings_;
+  prometheus::Histogram answers_;
+  prometheus::Histogram storeReads_;
+};
+
+/// Where the values are read from.
+struct TokenMetricSources {
+  const core::TokenSteering& steering;
+  const core::StoreReader& reader;
+  const PacketPort& packets;
+  const LatencyHistograms& latencies;
+  bool ready = false;
+};
+
+/// @return all metrics as text.
+std::string tokenMetricsText(const TokenMetricSources& sources);
+
+}  // namespace cobaltgauge::daemon
