Keep packets that come just before the view

Change: packets that the view cannot decide are kept for 250 ms, 256 at most, and decided again when it changes.

--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -2,6 +2,11 @@
 
 namespace cobaltgauge::core {
 
+bool mayChangeWithView(DropReason reason) {
+  return reason == DropReason::kNoConfiguration || reason == DropReason::kUnknownToken ||
+         reason == DropReason::kEmptyService;
+}
+
 const char* toString(RouteReason reason) {
   switch (reason) {
     case RouteReason::kKnownFlow:
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -98,6 +98,9 @@
 
 using Verdict = std::variant<ForwardToBackend, ForwardToPeer, Refuse, Drop>;
 
+/// @return true where a newer view may decide the packet otherwise.
+bool mayChangeWithView(DropReason reason);
+
 const char* toString(RouteReason reason);
 const char* toString(DropReason reason);
 const char* toString(RefuseReason reason);
--- a/src/daemon/packet_port.cc
+++ b/src/daemon/packet_port.cc
@@ -72,11 +72,11 @@
       return;
     }
     lastPacketAt_ = now;
-    onPacket(std::span(buffer_.data(), prefix + size), now);
+    onPacket(std::span(buffer_.data(), prefix + size), now, now);
   }
 }
 
-void PacketPort::onPacket(std::span<std::uint8_t> datagram, core::Time now) {
+void PacketPort::onPacket(std::span<std::uint8_t> datagram, core::Time arrivedAt, core::Time now) {
   ++counters_.received;
   const net::ByteView packet = datagram.subspan(format_.prefixBytes());
   const std::optional<core::PacketSummary> summary = format_.read(packet);
@@ -91,11 +91,32 @@
   } else if (std::holds_alternative<core::Refuse>(verdict)) {
     refuse(summary->flow, summary->acknowledgement);
   }
+  keepIfUndecided(verdict, packet, arrivedAt);
   if (onVerdict_) {
     onVerdict_(*summary, verdict);
   }
 }
 
+void PacketPort::keepIfUndecided(const core::Verdict& verdict, net::ByteView packet,
+                                 core::Time arrivedAt) {
+  const auto* drop = std::get_if<core::Drop>(&verdict);
+  if (drop != nullptr && core::mayChangeWithView(drop->reason)) {
+    pending_.add({packet.begin(), packet.end()}, arrivedAt);
+  }
+}
+
+void PacketPort::retryPending(core::Time now) {
+  if (pending_.empty()) {
+    return;
+  }
+  for (PendingPackets::Packet& kept : pending_.take(now)) {
+    ++counters_.retried;
+    std::vector<std::uint8_t> datagram(format_.prefixBytes());
+    datagram.insert(datagram.end(), kept.bytes.begin(), kept.bytes.end());
+    onPacket(datagram, kept.arrivedAt, now);
+  }
+}
+
 void PacketPort::refuse(const core::FlowKey& flow, std::uint32_t acknowledgement) {
   const std::vector<std::uint8_t> refusal = format_.refusal(flow, acknowledgement);
   counters_.refusalsSent += send(format_.callerEndpoint(flow, local_), refusal) ? 1U : 0U;
--- a/src/daemon/packet_port.h
+++ b/src/daemon/packet_port.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/flow_steering.h"
+#include "daemon/pending_packets.h"
 #include "net/packet_format.h"
 
 namespace cobaltgauge::daemon {
@@ -20,6 +21,7 @@
   std::uint64_t sentToBackends = 0;
   std::uint64_t refusalsSent = 0;
   std::uint64_t sendErrors = 0;
+  std::uint64_t retried = 0;  ///< Packets decided again after the view changed.
   std::array<std::uint64_t, net::kPacketFaults> faults{};
 };
 
@@ -32,6 +34,9 @@
 
   PacketPort(asio::io_context& context, net::PacketFormat& format, core::FlowSteering& steering);
 
+  /// Decides packets again that the view could not decide; to be called when it has changed.
+  void retryPending(core::Time now);
+
   /// Tells a caller that its flow is refused.
   void refuse(const core::FlowKey& flow, std::uint32_t acknowledgement);
 
@@ -44,13 +49,16 @@
   bool open(const core::Endpoint& endpoint);
   const std::string& lastReason() const { return lastReason_; }
 
+  const core::Endpoint& localEndpoint() const { return local_; }
   const PacketPortCounters& counters() const { return counters_; }
   core::Time lastPacketAt() const { return lastPacketAt_; }
 
  private:
   void waitForPackets();
   void receiveBatch();
-  void onPacket(std::span<std::uint8_t> datagram, core::Time now);
+  /// @param arrivedAt earlier than `now` where the packet was kept.
+  void onPacket(std::span<std::uint8_t> datagram, core::Time arrivedAt, core::Time now);
+  void keepIfUndecided(const core::Verdict& verdict, net::ByteView packet, core::Time arrivedAt);
   bool send(const core::Endpoint& destination, net::ByteView bytes);
 
   net::PacketFormat& format_;
@@ -58,6 +66,7 @@
   asio::ip::udp::socket socket_;
   core::Endpoint local_;
   std::vector<std::uint8_t> buffer_;
+  PendingPackets pending_;
   BatchListener onBatch_;
   VerdictListener onVerdict_;
   BatchListener onDrained_;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -218,6 +218,11 @@
 
 void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
                                 core::Duration latency) {
+  if (!reply.changes.empty() && reader_.isComplete()) {
+    const core::Time now = bootTime();
+    steering_.setViewCurrent(reader_.isCurrent(now));
+    packets_.retryPending(now);
+  }
   if (read.kind == core::StoreRead::Kind::kList) {
     latencies_.onStoreAnswer(latency);
   }
--- /dev/null
+++ b/tests/daemon/packet_port_test.cc
@@ -0,0 +1,105 @@
+#include "daemon/packet_port.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "core/token_steering.h"
+#include "net/address.h"
+#include "platform/packet_head.h"
+#include "support/token_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+/// A packet port on loopback, a back end's socket, and a caller's.
+struct PortFixture : TokenFixture {
+  asio::io_context context;
+  platform::PacketHead format;
+  core::TokenSteering empty{core::TokenSteeringOptions{}, weights, random};
+  daemon::PacketPort port{context, format, empty};
+  asio::ip::udp::socket backend{context, {asio::ip::make_address("127.0.0.1"), 0}};
+  asio::ip::udp::socket caller{context, {asio::ip::make_address("127.0.0.1"), 0}};
+
+  PortFixture() {
+    BOOST_REQUIRE(port.open(*net::parseEndpoint("127.0.0.1:0")));
+    backend.non_blocking(true);
+  }
+
+  /// An opening from 100.64.0.7:40001 to 10.90.0.1:443.
+  static std::vector<std::uint8_t> opening() {
+    std::vector<std::uint8_t> packet(31, 0);
+    packet[4] = 64;
+    const std::vector<std::uint8_t> addresses{0x07, 0x00, 0x40, 0x64, 0xbb, 0x01,
+                                              0x41, 0x9c, 0x01, 0x00, 0x5a, 0x0a};
+    std::copy(addresses.begin(), addresses.end(), packet.begin() + 19);
+    return packet;
+  }
+
+  void sendToPort(const std::vector<std::uint8_t>& packet) {
+    caller.send_to(asio::buffer(packet), net::toUdp(port.localEndpoint()));
+    const std::uint64_t before = port.counters().received;
+    while (port.counters().received == before) {
+      context.run_one();
+    }
+  }
+
+  /// Gives the empty steering one back end, at this fixture's socket.
+  void learnView() {
+    core::Registration registration = makeRegistration(9, "web", 1, 1);
+    registration.endpoint = net::fromUdp(backend.local_endpoint());
+    empty.backends().put("servers/9", registration, 1, now);
+    empty.routes().offer(makeRoutes(1, {{1, "web"}}), now);
+  }
+
+  /// @return bytes of the datagram that waits at the back end, zero for none.
+  std::size_t receivedByBackend() {
+    std::vector<std::uint8_t> buffer(2048);
+    asio::error_code error;
+    const std::size_t size = backend.receive(asio::buffer(buffer), 0, error);
+    return error ? 0 : size;
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(PacketPortTest, PortFixture)
+
+// The packets of the first milliseconds were dropped and sent again by their callers only after
+// 200 to 800 ms (ptf scale-1 after all daemons were killed).
+BOOST_AUTO_TEST_CASE(packets_that_come_before_the_view_are_forwarded_once_it_is_there) {
+  sendToPort(opening());
+  BOOST_TEST(receivedByBackend() == 0U);
+  learnView();
+  port.retryPending(port.lastPacketAt());
+  BOOST_TEST(receivedByBackend() == 39U);
+  BOOST_TEST(port.counters().retried == 1U);
+  port.retryPending(port.lastPacketAt());
+  BOOST_TEST(port.counters().retried == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(packets_that_waited_too_long_are_not_forwarded) {
+  sendToPort(opening());
+  learnView();
+  port.retryPending(port.lastPacketAt() + daemon::kPendingAge + 1ms);
+  BOOST_TEST(receivedByBackend() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_packet_is_counted_by_reason) {
+  sendToPort({1, 2, 3});
+  const auto index = static_cast<std::size_t>(net::PacketFault::kShort);
+  BOOST_TEST(port.counters().faults[index] == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(kept_packets_are_bounded) {
+  daemon::PendingPackets pending;
+  for (std::size_t i = 0; i < daemon::kPendingPackets + 10; ++i) {
+    pending.add({static_cast<std::uint8_t>(i)}, now);
+  }
+  const std::vector<daemon::PendingPackets::Packet> kept = pending.take(now);
+  BOOST_TEST(kept.size() == daemon::kPendingPackets);
+  BOOST_TEST(kept.front().bytes[0] == 10);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
