Take changes at once that packets wait for

Change: no pause within 1 s after a packet lacked a back end; time-outs double with every third failure only.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -103,11 +103,13 @@
 /// Wait of the first watch after a lost one. The store may be about to drop its history, and
 /// answers such a watch only when its wait is over; an answer proves that nothing was missed.
 inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
-/// Time-out of a first read of the store; doubled with each failure in a row, so that a store that
-/// is slow is reached in the end and one that is silent costs little at start.
+/// Time-out of a first read of the store; doubled with every third failure in a row, so that a
+/// store that is slow is reached in the end, and one that was silent is noticed soon after its
+/// return.
 inline constexpr Duration kReadTimeout = 250ms;
 /// Time beyond its wait that a watch may take.
 inline constexpr Duration kWatchSlack = 1000ms;
+inline constexpr std::uint32_t kReadsPerTimeout = 3;
 inline constexpr std::uint32_t kReadTimeoutDoublings = 3;
 /// Wait before a failed read is repeated: doubled likewise, half of it random, and short while a
 /// starting daemon has no view at all.
@@ -118,6 +120,9 @@
 /// for kBurstPause, so that a burst costs few reads. A single change is taken at once.
 inline constexpr Duration kBurstGap = 1000ms;
 inline constexpr Duration kBurstPause = 400ms;
+/// How long every change is taken at once after a packet could not be decided for want of a back
+/// end that may just be registering.
+inline constexpr Duration kWantedFor = 1000ms;
 /// A view counts as current for this long after the store's last answer.
 inline constexpr Duration kViewCurrentFor = 1000ms;
 
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -101,7 +101,8 @@
   if (!reply.changes.empty()) {
     const bool inBurst = lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
     lastChangeAt_ = now;
-    nextReadAt_ = inBurst ? now + kBurstPause : now;
+    const bool isWanted = wantedAt_ != Time{} && now - wantedAt_ < kWantedFor;
+    nextReadAt_ = inBurst && !isWanted ? now + kBurstPause : now;
   }
 }
 
@@ -136,7 +137,8 @@
 }
 
 Duration StoreReader::timeoutNow() const {
-  const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, kReadTimeoutDoublings);
+  const std::uint32_t doublings =
+      std::min<std::uint32_t>(failuresInRow_ / kReadsPerTimeout, kReadTimeoutDoublings);
   return kReadTimeout * (1U << doublings);
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -83,6 +83,9 @@
   /// Call after the process was suspended and the read under way was given up: reads at once.
   void onResume(Time now);
 
+  /// Notes that a packet could not be decided for want of a back end: changes are urgent.
+  void onWanted(Time now) { wantedAt_ = now; }
+
   /// @return when nextRead() may give a read, where none is under way.
   Time nextReadAt() const { return nextReadAt_; }
   bool isReading() const { return reading_; }
@@ -110,6 +113,7 @@
   bool reading_ = false;
   bool listing_ = true;
   bool complete_ = false;
+  Time wantedAt_{};
   bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time lastAnswerAt_{};
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -7,6 +7,11 @@
          reason == DropReason::kEmptyService;
 }
 
+bool wantsBackend(DropReason reason) {
+  return reason == DropReason::kUnknownToken || reason == DropReason::kEmptyService ||
+         reason == DropReason::kPaced;
+}
+
 const char* toString(RouteReason reason) {
   switch (reason) {
     case RouteReason::kKnownFlow:
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -100,6 +100,8 @@
 
 /// @return true where a newer view may decide the packet otherwise.
 bool mayChangeWithView(DropReason reason);
+/// @return true where the packet lacks a back end that may just be registering.
+bool wantsBackend(DropReason reason);
 
 const char* toString(RouteReason reason);
 const char* toString(DropReason reason);
--- a/src/daemon/packet_port.cc
+++ b/src/daemon/packet_port.cc
@@ -93,7 +93,7 @@
   }
   keepIfUndecided(verdict, packet, arrivedAt);
   if (onVerdict_) {
-    onVerdict_(*summary, verdict);
+    onVerdict_(*summary, verdict, now);
   }
 }
 
--- a/src/daemon/packet_port.h
+++ b/src/daemon/packet_port.h
@@ -30,7 +30,8 @@
   /// Called with the time at which a batch is handled.
   using BatchListener = std::function<void(core::Time now)>;
   /// Called after each verdict, for logs.
-  using VerdictListener = std::function<void(const core::PacketSummary&, const core::Verdict&)>;
+  using VerdictListener =
+      std::function<void(const core::PacketSummary&, const core::Verdict&, core::Time now)>;
 
   PacketPort(asio::io_context& context, net::PacketFormat& format, core::FlowSteering& steering);
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -64,9 +64,9 @@
 bool TokenDaemon::open() {
   packets_.setBatchListener([this](core::Time now) { onBatch(now); });
   packets_.setDrainedListener([this](core::Time now) { onDrained(now); });
-  packets_.setVerdictListener([this](const core::PacketSummary& packet, const core::Verdict& v) {
-    logVerdict(packet, v, steering_, reader_.revision());
-  });
+  packets_.setVerdictListener([this](const core::PacketSummary& packet,
+                                     const core::Verdict& verdict,
+                                     core::Time now) { onVerdict(packet, verdict, now); });
   if (!loadPolicy()) {
     return false;
   }
@@ -167,6 +167,15 @@
   steering_.setViewCurrent(reader_.isCurrent(now));
 }
 
+void TokenDaemon::onVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
+                            core::Time now) {
+  const auto* drop = std::get_if<core::Drop>(&verdict);
+  if (drop != nullptr && core::wantsBackend(drop->reason)) {
+    reader_.onWanted(now);
+  }
+  logVerdict(packet, verdict, steering_, reader_.revision());
+}
+
 void TokenDaemon::onDrained(core::Time now) {
   steering_.onQueueDrained();
   carryOutHealth(now);
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -42,6 +42,7 @@
   net::HttpResponse answerReadiness(const std::string& path) const;
   net::HttpResponse answerAdmin(const std::string& path) const;
   void onBatch(core::Time now);
+  void onVerdict(const core::PacketSummary& packet, const core::Verdict& verdict, core::Time now);
   void onDrained(core::Time now);
   /// Starts the probes and sends the resets that the steering wants.
   void carryOutHealth(core::Time now);
