--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -218,6 +218,16 @@
   }
 }
 
+std::vector<StoreChange> BackendRegistry::contents() const {
+  std::vector<StoreChange> changes;
+  for (const auto& [key, entry] : entries_) {
+    if (entry.present) {
+      changes.push_back({key, entry.revision, entry.registration});
+    }
+  }
+  return changes;
+}
+
 std::size_t BackendRegistry::activeCount() const {
   std::size_t count = 0;
   for (const auto& [service, list] : candidates_) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -79,6 +79,8 @@
   /// Forgets back ends that have been gone for long enough.
   void forgetDeparted(Time now);
 
+  /// @return every registration whose item is in the store, as an item.
+  std::vector<StoreChange> contents() const;
   std::size_t size() const { return entries_.size(); }
   std::size_t activeCount() const;
 
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -41,6 +41,15 @@
   return found == routes_.end() ? nullptr : &found->second;
 }
 
+std::vector<Route> RouteTable::routes() const {
+  std::vector<Route> list;
+  list.reserve(routes_.size());
+  for (const auto& [endpoint, entry] : routes_) {
+    list.push_back(entry.route);
+  }
+  return list;
+}
+
 void RouteTable::forgetDropped(Time now, Duration keep) {
   std::erase_if(dropped_, [now, keep](const auto& item) { return now - item.second >= keep; });
 }
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/registration.h"
 #include "core/types.h"
@@ -43,6 +44,8 @@
   /// Forgets dropped routes that no flow can belong to any more.
   void forgetDropped(Time now, Duration keep);
 
+  /// @return every route in force.
+  std::vector<Route> routes() const;
   ConfigurationVersion version() const { return version_; }
   std::size_t size() const { return routes_.size(); }
   std::chrono::milliseconds idleTimeout() const { return idleTimeout_; }
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -128,6 +128,20 @@
   nextReadAt_ = now;
 }
 
+void StoreReader::adopt(Revision revision) {
+  if (revision <= revision_) {
+    return;
+  }
+  revision_ = revision;
+  complete_ = true;
+  confirming_ = true;
+  if (!reading_) {
+    listing_ = false;
+    afterKey_.clear();
+    listedKeys_.clear();
+  }
+}
+
 bool StoreReader::isCurrent(Time now) const {
   if (!complete_ || listing_) {
     return false;
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -83,6 +83,9 @@
   /// Call after the process was suspended and the read under way was given up: reads at once.
   void onResume(Time now);
 
+  /// Takes over a view that is complete up to a revision and came from elsewhere.
+  void adopt(Revision revision);
+
   /// Notes that a packet could not be decided for want of a back end: changes are urgent.
   void onWanted(Time now) { wantedAt_ = now; }
 
--- /dev/null
+++ b/src/core/view_exchange.cc
@@ -0,0 +1,195 @@
+#include "core/view_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/constants.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+std::uint32_t milliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+ViewBackend toMessage(const StoreChange& change, const Registration& registration) {
+  return {change.key,
+          change.revision,
+          registration.id,
+          registration.service,
+          registration.endpoint,
+          registration.zone,
+          registration.softwareVersion,
+          registration.capacity,
+          registration.state == BackendState::kLeaving,
+          milliseconds(registration.warmUpLeft)};
+}
+
+StoreChange toChange(const ViewBackend& backend) {
+  Registration registration;
+  registration.id = backend.id;
+  registration.service = backend.service;
+  registration.endpoint = backend.endpoint;
+  registration.zone = backend.zone;
+  registration.softwareVersion = backend.softwareVersion;
+  registration.capacity = backend.capacity;
+  registration.state = backend.leaving ? BackendState::kLeaving : BackendState::kActive;
+  registration.warmUpLeft = std::chrono::milliseconds(backend.warmUpLeftMs);
+  return {backend.key, backend.revision, registration};
+}
+
+ViewRoute toMessage(const Route& route) {
+  ViewRoute message{route.name, route.endpoint, {}, {}};
+  for (const RouteTarget& target : route.targets) {
+    message.services.push_back(target.service);
+    message.weights.push_back(target.weight);
+  }
+  return message;
+}
+
+/// @return the route, or nothing where it has no targets.
+std::optional<Route> toRoute(const ViewRoute& message) {
+  if (message.services.empty() || message.services.size() != message.weights.size()) {
+    return std::nullopt;
+  }
+  Route route{message.name, message.endpoint, {}};
+  for (std::size_t i = 0; i < message.services.size(); ++i) {
+    route.targets.push_back({message.services[i], message.weights[i]});
+  }
+  return route;
+}
+
+}  // namespace
+
+ViewExchange::ViewExchange(const Endpoint& self, TokenSteering& steering, StoreSink& sink,
+                           StoreReader& reader, Random& random)
+    : self_(self), steering_(steering), sink_(sink), reader_(reader), random_(random) {}
+
+void ViewExchange::start(Time now) {
+  startedAt_ = now;
+  lastCurrentAt_ = now;
+}
+
+void ViewExchange::setSeeds(const std::vector<Endpoint>& seeds) {
+  for (const Endpoint& seed : seeds) {
+    addPeer(seed);
+  }
+  introduced_ = false;
+}
+
+void ViewExchange::addPeer(const Endpoint& peer) {
+  if (peer == self_ || peer.port == 0) {
+    return;
+  }
+  std::erase(peers_, peer);
+  if (peers_.size() >= kMostViewPeers) {
+    peers_.erase(peers_.begin());
+  }
+  peers_.push_back(peer);
+}
+
+bool ViewExchange::needsPeers(Time now) const {
+  if (!reader_.isComplete()) {
+    return now - startedAt_ >= kStoreFirstTry;
+  }
+  return now - lastCurrentAt_ >= kStoreSilence;
+}
+
+void ViewExchange::onTick(Time now) {
+  if (reader_.isCurrent(now)) {
+    lastCurrentAt_ = now;
+  }
+  if (!std::exchange(introduced_, true)) {
+    introduce();
+  }
+  if (needsPeers(now) && now >= nextAskAt_) {
+    askSome(now);
+  }
+}
+
+void ViewExchange::introduce() {
+  for (const Endpoint& peer : peers_) {
+    outgoing_.push_back({peer, ViewRequest{self_, reader_.revision(), false}});
+  }
+}
+
+void ViewExchange::askSome(Time now) {
+  nextAskAt_ = now + kAskPeersEvery;
+  std::vector<Endpoint> choice = peers_;
+  while (choice.size() > kPeersAsked) {
+    choice.erase(choice.begin() + static_cast<std::ptrdiff_t>(random_.below(choice.size())));
+  }
+  for (const Endpoint& peer : choice) {
+    ++counters_.requestsSent;
+    outgoing_.push_back({peer, ViewRequest{self_, reader_.revision(), true}});
+  }
+}
+
+void ViewExchange::onRequest(const ViewRequest& request, Time now) {
+  addPeer(request.replyTo);
+  if (request.wanted) {
+    ++counters_.requestsAnswered;
+    outgoing_.push_back({request.replyTo, viewFor(request, now)});
+  }
+}
+
+ViewTransfer ViewExchange::viewFor(const ViewRequest& request, Time now) const {
+  ViewTransfer view;
+  for (const Endpoint& peer : peers_) {
+    if (peer != request.replyTo) {
+      view.peers.push_back(peer);
+    }
+  }
+  if (!reader_.isComplete() || reader_.revision() <= request.have) {
+    return view;
+  }
+  view.revision = reader_.revision();
+  view.ageMs = milliseconds(now - lastCurrentAt_);
+  view.version = steering_.routes().version();
+  view.idleTimeoutMs = static_cast<std::uint32_t>(steering_.routes().idleTimeout().count());
+  for (const Route& route : steering_.routes().routes()) {
+    view.routes.push_back(toMessage(route));
+  }
+  for (const StoreChange& change : steering_.backends().contents()) {
+    view.backends.push_back(toMessage(change, std::get<Registration>(change.item)));
+  }
+  return view;
+}
+
+bool ViewExchange::onTransfer(const ViewTransfer& transfer, Time now) {
+  for (const Endpoint& peer : transfer.peers) {
+    addPeer(peer);
+  }
+  if (transfer.revision == 0) {
+    return false;
+  }
+  if (transfer.revision <= reader_.revision()) {
+    ++counters_.viewsOlder;
+    return false;
+  }
+  ++counters_.viewsTaken;
+  RouteSet routes;
+  routes.version = transfer.version;
+  routes.idleTimeout = std::chrono::milliseconds(transfer.idleTimeoutMs);
+  for (const ViewRoute& message : transfer.routes) {
+    if (std::optional<Route> route = toRoute(message)) {
+      routes.routes.push_back(std::move(*route));
+    }
+  }
+  if (routes.version != 0) {
+    sink_.onChange({"peer", transfer.revision, std::move(routes)}, now);
+  }
+  std::set<std::string> keys;
+  for (const ViewBackend& backend : transfer.backends) {
+    keys.insert(backend.key);
+    sink_.onChange(toChange(backend), now);
+  }
+  sink_.onListed(keys, transfer.revision, now);
+  reader_.adopt(transfer.revision);
+  return true;
+}
+
+std::vector<OutgoingView> ViewExchange::takeMessages() { return std::exchange(outgoing_, {}); }
+
+}  // namespace cobaltgauge::core
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -35,6 +35,7 @@
   std::string clusterName = "cobaltgauge";
   std::string clusterKey;
   core::Endpoint clusterListen;
+  std::vector<core::Endpoint> clusterSeeds;  ///< With the cluster's port, whatever theirs is.
   core::Endpoint platform;
   std::chrono::milliseconds platformPollInterval{500};
   std::chrono::milliseconds platformTimeout{1000};
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -1,5 +1,6 @@
 /// @file
 /// The table of settings.
+#include <algorithm>
 #include <charconv>
 
 #include "daemon/settings.h"
@@ -25,7 +26,7 @@
 /// @return true for settings that take effect while the daemon runs (token steering).
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
-         flag == "steering-policy-file" || flag == "platform-address";
+         flag == "steering-policy-file" || flag == "platform-address" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -89,6 +90,22 @@
   return false;
 }
 
+/// Takes a list of endpoints separated by commas; an empty text is an empty list.
+bool assignSeeds(Settings& settings, const std::string& text) {
+  settings.clusterSeeds.clear();
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find(',', begin), text.size());
+    const std::optional<core::Endpoint> seed = net::parseEndpoint(text.substr(begin, end - begin));
+    if (!seed) {
+      return false;
+    }
+    settings.clusterSeeds.push_back(*seed);
+    begin = end + 1;
+  }
+  return true;
+}
+
 bool assignSteering(Settings& settings, const std::string& text) {
   settings.steering = text == "token" ? SteeringMode::kToken : SteeringMode::kRecorded;
   return text == "token" || text == "recorded";
@@ -147,6 +164,9 @@
                          "16 to 256 bytes", assignKey, true));
   fields.push_back(endpointField("cluster", "listen", "Where peers reach this daemon (UDP, TCP)",
                                  &Settings::clusterListen, true));
+  fields.push_back(field("cluster", "seeds",
+                         "Daemons that may exist (token); their ports are taken as the cluster's",
+                         "ADDRESS:PORT, several separated by commas, or nothing", assignSeeds));
   fields.push_back(endpointField("platform", "address", "The platform's configuration service",
                                  &Settings::platform, true));
   fields.push_back(numberField("platform", "poll_interval_ms", "Time between two reads",
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -35,6 +35,15 @@
   return text;
 }
 
+/// @return the seeds with the cluster's port, which is the same on all machines.
+std::vector<core::Endpoint> seedsOf(const Settings& settings) {
+  std::vector<core::Endpoint> seeds = settings.clusterSeeds;
+  for (core::Endpoint& seed : seeds) {
+    seed.port = settings.clusterListen.port;
+  }
+  return seeds;
+}
+
 core::TokenSteeringOptions steeringOptions(const Settings& settings) {
   core::TokenSteeringOptions options;
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
@@ -53,6 +62,11 @@
       steering_(steeringOptions(settings_), weights_, random_),
       updater_(steering_.backends(), steering_.routes(), logViewChange),
       reader_(updater_, random_),
+      exchange_(settings_.clusterListen, steering_, updater_, reader_, random_),
+      peers_(context_,
+             net::PeerCodec(settings_.clusterName, settings_.clusterKey,
+                            core::memberIdOf(settings_.name)),
+             [this](const net::ReceivedFrame& received) { onFrame(received); }),
       packets_(context_, *formats_.packets, steering_),
       prober_(context_, [this](const core::BackendAddress& backend,
                                core::ProbeResult result) { onProbe(backend, result); }),
@@ -78,6 +92,11 @@
     lastReason_ = readiness_.lastReason();
     return false;
   }
+  if (!peers_.open(settings_.clusterListen)) {
+    lastReason_ = peers_.lastReason();
+    return false;
+  }
+  exchange_.setSeeds(seedsOf(settings_));
   if (!admin_.open(settings_.adminListen)) {
     // Serving matters more than being watched.
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
@@ -89,6 +108,7 @@
             {"data", net::formatEndpoint(settings_.dataListen)},
             {"store", net::formatEndpoint(settings_.platform)}});
   lastActive_ = bootTime();
+  exchange_.start(lastActive_);
   connectStore();
   scheduleTick();
   return true;
@@ -148,7 +168,7 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics is here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_, packets_, latencies_, isReady()};
+  const TokenMetricSources sources{steering_, reader_, exchange_, packets_, latencies_, isReady()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -202,6 +222,8 @@
   const core::Time now = bootTime();
   noticeSuspension(now);
   steering_.onTick(now);
+  exchange_.onTick(now);
+  sendToPeers();
   carryOutHealth(now);
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
@@ -249,6 +271,38 @@
             {"revision", std::to_string(reader_.revision())}});
 }
 
+void TokenDaemon::onFrame(const net::ReceivedFrame& received) {
+  const core::Time now = bootTime();
+  if (const auto* request = std::get_if<core::ViewRequest>(&received.frame)) {
+    exchange_.onRequest(*request, now);
+  } else if (const auto* transfer = std::get_if<core::ViewTransfer>(&received.frame)) {
+    onTransfer(*transfer, now);
+  }
+  sendToPeers();
+}
+
+void TokenDaemon::onTransfer(const core::ViewTransfer& transfer, core::Time now) {
+  const core::Revision before = reader_.revision();
+  if (!exchange_.onTransfer(transfer, now)) {
+    return;
+  }
+  logEvent(LogLevel::kInfo, "view_from_peer",
+           {{"revision_before", std::to_string(before)},
+            {"revision", std::to_string(transfer.revision)},
+            {"version", std::to_string(transfer.version)},
+            {"age_ms", std::to_string(transfer.ageMs)},
+            {"backends", std::to_string(transfer.backends.size())}});
+  packets_.retryPending(now);
+}
+
+void TokenDaemon::sendToPeers() {
+  for (const core::OutgoingView& outgoing : exchange_.takeMessages()) {
+    std::visit(
+        [this, &outgoing](const auto& message) { peers_.send(outgoing.destination, message); },
+        outgoing.message);
+  }
+}
+
 void TokenDaemon::onSignal(int signal) {
   if (signal == SIGHUP) {
     reloadSettings("signal");
@@ -276,6 +330,7 @@
   if (policyTaken) {
     steering_.backends().reweigh();
   }
+  exchange_.setSeeds(seedsOf(settings_));
   if (settings_.platform != storeBefore) {
     connectStore();
   }
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -11,6 +11,7 @@
 
 #include "core/store_reader.h"
 #include "core/token_steering.h"
+#include "core/view_exchange.h"
 #include "core/view_updater.h"
 #include "daemon/backend_prober.h"
 #include "daemon/packet_port.h"
@@ -21,6 +22,7 @@
 #include "daemon/system_random.h"
 #include "daemon/token_metrics.h"
 #include "net/http_server.h"
+#include "net/peer_transport.h"
 #include "net/store_dialect.h"
 
 namespace cobaltgauge::daemon {
@@ -53,6 +55,9 @@
   void onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
                      core::Duration latency);
   void waitForSignal();
+  void onFrame(const net::ReceivedFrame& received);
+  void onTransfer(const core::ViewTransfer& transfer, core::Time now);
+  void sendToPeers();
   void onSignal(int signal);
   void beginStop();
   void reloadSettings(const char* cause);
@@ -68,6 +73,8 @@
   core::TokenSteering steering_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
+  core::ViewExchange exchange_;
+  net::PeerTransport peers_;
   LatencyHistograms latencies_;
   PacketPort packets_;
   BackendProber prober_;
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -11,6 +11,7 @@
 
 #include "core/store_reader.h"
 #include "core/token_steering.h"
+#include "core/view_exchange.h"
 #include "daemon/packet_port.h"
 
 namespace cobaltgauge::daemon {
@@ -37,6 +38,7 @@
 struct TokenMetricSources {
   const core::TokenSteering& steering;
   const core::StoreReader& reader;
+  const core::ViewExchange& exchange;
   const PacketPort& packets;
   const LatencyHistograms& latencies;
   bool ready = false;
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/messages.h"
+#include "core/view_messages.h"
 
 namespace cobaltgauge::net {
 
@@ -24,7 +25,8 @@
 using PeerFrame =
     std::variant<core::Ping, core::Ack, core::PingRequest, core::MemberSync,
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
-                 core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket>;
+                 core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
+                 core::ViewRequest, core::ViewTransfer>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -72,6 +74,19 @@
                   m.shardIsListed, m.listing);
 }
 auto fieldsOf(IsMessage<core::ListingRequest> auto& m) { return std::tie(m.shards); }
+auto fieldsOf(IsMessage<core::ViewRequest> auto& m) {
+  return std::tie(m.replyTo, m.have, m.wanted);
+}
+auto fieldsOf(IsMessage<core::ViewBackend> auto& m) {
+  return std::tie(m.key, m.revision, m.id, m.service, m.endpoint, m.zone, m.softwareVersion,
+                  m.capacity, m.leaving, m.warmUpLeftMs);
+}
+auto fieldsOf(IsMessage<core::ViewRoute> auto& m) {
+  return std::tie(m.name, m.endpoint, m.services, m.weights);
+}
+auto fieldsOf(IsMessage<core::ViewTransfer> auto& m) {
+  return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers);
+}
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
--- /dev/null
+++ b/tests/core/view_exchange_test.cc
@@ -0,0 +1,188 @@
+#include "core/view_exchange.h"
+
+#include "core/constants.h"
+#include "core/view_updater.h"
+#include "support/token_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::BackendId;
+using core::ReadOutcome;
+
+/// One daemon's view, reader and exchange.
+struct Node {
+  core::Endpoint address;
+  sim::SeededRandom random{1};
+  core::EqualWeights weights;
+  core::TokenSteering steering{core::TokenSteeringOptions{}, weights, random};
+  core::ViewUpdater updater{steering.backends(), steering.routes(), [](const core::ViewChange&) {}};
+  core::StoreReader reader{updater, random};
+  core::ViewExchange exchange{address, steering, updater, reader, random};
+
+  explicit Node(std::uint8_t host) : address(endpoint(9, host, 7720)) {}
+
+  std::size_t backends() const { return steering.backends().activeCount(); }
+};
+
+/// Three daemons; the first two read the store, the third knows the first as its seed.
+struct ExchangeFixture {
+  FakeStore store;
+  Node first{1};
+  Node second{2};
+  Node third{3};
+  core::Time now = 100s;
+
+  ExchangeFixture() {
+    store.put("op/config", makeRoutes(7, {{1, "web"}}));
+    store.put("servers/1", makeRegistration(1, "web", 1, 1));
+    store.put("servers/2", makeRegistration(2, "web", 1, 2));
+    for (Node* node : {&first, &second, &third}) {
+      node->exchange.start(now);
+    }
+    read(first);
+    read(second);
+    second.exchange.setSeeds({first.address});
+    third.exchange.setSeeds({first.address});
+  }
+
+  void read(Node& node) const {
+    node.reader.onReply(store.answer(*node.reader.nextRead(now)), now);
+  }
+
+  void fail(Node& node) {
+    if (node.reader.nextRead(now)) {
+      node.reader.onReply(failedRead(ReadOutcome::kThrottled), now);
+    }
+  }
+
+  /// Ticks all daemons and carries their messages, until nobody has any.
+  void tick() {
+    for (Node* node : {&first, &second, &third}) {
+      node->exchange.onTick(now);
+    }
+    bool moved = true;
+    while (moved) {
+      moved = false;
+      for (Node* node : {&first, &second, &third}) {
+        for (const core::OutgoingView& message : node->exchange.takeMessages()) {
+          deliver(message);
+          moved = true;
+        }
+      }
+    }
+  }
+
+  void deliver(const core::OutgoingView& outgoing) {
+    for (Node* node : {&first, &second, &third}) {
+      if (node->address != outgoing.destination || cut == node) {
+        continue;
+      }
+      if (const auto* request = std::get_if<core::ViewRequest>(&outgoing.message)) {
+        node->exchange.onRequest(*request, now);
+      } else {
+        node->exchange.onTransfer(std::get<core::ViewTransfer>(outgoing.message), now);
+      }
+    }
+  }
+
+  Node* cut = nullptr;  ///< Gets no messages.
+};
+
+BOOST_FIXTURE_TEST_SUITE(ViewExchangeTest, ExchangeFixture)
+
+// A daemon that started while the store was down, or refused it, served nobody until it answered.
+BOOST_AUTO_TEST_CASE(a_starting_daemon_gets_its_view_from_a_peer) {
+  tick();
+  BOOST_TEST(third.backends() == 0U);
+  now += core::kStoreFirstTry;
+  fail(third);
+  tick();
+  BOOST_TEST(third.backends() == 2U);
+  BOOST_TEST(third.steering.routes().version() == 7U);
+  BOOST_TEST(third.reader.isComplete());
+  BOOST_TEST(!third.reader.isCurrent(now + core::kViewCurrentFor));
+}
+
+BOOST_AUTO_TEST_CASE(the_next_read_goes_on_from_the_peers_view) {
+  now += core::kStoreFirstTry;
+  tick();
+  now += core::kStoreFirstTry;
+  tick();
+  BOOST_REQUIRE(third.reader.isComplete());
+  const std::optional<core::StoreRead> read = third.reader.nextRead(now);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->kind == core::StoreRead::Kind::kWatch));
+  BOOST_TEST(read->afterRevision == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_the_store_refuses_follows_its_peers) {
+  tick();
+  fail(second);
+  now += core::kStoreSilence;
+  store.put("op/config", makeRoutes(9, {{2, "web"}}));
+  store.put("servers/2", core::RemovedItem{});
+  read(first);
+  tick();
+  BOOST_TEST(second.steering.routes().version() == 9U);
+  BOOST_TEST(second.backends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_never_takes_a_daemon_back) {
+  store.put("op/config", makeRoutes(9, {{2, "web"}}));
+  store.put("servers/1", core::RemovedItem{});
+  read(first);
+  core::ViewTransfer old;
+  old.revision = 3;
+  old.version = 7;
+  old.backends.push_back(
+      {"servers/1", 2, BackendId{1}, "web", endpoint(1, 1, 8000), "a", "", 2, false, 0});
+  BOOST_TEST(!first.exchange.onTransfer(old, now));
+  BOOST_TEST(first.steering.routes().version() == 9U);
+  BOOST_TEST(first.backends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(seeds_pass_on_who_made_itself_known) {
+  tick();
+  // The seed dies; the second daemon is known to the third only through it.
+  now += core::kStoreFirstTry;
+  fail(third);
+  const core::Revision before = third.reader.revision();
+  BOOST_TEST(before == 0U);
+  tick();
+  BOOST_TEST(third.exchange.peerCount() == 2U);
+  cut = &first;
+  fail(third);
+  now += core::kStoreSilence;
+  store.put("servers/2", core::RemovedItem{});
+  read(second);
+  tick();
+  BOOST_TEST(third.backends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_sent_while_the_store_serves) {
+  tick();
+  const std::uint64_t sent = second.exchange.counters().requestsSent;
+  for (int i = 0; i < 20; ++i) {
+    now += 200ms;
+    store.put("servers/3", makeRegistration(3, "web", 1, 3));
+    read(second);
+    second.exchange.onTick(now);
+  }
+  BOOST_TEST(second.exchange.counters().requestsSent == sent);
+}
+
+BOOST_AUTO_TEST_CASE(a_route_without_targets_is_left_out) {
+  core::ViewTransfer view;
+  view.revision = 10;
+  view.version = 12;
+  view.routes.push_back({"broken", endpoint(90, 5, 443), {"web"}, {}});
+  view.routes.push_back({"good", endpoint(90, 6, 443), {"web"}, {1}});
+  BOOST_TEST(third.exchange.onTransfer(view, now));
+  BOOST_TEST(third.steering.routes().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -56,6 +56,8 @@
                                       core::RecordsAck{},
                                       core::RouteHint{},
                                       core::ListingRequest{},
+                                      core::ViewRequest{},
+                                      core::ViewTransfer{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
