Keep lists of candidates and suspects; log a first listing in one line

Cause: each registration rebuilt its service's list and each batch of packets walked all signs; a start logged every back end. Change: lists are collected when asked for, suspects are kept apart, the first listing is one line; reads of a burst 0.8 s apart; probes wait 0.3 s.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -16,28 +16,28 @@
   return "invalid";
 }
 
-void BackendHealth::ask(Signs& signs, Time since, Time now) {
+void BackendHealth::ask(BackendId backend, Time since, Time now) {
+  Signs& signs = signs_[backend];
   signs.lastSign = now;
   if (signs.unansweredSince == Time{}) {
     signs.unansweredSince = since;
+    open_.insert(backend);
   }
 }
 
-void BackendHealth::onOpening(BackendId backend, Time now) { ask(signs_[backend], now, now); }
+void BackendHealth::onOpening(BackendId backend, Time now) { ask(backend, now, now); }
 
 void BackendHealth::onRepeatedData(BackendId backend, Time firstSentAt, Time now) {
-  ask(signs_[backend], firstSentAt, now);
+  ask(backend, firstSentAt, now);
 }
 
 void BackendHealth::onAnswer(BackendId backend, Time now) {
   Signs& signs = signs_[backend];
   signs.lastSign = now;
   signs.unansweredSince = Time{};
-  if (signs.dead) {
-    signs.dead = false;
-    --dead_;
-    ++counters_.revived;
-  }
+  counters_.revived += signs.dead ? 1U : 0U;
+  signs.dead = false;
+  open_.erase(backend);
 }
 
 bool BackendHealth::isSuspected(BackendId backend, Time now) const {
@@ -58,15 +58,16 @@
 
 std::vector<BackendId> BackendHealth::takeProbes(std::size_t known, Time now) {
   std::vector<BackendId> due;
-  std::vector<BackendId> suspects;
-  for (const auto& [id, signs] : signs_) {
+  std::size_t suspects = 0;
+  for (const BackendId id : open_) {
+    const Signs& signs = signs_.at(id);
     const bool suspected = isSuspected(id, now);
-    suspects.insert(suspects.end(), suspected ? 1 : 0, id);
+    suspects += suspected ? 1U : 0U;
     if (suspected && !signs.probing && now >= signs.nextProbe) {
       due.push_back(id);
     }
   }
-  if (suspects.size() > 1 && suspects.size() * 2 > known) {
+  if (suspects > 1 && suspects * 2 > known) {
     return {};
   }
   for (const BackendId id : due) {
@@ -93,7 +94,6 @@
     return false;
   }
   signs.dead = true;
-  ++dead_;
   ++counters_.declaredDead;
   return true;
 }
@@ -102,12 +102,15 @@
   for (auto& [id, signs] : signs_) {
     signs.unansweredSince = Time{};
   }
+  std::erase_if(open_, [this](BackendId id) { return !signs_.at(id).dead; });
 }
 
 void BackendHealth::expire(Time now) {
   std::erase_if(signs_, [this, now](const auto& item) {
     const bool forget = now - item.second.lastSign > kSignsMemory && !item.second.probing;
-    dead_ -= forget && item.second.dead ? 1U : 0U;
+    if (forget) {
+      open_.erase(item.first);
+    }
     return forget;
   });
 }
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/types.h"
@@ -46,6 +47,8 @@
   /// @return true where new flows should go elsewhere if they can.
   bool isSuspected(BackendId backend, Time now) const;
   bool isDead(BackendId backend) const;
+  /// @return false where everything is answered; cheap.
+  bool hasSuspects() const { return !open_.empty(); }
 
   /// @param known how many back ends there are.
   /// @return back ends to be probed now; each must be answered by onProbe().
@@ -69,10 +72,11 @@
     bool dead = false;
   };
 
-  void ask(Signs& signs, Time since, Time now);
+  void ask(BackendId backend, Time since, Time now);
 
   std::unordered_map<BackendId, Signs> signs_;
-  std::size_t dead_ = 0;
+  /// Back ends with something unanswered, or dead; few, while `signs_` may hold all.
+  std::unordered_set<BackendId> open_;
   BackendHealthCounters counters_;
 };
 
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -60,7 +60,7 @@
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
   markEnded(entry);
-  rebuild(entry.address.service);
+  candidates_.erase(entry.address.service);
   if (isNew) {
     return RegistryEvent::kAdded;
   }
@@ -78,7 +78,7 @@
     Entry& entry = entries_.at(key);
     if (!entry.ended && entry.revision < successor.revision) {
       entry.ended = true;
-      rebuild(entry.address.service);
+      candidates_.erase(entry.address.service);
     }
   }
 }
@@ -95,7 +95,7 @@
   }
   entry.present = false;
   entry.removedAt = now;
-  rebuild(entry.address.service);
+  candidates_.erase(entry.address.service);
   return RegistryEvent::kVanished;
 }
 
@@ -113,7 +113,7 @@
     entry.present = false;
     entry.revision = listedAt;
     entry.removedAt = now;
-    rebuild(entry.address.service);
+    candidates_.erase(entry.address.service);
   }
   return vanished;
 }
@@ -150,10 +150,12 @@
   return key != keys_.end() && isCandidate(key->second, entries_.at(key->second));
 }
 
-const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) const {
-  static const std::vector<PlacementCandidate> kNone;
-  const auto found = candidates_.find(service);
-  return found == candidates_.end() ? kNone : found->second;
+const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
+  const auto [list, isNew] = candidates_.try_emplace(service);
+  if (isNew) {
+    collectCandidates(service, list->second);
+  }
+  return list->second;
 }
 
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
@@ -173,24 +175,25 @@
   return list;
 }
 
-void BackendRegistry::rebuild(ServiceId service) {
-  std::vector<PlacementCandidate> list;
-  for (const std::string& key : services_[service]) {
+void BackendRegistry::collectCandidates(ServiceId service,
+                                        std::vector<PlacementCandidate>& list) const {
+  const auto keys = services_.find(service);
+  if (keys == services_.end()) {
+    return;
+  }
+  for (const std::string& key : keys->second) {
     const Entry& entry = entries_.at(key);
     if (isCandidate(key, entry)) {
       list.push_back(candidateOf(entry));
     }
   }
-  candidates_[service] = std::move(list);
 }
 
 void BackendRegistry::reweigh() {
   for (auto& [key, entry] : entries_) {
     entry.weight = weights_.weightOf(entry.registration);
   }
-  for (const auto& [service, keys] : services_) {
-    rebuild(service);
-  }
+  candidates_.clear();
 }
 
 void BackendRegistry::forget(const std::string& key, const Entry& entry) {
@@ -230,8 +233,8 @@
 
 std::size_t BackendRegistry::activeCount() const {
   std::size_t count = 0;
-  for (const auto& [service, list] : candidates_) {
-    count += list.size();
+  for (const auto& [key, entry] : entries_) {
+    count += isCandidate(key, entry) ? 1U : 0U;
   }
   return count;
 }
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -71,7 +71,7 @@
   bool takesNewFlows(BackendId id) const;
 
   /// @return back ends of a service that may be given new flows.
-  const std::vector<PlacementCandidate>& candidates(ServiceId service) const;
+  const std::vector<PlacementCandidate>& candidates(ServiceId service);
 
   /// @return back ends of a service that vanished after `since` without having announced it.
   std::vector<PlacementCandidate> vanishedSince(ServiceId service, Time since) const;
@@ -99,7 +99,7 @@
   static PlacementCandidate candidateOf(const Entry& entry);
   bool isCandidate(const std::string& key, const Entry& entry) const;
   void markEnded(const Entry& successor);
-  void rebuild(ServiceId service);
+  void collectCandidates(ServiceId service, std::vector<PlacementCandidate>& list) const;
   void forget(const std::string& key, const Entry& entry);
 
   Duration keepDeparted_;
@@ -109,6 +109,7 @@
   std::unordered_map<BackendId, std::string> keys_;
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
+  /// Collected when asked for; a change of a service drops its list.
   std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
 };
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -79,7 +79,7 @@
 /// the callers' first repetition (200 ms), above any answer of a back end that listens.
 inline constexpr Duration kAnswerPatience = 150ms;
 /// How long a probe waits for a connection, and the time between two probes of one back end.
-inline constexpr Duration kProbeTimeout = 400ms;
+inline constexpr Duration kProbeTimeout = 300ms;
 inline constexpr Duration kProbeAgainAfter = 1000ms;
 /// How long signs of a back end are remembered.
 inline constexpr Duration kSignsMemory = 15s;
@@ -119,7 +119,7 @@
 /// Changes that follow each other within kBurstGap are a burst; the watch that follows one waits
 /// for kBurstPause, so that a burst costs few reads. A single change is taken at once.
 inline constexpr Duration kBurstGap = 1000ms;
-inline constexpr Duration kBurstPause = 400ms;
+inline constexpr Duration kBurstPause = 800ms;
 /// How long every change is taken at once after a packet could not be decided for want of a back
 /// end that may just be registering.
 inline constexpr Duration kWantedFor = 1000ms;
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -268,6 +268,9 @@
 
 std::vector<BackendAddress> TokenSteering::takeProbes(Time now) {
   std::vector<BackendAddress> probes;
+  if (!health_.hasSuspects()) {
+    return probes;
+  }
   for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -1,5 +1,7 @@
 #include "core/view_updater.h"
 
+#include <utility>
+
 namespace cobaltgauge::core {
 
 void ViewUpdater::onChange(const StoreChange& change, Time now) {
@@ -8,6 +10,10 @@
 
 void ViewUpdater::take(const StoreChange& change, const Registration& registration, Time now) {
   const RegistryEvent event = backends_.put(change.key, registration, change.revision, now);
+  if (!listed_ && event == RegistryEvent::kAdded) {
+    ++listedBackends_;
+    return;
+  }
   reportBackend(change.key, change.revision, event, registration.service);
 }
 
@@ -44,6 +50,13 @@
   for (const std::string& key : backends_.retainOnly(keys, listedAt, now)) {
     reportBackend(key, listedAt, RegistryEvent::kVanished, "");
   }
+  if (!std::exchange(listed_, true)) {
+    ViewChange report;
+    report.kind = ViewChange::Kind::kFirstListing;
+    report.revision = listedAt;
+    report.backends = listedBackends_;
+    listener_(report);
+  }
 }
 
 void ViewUpdater::reportBackend(const std::string& key, Revision revision, RegistryEvent event,
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -13,7 +13,7 @@
 
 /// One change of the view, or the refusal of one; for logs.
 struct ViewChange {
-  enum class Kind : std::uint8_t { kBackend, kRoutes, kUnreadable, kOlderRoutes };
+  enum class Kind : std::uint8_t { kBackend, kRoutes, kUnreadable, kOlderRoutes, kFirstListing };
   Kind kind = Kind::kBackend;
   std::string key;
   Revision revision = 0;
@@ -21,6 +21,7 @@
   std::string service;
   ConfigurationVersion version = 0;  ///< Of the route set.
   std::string reason;                ///< Why an item cannot be read.
+  std::size_t backends = 0;          ///< Back ends of the first listing, which are not told apart.
 };
 
 class ViewUpdater : public StoreSink {
@@ -44,6 +45,8 @@
   BackendRegistry& backends_;
   RouteTable& routes_;
   Listener listener_;
+  bool listed_ = false;  ///< The first listing is complete.
+  std::size_t listedBackends_ = 0;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -121,8 +121,7 @@
         using Message = std::decay_t<decltype(message)>;
         if constexpr (std::is_same_v<Message, net::ForwardedPacket>) {
           data_->onForwardedPacket(message, now);
-        } else if constexpr (!std::is_same_v<Message, core::ViewRequest> &&
-                             !std::is_same_v<Message, core::ViewTransfer>) {
+        } else if constexpr (std::is_convertible_v<Message, core::PeerMessage>) {
           balancer_->onMessage(received.from, message, now);
         }
       },
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -29,8 +29,8 @@
   }
   const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(read->timeout);
   client_.get(dialect_.target(*read), timeout,
-              [this, request = *read, now](net::HttpAnswer answer) {
-                onAnswer(request, now, std::move(answer));
+              [this, request = *read, now](const net::HttpAnswer& answer) {
+                onAnswer(request, now, answer);
               });
 }
 
@@ -41,15 +41,16 @@
   start();
 }
 
-void StoreLink::onAnswer(const core::StoreRead& read, core::Time sentAt, net::HttpAnswer answer) {
+void StoreLink::onAnswer(const core::StoreRead& read, core::Time sentAt,
+                         const net::HttpAnswer& answer) {
   const core::Time now = bootTime();
-  const core::StoreReply reply = toReply(std::move(answer));
+  const core::StoreReply reply = toReply(answer);
   reader_.onReply(reply, now);
   listener_(read, reply, now - sentAt);
   start();
 }
 
-core::StoreReply StoreLink::toReply(net::HttpAnswer answer) const {
+core::StoreReply StoreLink::toReply(const net::HttpAnswer& answer) const {
   core::StoreReply reply;
   reply.reason = answer.reason;
   switch (answer.failure) {
--- a/src/daemon/store_link.h
+++ b/src/daemon/store_link.h
@@ -30,8 +30,8 @@
   void restart();
 
  private:
-  void onAnswer(const core::StoreRead& read, core::Time sentAt, net::HttpAnswer answer);
-  core::StoreReply toReply(net::HttpAnswer answer) const;
+  void onAnswer(const core::StoreRead& read, core::Time sentAt, const net::HttpAnswer& answer);
+  core::StoreReply toReply(const net::HttpAnswer& answer) const;
 
   const net::StoreDialect& dialect_;
   core::StoreReader& reader_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -92,6 +92,11 @@
                 {"version", std::to_string(change.version)},
                 {"revision", std::to_string(change.revision)}});
       return;
+    case core::ViewChange::Kind::kFirstListing:
+      logEvent(LogLevel::kInfo, "view_listed",
+               {{"backends", std::to_string(change.backends)},
+                {"revision", std::to_string(change.revision)}});
+      return;
     case core::ViewChange::Kind::kUnreadable:
       logEvent(LogLevel::kError, "item_unreadable",
                {{"key", change.key},
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,7 +16,7 @@
 namespace cobaltgauge::net {
 namespace {
 
-constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::size_t kReadBytes = 16U << 10U;
 /// Answers above this size are refused; a store's page is about 1 MB, base64 in JSON 1.4 MB.
 constexpr std::size_t kMaxBodyBytes = 8U << 20U;
 /// A connection that is not open after this long never will be, or only after its opening packet
@@ -166,7 +166,8 @@
     if (failure != HttpFailure::kNone || !connected_) {
       close();
     }
-    handler(std::move(answer_));
+    const HttpAnswer answer = std::move(answer_);
+    handler(answer);
   }
 
   asio::ip::tcp::endpoint server_;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -26,7 +26,7 @@
 
 class HttpClient {
  public:
-  using Handler = std::function<void(HttpAnswer)>;
+  using Handler = std::function<void(const HttpAnswer&)>;
 
   HttpClient(asio::io_context& context, const core::Endpoint& server);
   ~HttpClient();
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -49,9 +49,7 @@
     answerNext();
   }
 
-  std::size_t activeBackends() const {
-    return backends.candidates(core::serviceIdOf("web")).size();
-  }
+  std::size_t activeBackends() { return backends.candidates(core::serviceIdOf("web")).size(); }
 };
 
 BOOST_FIXTURE_TEST_SUITE(StoreReaderTest, ReaderFixture)
--- /dev/null
+++ b/tests/fuzz/fuzz_packet_head.cc
@@ -0,0 +1,21 @@
+/// @file
+/// libFuzzer target: a datagram of the platform, as far as its forward and its refusal.
+#include "platform/packet_head.h"
+
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  using namespace cobaltgauge;
+  platform::PacketHead format;
+  const auto summary = format.read({data, size});
+  if (!summary) {
+    return 0;
+  }
+  std::vector<std::uint8_t> datagram(format.prefixBytes());
+  datagram.insert(datagram.end(), data, data + size);
+  core::ForwardToBackend forward;
+  forward.backend.id = core::BackendId{size};
+  forward.token = core::SteeringToken{1};
+  format.stamp(forward, datagram);
+  format.refusal(summary->flow, summary->acknowledgement);
+  return 0;
+}
