Begin with a stale listing and bring it up to date by a watch

Cause: when a whole fleet starts, current listings of all back ends exhaust the store's reads (8 s until all served again at 100 machines). Change: the first listing is stale, outside the store's rate and a tenth of the price; openings are placed only once a watch has brought it up to date; without history for that, a current one follows.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -103,6 +103,8 @@
 /// Wait of the first watch after a lost one. The store may be about to drop its history, and
 /// answers such a watch only when its wait is over; an answer proves that nothing was missed.
 inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
+/// Wait of the watch that brings a stale first listing up to date: its answer is wanted at once.
+inline constexpr std::chrono::milliseconds kCatchUpWait = 1ms;
 /// Time-out of a first read of the store; doubled with every third failure in a row, so that a
 /// store that is slow is reached in the end, and one that was silent is noticed soon after its
 /// return.
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -36,12 +36,13 @@
     ++counters_.lists;
     read.kind = StoreRead::Kind::kList;
     read.afterKey = afterKey_;
+    read.stale = staleWillDo_;
     read.timeout = timeoutNow();
   } else {
     ++counters_.watches;
     read.kind = StoreRead::Kind::kWatch;
     read.afterRevision = revision_;
-    read.wait = confirming_ ? kConfirmWait : kWatchWait;
+    read.wait = watchWait();
     read.timeout = read.wait + std::max(kWatchSlack, timeoutNow());
   }
   return read;
@@ -70,9 +71,7 @@
 }
 
 void StoreReader::onPage(const StoreReply& reply, Time now) {
-  if (afterKey_.empty()) {
-    listedAt_ = reply.at;
-  }
+  listedAt_ = listedAt_ == 0 ? reply.at : std::min(listedAt_, reply.at);
   for (const StoreChange& change : reply.changes) {
     listedKeys_.insert(change.key);
     sink_.onChange(change, now);
@@ -85,10 +84,9 @@
   // A store that answers an older state than was seen before must not move the watch back.
   revision_ = std::max(revision_, listedAt_);
   listing_ = false;
-  confirming_ = false;
-  complete_ = true;
-  afterKey_.clear();
-  listedKeys_.clear();
+  confirming_ = staleWillDo_;
+  complete_ = complete_ || !staleWillDo_;
+  clearListing();
 }
 
 void StoreReader::onEvents(const StoreReply& reply, Time now) {
@@ -98,6 +96,7 @@
   }
   revision_ = std::max(revision_, reply.at);
   confirming_ = false;
+  complete_ = true;
   if (!reply.changes.empty()) {
     const bool inBurst = lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
     lastChangeAt_ = now;
@@ -113,13 +112,19 @@
   const bool watchEnded =
       !listing_ && failuresInRow_ == 1 && reply.outcome == ReadOutcome::kConnectionLost;
   // Waiting watches are cut now and then; the first retry need not wait.
-  nextReadAt_ = watchEnded ? now : now + backOffNow();
+  nextReadAt_ = watchEnded ? now : now + backOffAfter(reply.outcome);
 }
 
 void StoreReader::beginListing() {
   listing_ = true;
+  staleWillDo_ = false;
+  clearListing();
+}
+
+void StoreReader::clearListing() {
   afterKey_.clear();
   listedKeys_.clear();
+  listedAt_ = 0;
 }
 
 void StoreReader::onResume(Time now) {
@@ -137,8 +142,7 @@
   confirming_ = true;
   if (!reading_) {
     listing_ = false;
-    afterKey_.clear();
-    listedKeys_.clear();
+    clearListing();
   }
 }
 
@@ -150,14 +154,22 @@
   return watching || now - lastAnswerAt_ < kViewCurrentFor;
 }
 
+std::chrono::milliseconds StoreReader::watchWait() const {
+  if (!complete_) {
+    return kCatchUpWait;
+  }
+  return confirming_ ? kConfirmWait : kWatchWait;
+}
+
 Duration StoreReader::timeoutNow() const {
   const std::uint32_t doublings =
       std::min<std::uint32_t>(failuresInRow_ / kReadsPerTimeout, kReadTimeoutDoublings);
   return kReadTimeout * (1U << doublings);
 }
 
-Duration StoreReader::backOffNow() {
-  const Duration longest = complete_ ? kReadBackOffLongest : kReadBackOffAtStart;
+Duration StoreReader::backOffAfter(ReadOutcome outcome) {
+  const bool patient = complete_ || outcome == ReadOutcome::kThrottled;
+  const Duration longest = patient ? kReadBackOffLongest : kReadBackOffAtStart;
   const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, kReadTimeoutDoublings);
   const Duration span = std::min<Duration>(kReadBackOff * (1U << doublings), longest);
   const auto half = static_cast<std::uint64_t>(span.count() / 2);
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -4,8 +4,12 @@
 /// takes the answers. It survives a store that is down, slow, silent, throttling or has dropped its
 /// history, and never takes a change twice or an older one after a newer.
 ///
-/// A listing comes in pages that are no snapshot. The watch therefore begins at the revision of the
-/// first page: what changed meanwhile arrives again as events, and revisions order the two.
+/// A listing comes in pages that are no snapshot. The watch therefore begins at the lowest revision
+/// of the pages: what changed meanwhile arrives again as events, and revisions order the two.
+///
+/// The first listing may be stale, which costs the store little when a whole fleet starts at once;
+/// it counts only once a watch has brought it up to date. Where the history for that is gone, and
+/// ever after, listings are current.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +28,7 @@
 struct StoreRead {
   enum class Kind : std::uint8_t { kList, kWatch };
   Kind kind = Kind::kList;
+  bool stale = false;          ///< Listing: an answer that is seconds old will do.
   std::string afterKey;        ///< Listing: the page begins after this key; empty for the first.
   Revision afterRevision = 0;  ///< Watch: only changes after this revision.
   std::chrono::milliseconds wait{0};  ///< Watch: how long the store may wait for a change.
@@ -108,8 +113,10 @@
   void onEvents(const StoreReply& reply, Time now);
   void onFailure(const StoreReply& reply, Time now);
   void beginListing();
+  void clearListing();
+  std::chrono::milliseconds watchWait() const;
   Duration timeoutNow() const;
-  Duration backOffNow();
+  Duration backOffAfter(ReadOutcome outcome);
 
   StoreSink& sink_;
   Random& random_;
@@ -117,6 +124,7 @@
   bool listing_ = true;
   bool complete_ = false;
   Time wantedAt_{};
+  bool staleWillDo_ = true;  ///< No listing has been tried but the first.
   bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time lastAnswerAt_{};
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -104,7 +104,7 @@
   if (openingsAreStale_) {
     return Drop{DropReason::kStaleOpening};
   }
-  if (routes_.version() == 0) {
+  if (!viewComplete_ || routes_.version() == 0) {
     return Drop{DropReason::kNoConfiguration};
   }
   RouteEntry* route = routes_.find(packet.flow.destination);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -66,8 +66,13 @@
   Verdict onPacket(const PacketSummary& packet, Time now) override;
   void onTick(Time now) override;
 
-  /// Says whether the view is in step with the store, as far as this daemon can know.
-  void setViewCurrent(bool current) { viewCurrent_ = current; }
+  /// Says whether the view is whole, and whether it is in step with the store, as far as this
+  /// daemon can know. Openings are placed only by a whole view.
+  void setViewState(bool complete, bool current) {
+    viewComplete_ = complete;
+    viewCurrent_ = current;
+  }
+  bool hasWholeView() const { return viewComplete_; }
   /// Call after the process was suspended: openings that waited meanwhile have been sent again,
   /// and a late second answer would break their flow. They are dropped until onQueueDrained().
   void onResume();
@@ -135,6 +140,7 @@
   TokenSteeringCounters counters_;
   OpeningDecision decision_;
   LatencyObserver* latencies_ = nullptr;
+  bool viewComplete_ = false;
   bool viewCurrent_ = false;
   bool openingsAreStale_ = false;
   Time nextMaintenance_{};
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -184,7 +184,7 @@
 
 void TokenDaemon::onBatch(core::Time now) {
   noticeSuspension(now);
-  steering_.setViewCurrent(reader_.isCurrent(now));
+  noteViewState(now);
 }
 
 void TokenDaemon::onVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
@@ -249,9 +249,10 @@
 
 void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
                                 core::Duration latency) {
-  if (!reply.changes.empty() && reader_.isComplete()) {
+  const bool newView = !reply.changes.empty() || reader_.isComplete() != steering_.hasWholeView();
+  if (newView && reader_.isComplete()) {
     const core::Time now = bootTime();
-    steering_.setViewCurrent(reader_.isCurrent(now));
+    noteViewState(now);
     packets_.retryPending(now);
   }
   if (read.kind == core::StoreRead::Kind::kList) {
@@ -292,9 +293,14 @@
             {"version", std::to_string(transfer.version)},
             {"age_ms", std::to_string(transfer.ageMs)},
             {"backends", std::to_string(transfer.backends.size())}});
+  noteViewState(now);
   packets_.retryPending(now);
 }
 
+void TokenDaemon::noteViewState(core::Time now) {
+  steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now));
+}
+
 void TokenDaemon::sendToPeers() {
   for (const core::OutgoingView& outgoing : exchange_.takeMessages()) {
     std::visit(
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -57,6 +57,7 @@
   void waitForSignal();
   void onFrame(const net::ReceivedFrame& received);
   void onTransfer(const core::ViewTransfer& transfer, core::Time now);
+  void noteViewState(core::Time now);
   void sendToPeers();
   void onSignal(int signal);
   void beginStop();
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -47,6 +47,7 @@
     store.put("servers/1", makeRegistration(1, "web", 1, 1));
     store.put("servers/2", makeRegistration(2, "web", 1, 2));
     answerNext();
+    answerNext();
   }
 
   std::size_t activeBackends() { return backends.candidates(core::serviceIdOf("web")).size(); }
@@ -70,6 +71,59 @@
   BOOST_TEST(!reader.nextRead(now + 10s).has_value());
 }
 
+// At 100 machines it took 8 s until all were serving again after all had been killed: listings of
+// 1,001 back ends exhausted the store's reads.
+BOOST_AUTO_TEST_CASE(the_first_listing_is_stale_and_counts_once_it_is_brought_up_to_date) {
+  store.put("op/config", makeRoutes(7, {{1, "web"}}));
+  store.put("servers/1", makeRegistration(1, "web", 1, 1));
+  store.freezeStale();
+  store.put("servers/1", core::RemovedItem{});
+  store.put("op/config", makeRoutes(8, {{1, "web"}}));
+  const StoreRead list = nextRead();
+  BOOST_TEST(list.stale);
+  reader.onReply(store.answer(list), now);
+  BOOST_TEST(!reader.isComplete());
+  BOOST_TEST(!reader.isCurrent(now));
+  const StoreRead watch = nextRead();
+  BOOST_TEST(watch.afterRevision == 2U);
+  BOOST_TEST(watch.wait.count() == core::kCatchUpWait.count());
+  reader.onReply(store.answer(watch), now);
+  BOOST_TEST(reader.isComplete());
+  BOOST_TEST(routes.version() == 8U);
+  BOOST_TEST(activeBackends() == 0U);
+}
+
+// With stale listings throughout, a watch that began before the kept history was told so again and
+// again (a trial of an earlier program: seconds of old view).
+BOOST_AUTO_TEST_CASE(a_stale_listing_older_than_the_history_is_followed_by_a_current_one) {
+  store.put("op/config", makeRoutes(7, {{1, "web"}}));
+  store.freezeStale();
+  store.put("servers/1", makeRegistration(1, "web", 1, 1));
+  store.compact();
+  answerNext();
+  answerNext();
+  const StoreRead read = nextRead();
+  BOOST_TEST((read.kind == StoreRead::Kind::kList));
+  BOOST_TEST(!read.stale);
+  reader.onReply(store.answer(read), now);
+  BOOST_TEST(reader.isComplete());
+  BOOST_TEST(activeBackends() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_different_age_are_followed_from_the_oldest) {
+  core::StoreReply newer;
+  newer.at = 20;
+  newer.hasMore = true;
+  newer.lastKey = "a";
+  core::StoreReply older;
+  older.at = 15;
+  nextRead();
+  reader.onReply(newer, now);
+  nextRead();
+  reader.onReply(older, now);
+  BOOST_TEST(nextRead().afterRevision == 15U);
+}
+
 BOOST_AUTO_TEST_CASE(takes_changes_that_happen_between_pages) {
   store.pageSize = 1;
   store.put("op/config", makeRoutes(7, {{1, "web"}}));
@@ -81,8 +135,8 @@
   store.put("op/config", makeRoutes(8, {{1, "web"}}));
   store.put("servers/1", core::RemovedItem{});
   answerNext();
-  BOOST_TEST(reader.isComplete());
   answerNext();
+  BOOST_TEST(reader.isComplete());
   BOOST_TEST(routes.version() == 8U);
   BOOST_TEST(activeBackends() == 1U);
 }
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -66,6 +66,7 @@
     }
     return count;
   };
+  weighed.setViewState(true, true);
   weighed.routes().offer(makeRoutes(1, {{1, "web"}}), now);
   for (std::uint8_t host = 1; host <= 3; ++host) {
     weighed.backends().put(keyOf(host), makeRegistration(host, "web", 1, host), host, now);
@@ -121,7 +122,7 @@
   const core::Verdict refused = steering.onPacket(stray, now);
   BOOST_TEST((refusalOf(refused) == RefuseReason::kNoRoute));
   BOOST_TEST((std::get<core::Refuse>(refused).certainty == core::RefusalCertainty::kNotRun));
-  steering.setViewCurrent(false);
+  steering.setViewState(true, false);
   BOOST_TEST((dropOf(steering.onPacket(stray, now)) == DropReason::kStaleView));
 }
 
@@ -139,6 +140,12 @@
   BOOST_TEST((dropOf(verdict) == DropReason::kNoConfiguration));
 }
 
+BOOST_AUTO_TEST_CASE(nothing_is_placed_by_a_listing_that_may_be_stale) {
+  steering.setViewState(false, false);
+  BOOST_TEST((dropOf(open(1)) == DropReason::kNoConfiguration));
+  BOOST_TEST((backendOf(send(2, BackendId{1}, 1, 10)) == BackendId{1}));
+}
+
 BOOST_AUTO_TEST_CASE(a_service_that_stays_without_back_ends_refuses_as_not_run) {
   removeBackends();
   now += core::kVanishedFallback;
--- a/tests/core/view_exchange_test.cc
+++ b/tests/core/view_exchange_test.cc
@@ -42,12 +42,16 @@
     }
     read(first);
     read(second);
+    read(first);
+    read(second);
     second.exchange.setSeeds({first.address});
     third.exchange.setSeeds({first.address});
   }
 
   void read(Node& node) const {
-    node.reader.onReply(store.answer(*node.reader.nextRead(now)), now);
+    const std::optional<core::StoreRead> due = node.reader.nextRead(now);
+    BOOST_REQUIRE(due.has_value());
+    node.reader.onReply(store.answer(*due), now);
   }
 
   void fail(Node& node) {
@@ -164,7 +168,7 @@
   tick();
   const std::uint64_t sent = second.exchange.counters().requestsSent;
   for (int i = 0; i < 20; ++i) {
-    now += 200ms;
+    now += core::kBurstPause;
     store.put("servers/3", makeRegistration(3, "web", 1, 3));
     read(second);
     second.exchange.onTick(now);
--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -25,6 +25,7 @@
   } else {
     exchange.onTransfer(message, now);
   }
+  steering.setViewState(true, false);
   steering.onPacket(tests::packetFrom(1), now);
   exchange.onTick(now + core::kStoreSilence);
   exchange.takeMessages();
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -52,6 +52,8 @@
   BOOST_TEST(items.target(read) == "/kv-range?path-prefix=");
   read.afterKey = "servers/i-7f";
   BOOST_TEST(items.target(read) == "/kv-range?path-prefix=&after=servers/i-7f");
+  read.stale = true;
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=&after=servers/i-7f&stale=1");
   read.kind = core::StoreRead::Kind::kWatch;
   read.afterRevision = 411;
   read.wait = std::chrono::milliseconds(300);
--- a/tests/support/store_fixtures.h
+++ b/tests/support/store_fixtures.h
@@ -40,6 +40,15 @@
 class FakeStore {
  public:
   std::size_t pageSize = 500;
+  /// Stale listings give this state, where there is one.
+  std::map<std::string, core::StoreChange> staleItems;
+  core::Revision staleAt = 0;
+
+  /// Makes stale listings give the present state from now on.
+  void freezeStale() {
+    staleItems = items_;
+    staleAt = revision_;
+  }
 
   core::Revision put(const std::string& key, decltype(core::StoreChange::item) item) {
     const core::StoreChange change{key, ++revision_, std::move(item)};
@@ -66,14 +75,16 @@
 
  private:
   core::StoreReply list(const core::StoreRead& read) const {
+    const bool old = read.stale && staleAt != 0;
+    const std::map<std::string, core::StoreChange>& items = old ? staleItems : items_;
     core::StoreReply reply;
-    reply.at = revision_;
-    auto item = items_.upper_bound(read.afterKey);
-    for (; item != items_.end() && reply.changes.size() < pageSize; ++item) {
+    reply.at = old ? staleAt : revision_;
+    auto item = items.upper_bound(read.afterKey);
+    for (; item != items.end() && reply.changes.size() < pageSize; ++item) {
       reply.changes.push_back(item->second);
       reply.lastKey = item->first;
     }
-    reply.hasMore = item != items_.end();
+    reply.hasMore = item != items.end();
     return reply;
   }
 
