Smoke-test token steering as real processes

Two daemons with stand-ins for store, back ends and callers: openings, flows through another daemon, a leaving back end, a start during an outage, dropped history, a new version, reload, a wrong file, bad packets, a planned stop.

--- /dev/null
+++ b/scripts/token_fleet.py
@@ -0,0 +1,384 @@
+"""Stand-ins for what surrounds a fleet that steers by tokens, and the fleet's processes.
+
+A configuration store that can be watched, back ends that register themselves, and callers, all on
+loopback addresses. They speak the packets and the store's HTTP as docs/design/004 describes them,
+as far as a test needs.
+"""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import signal
+import socket
+import socketserver
+import struct
+import subprocess
+import threading
+import time
+import urllib.parse
+
+SYN, ACK, FIN, RST = 64, 4, 8, 1
+HEAD = struct.Struct("<IBIHIIIHHI")  # sum, flags, echo, len, seq, ack, src, dport, sport, dst
+BACKEND_PORT = 8080
+PATIENCE = 20.0  # Longest wait for something that must happen, in seconds.
+
+
+def number(address):
+    return struct.unpack("!I", socket.inet_aton(address))[0]
+
+
+def wait_until(condition, what, seconds=PATIENCE):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise AssertionError(f"not within {seconds} s: {what}")
+
+
+def free_port(address="127.0.0.1"):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind((address, 0))
+        return probe.getsockname()[1]
+
+
+class Store:
+    """Items with revisions, a history and faults. `mode`: up, busy (503), throttled (429), silent."""
+
+    def __init__(self, address):
+        self.lock = threading.Condition()
+        self.items, self.history, self.revision, self.history_from = {}, [], 0, 0
+        self.mode = "up"
+        self.refused = set()  # Addresses that get no service.
+        store = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):
+                status, body = store.answer(self.client_address[0], self.path)
+                if status is None:
+                    self.close_connection = True
+                    return
+                text = json.dumps(body).encode()
+                self.send_response(status)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(text)))
+                self.end_headers()
+                self.wfile.write(text)
+
+            def log_message(self, *_):
+                pass
+
+        class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+            daemon_threads = True
+
+            def handle_error(self, *_):
+                pass  # A caller that went away is no matter.
+
+        self.server = Server((address, 0), Handler)
+        self.address = f"{address}:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, key, value):
+        with self.lock:
+            self.revision += 1
+            text = base64.b64encode(json.dumps(value).encode()).decode()
+            item = {"key": key, "value": text, "revision": self.revision, "created": self.revision,
+                    "lease": 0}
+            self.items[key] = item
+            self.history.append(item)
+            self.lock.notify_all()
+
+    def remove(self, key):
+        with self.lock:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.history.append({"key": key, "revision": self.revision, "gone": True})
+            self.lock.notify_all()
+
+    def compact(self):
+        with self.lock:
+            self.history, self.history_from = [], self.revision
+
+    def set_mode(self, mode):
+        with self.lock:
+            self.mode = mode
+            self.lock.notify_all()
+
+    def answer(self, caller, path):
+        parts = urllib.parse.urlsplit(path)
+        query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+        with self.lock:
+            if self.mode == "silent" or caller in self.refused:
+                self.lock.wait_for(lambda: self.mode != "silent" and caller not in self.refused,
+                                   timeout=60)
+                return None, None
+            if self.mode != "up":
+                return (503 if self.mode == "busy" else 429), {}
+            if parts.path == "/kv-range":
+                return self.range(query)
+            return self.watch(query)
+
+    def range(self, query):
+        keys = sorted(key for key in self.items if key > query.get("after", ""))
+        page = [self.items[key] for key in keys[:5]]
+        return 200, {"items": page, "has-more": len(keys) > len(page), "at": self.revision}
+
+    def watch(self, query):
+        after = int(query["after"])
+        events = []
+
+        def changed():
+            nonlocal events
+            events = [item for item in self.history if item["revision"] > after]
+            return events or self.mode != "up" or after < self.history_from
+
+        self.lock.wait_for(changed, timeout=int(query["wait-ms"]) / 1000)
+        if self.mode != "up":
+            return None, None
+        if after < self.history_from:
+            return 410, {}
+        return 200, {"events": events, "at": self.revision}
+
+
+class Backend:
+    """One back end: answers openings and data, and notes what is wrong about a packet."""
+
+    def __init__(self, fleet, address, service):
+        self.fleet, self.address, self.service = fleet, address, service
+        fleet.next_id += 1
+        self.id = fleet.next_id
+        self.key = f"servers/i-{self.id:x}"
+        self.flows, self.strays, self.openings = {}, [], []
+        self.alive = True
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, BACKEND_PORT))
+        self.listener = socket.create_server((address, BACKEND_PORT))
+        self.register("ready")
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def register(self, state):
+        self.fleet.store.put(self.key, {
+            "service": self.service, "address": f"{self.address}:{BACKEND_PORT}", "zone": "a",
+            "version": "v1", "capacity": 2, "state": state, "warmup-left-ms": 0, "sequence": 1})
+
+    def leave(self):
+        self.register("draining")
+
+    def crash(self):
+        """Ends without a word; the machine answers nothing more."""
+        self.alive = False
+        self.socket.close()
+        self.listener.close()
+
+    def run(self):
+        while True:
+            try:
+                datagram = self.socket.recv(2048)
+            except OSError:
+                return
+            self.on_datagram(datagram)
+
+    def on_datagram(self, datagram):
+        target, packet = struct.unpack("!Q", datagram[:8])[0], datagram[8:]
+        _, flags, echo, _, sequence, _, source, port, source_port, destination = \
+            HEAD.unpack(packet[:HEAD.size])
+        if target != self.id:
+            return  # For another start of a back end at this address: ignored, as the real ones do.
+        flow = (source, source_port, destination, port)
+        if flags & SYN:
+            self.openings.append((time.monotonic(), flow))
+            self.flows[flow] = 1000 + self.id
+            self.reply(flow, echo, SYN | ACK, self.flows[flow], sequence + 1)
+        elif flow in self.flows:
+            data = packet[HEAD.size:]
+            self.flows[flow] += 10 if data else 0
+            if data:
+                self.reply(flow, echo, ACK, self.flows[flow], sequence + len(data))
+        else:
+            self.strays.append(flow)
+            self.reply(flow, echo, RST, 0, 0)
+
+    def reply(self, flow, echo, flags, sequence, acknowledged):
+        source, source_port, destination, port = flow
+        head = HEAD.pack(1, flags, echo, 0, sequence, acknowledged & 0xffffffff, destination,
+                         source_port, port, source)
+        try:
+            self.socket.sendto(head, (socket.inet_ntoa(struct.pack("!I", source)),
+                                      self.fleet.data_port))
+        except OSError:
+            pass
+
+
+class Caller:
+    """Opens flows and sends data on them, through whichever daemon it is told to."""
+
+    def __init__(self, fleet, address):
+        self.fleet, self.address = fleet, address
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((address, fleet.data_port))
+        self.next_port = 20000
+        self.received = {}  # By own port: the last (flags, echo, seq, ack, by the system).
+        self.lock = threading.Condition()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            packet = self.socket.recv(2048)
+            total, flags, echo, _, sequence, acknowledged, _, port, _, _ = \
+                HEAD.unpack(packet[:HEAD.size])
+            with self.lock:
+                self.received[port] = (flags, echo, sequence, acknowledged, total == 0)
+                self.lock.notify_all()
+
+    def send(self, daemon, port, flags, echo, sequence, acknowledged, to, data=b""):
+        address, to_port = to
+        head = HEAD.pack(1, flags, echo, len(data), sequence, acknowledged, number(self.address),
+                         to_port, port, number(address))
+        self.socket.sendto(head + data, (daemon.address, self.fleet.data_port))
+
+    def exchange(self, daemons, port, flags, echo, sequence, acknowledged, to, data=b"",
+                 waits=(0.2, 0.4, 0.8)):
+        """Sends a packet, again after each wait, each time by the next daemon.
+
+        Returns the answer, or None."""
+        with self.lock:
+            self.received.pop(port, None)
+        for copy, wait in enumerate(waits):
+            opening = flags & SYN
+            self.send(daemons[copy % len(daemons)], port, flags, echo, sequence,
+                      copy if opening else acknowledged, to, data)
+            with self.lock:
+                if self.lock.wait_for(lambda: port in self.received, timeout=wait):
+                    return self.received[port]
+        return None
+
+    def open(self, daemons, to):
+        """Returns a flow (port, echo, the back end's sequence number), or None where refused."""
+        self.next_port += 1
+        port = self.next_port
+        answer = self.exchange(daemons, port, SYN, 0, 100, 0, to)
+        if answer is None or answer[0] & RST:
+            return None
+        flow = {"port": port, "echo": answer[1], "ack": answer[2] + 1, "seq": 101, "to": to}
+        return flow
+
+    def ask(self, daemons, flow, waits=(0.2, 0.4, 0.8)):
+        """Sends ten bytes on a flow. Returns ok, reset (by the system), gone (by the back end), or
+        silent."""
+        answer = self.exchange(daemons, flow["port"], ACK, flow["echo"], flow["seq"], flow["ack"],
+                               flow["to"], b"0123456789", waits)
+        if answer is None:
+            return "silent"
+        if answer[0] & RST:
+            return "reset" if answer[4] else "gone"
+        flow["echo"], flow["ack"], flow["seq"] = answer[1], answer[2], answer[3]
+        return "ok"
+
+
+class Daemon:
+    """One process of cobaltgauged."""
+
+    def __init__(self, fleet, name, address, seeds):
+        self.fleet, self.name, self.address, self.seeds = fleet, name, address, seeds
+        self.settings = os.path.join(fleet.directory, name + ".toml")
+        self.log = os.path.join(fleet.directory, name + ".log")
+        self.process = None
+        self.write_settings()
+        self.start()
+
+    def write_settings(self, level="info"):
+        fleet = self.fleet
+        with open(self.settings, "w", encoding="utf-8") as out:
+            out.write(f'''[daemon]
+name = "{self.name}"
+zone = "a"
+[steering]
+mode = "token"
+stop_grace_ms = 6000
+policy_file = "{fleet.policy}"
+[data]
+listen = "{self.address}:{fleet.data_port}"
+[readiness]
+listen = "{self.address}:{fleet.ready_port}"
+[cluster]
+key = "key of the tests, no secret"
+listen = "{self.address}:{fleet.peer_port}"
+seeds = "{','.join(seed + ':1' for seed in self.seeds)}"
+[platform]
+address = "{fleet.store.address}"
+[admin]
+listen = "{self.address}:{fleet.admin_port}"
+[log]
+level = "{level}"
+''')
+
+    def start(self):
+        with open(self.log, "a", encoding="utf-8") as log:
+            self.process = subprocess.Popen(
+                [os.path.join(self.fleet.build, "cobaltgauged"), "--settings", self.settings],
+                stdout=log, stderr=log)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def send_signal(self, what):
+        self.process.send_signal(what)
+
+    def get(self, port, path):
+        try:
+            connection = http.client.HTTPConnection(self.address, port, timeout=2)
+            connection.request("GET", path)
+            response = connection.getresponse()
+            return response.status, response.read().decode()
+        except OSError:
+            return 0, ""
+
+    def is_ready(self):
+        return self.get(self.fleet.ready_port, "/ready")[0] == 200
+
+    def metrics(self):
+        return self.get(self.fleet.admin_port, "/metrics")[1]
+
+    def lines(self, event):
+        with open(self.log, encoding="utf-8") as log:
+            return [line for line in log if f"event={event} " in line + " "]
+
+
+class TokenFleet:
+    def __init__(self, build, directory, policy):
+        self.build, self.directory, self.policy = build, directory, policy
+        self.data_port, self.ready_port = free_port(), free_port()
+        self.peer_port, self.admin_port = free_port(), free_port()
+        self.store = Store("127.0.0.1")
+        self.next_id = 0x1000
+        self.daemons, self.backends = [], []
+        self.version = 0
+
+    def publish(self, routes):
+        """`routes`: (address, port, service) each."""
+        self.version += 1
+        self.store.put("op/config", {
+            "version": self.version, "services": [], "limits": {"idle-timeout-ms": 15000},
+            "routes": [{"name": f"r-{port}", "host": address, "path-prefix": f"/{port}/",
+                        "service": service} for address, port, service in routes]})
+
+    def start_daemon(self, address, seeds):
+        daemon = Daemon(self, f"lb-{len(self.daemons) + 1}", address, seeds)
+        self.daemons.append(daemon)
+        return daemon
+
+    def start_backend(self, address, service):
+        backend = Backend(self, address, service)
+        self.backends.append(backend)
+        return backend
+
+    def stop(self):
+        for daemon in self.daemons:
+            if daemon.process.poll() is None:
+                daemon.send_signal(signal.SIGCONT)
+                daemon.kill()
--- /dev/null
+++ b/scripts/token_smoke.py
@@ -0,0 +1,113 @@
+"""Two daemons that steer by tokens, as real processes: store, back ends and callers are stand-ins.
+
+Nothing here depends on how long a step takes; what must happen is waited for. Exit status is 0
+where every check holds.
+"""
+
+import os
+import signal
+import sys
+import tempfile
+
+from token_fleet import PATIENCE, Caller, TokenFleet, wait_until
+
+ROUTE = ("10.90.0.1", 443)
+PATIENT = (0.3, 0.7, 2.0, 4.0)
+
+
+class Checks:
+    def __init__(self):
+        self.failed = 0
+
+    def expect(self, what, holds):
+        print(("ok      " if holds else "FAILED  ") + what)
+        self.failed += 0 if holds else 1
+
+
+def open_many(caller, daemons, count):
+    flows = [caller.open(daemons, ROUTE) for _ in range(count)]
+    return [flow for flow in flows if flow is not None]
+
+
+def ask_all(caller, daemons, flows):
+    return [caller.ask(daemons, flow, PATIENT) for flow in flows]
+
+
+def run(fleet, checks):
+    fleet.publish([(*ROUTE, "web")])
+    backends = [fleet.start_backend(f"127.0.2.{i}", "web") for i in range(1, 4)]
+    first = fleet.start_daemon("127.0.0.2", ["127.0.0.2"])
+    second = fleet.start_daemon("127.0.0.3", ["127.0.0.2"])
+    for daemon in (first, second):
+        wait_until(daemon.is_ready, f"{daemon.name} is ready")
+    caller = Caller(fleet, "127.0.1.1")
+
+    flows = open_many(caller, [first], 12)
+    checks.expect("every opening is placed", len(flows) == 12)
+    checks.expect("every back end gets some", all(backend.flows for backend in backends))
+    checks.expect("flows go on through another daemon",
+                  ask_all(caller, [second], flows) == ["ok"] * 12)
+
+    backends[0].leave()
+    wait_until(lambda: all(any("leaving" in line for line in daemon.lines("backend_changed"))
+                           for daemon in (first, second)), "the leaving back end is known")
+    before = len(backends[0].openings)
+    more = open_many(caller, [first, second], 12)
+    checks.expect("a leaving back end gets no new flow",
+                  len(more) == 12 and len(backends[0].openings) == before)
+    checks.expect("and keeps its flows", ask_all(caller, [second], flows) == ["ok"] * 12)
+
+    fleet.store.set_mode("silent")
+    second.kill()
+    second.start()
+    wait_until(second.is_ready, "a daemon that starts during an outage has a peer's view")
+    wait_until(lambda: bool(second.lines("view_from_peer")), "the view came from the peer")
+    checks.expect("flows go on through it", ask_all(caller, [second], flows) == ["ok"] * 12)
+    fleet.store.set_mode("up")
+
+    fleet.store.compact()
+    fleet.publish([(*ROUTE, "web"), ("10.90.0.2", 443, "web")])
+    wait_until(lambda: all(any(f"version={fleet.version} " in line
+                               for line in daemon.lines("routes_in_force"))
+                           for daemon in (first, second)), "the new version is in force")
+    checks.expect("a new route serves",
+                  caller.open([second], ("10.90.0.2", 443)) is not None)
+    wait_until(lambda: caller.open([first], ("10.90.0.9", 443)) is None
+               and bool(first.lines("packet_refused")), "an unknown route is refused")
+
+    first.write_settings("warning")
+    first.send_signal(signal.SIGHUP)
+    wait_until(lambda: "cobaltgauge_ready 1" in first.metrics(), "SIGHUP leaves the daemon running")
+    first.write_settings("loud")
+    wait_until(lambda: bool(first.lines("reload_refused")), "a wrong settings file is refused")
+    caller.socket.sendto(b"no packet", (first.address, fleet.data_port))
+    wait_until(lambda: 'packet_faults_total{reason="short"} 1' in first.metrics(),
+               "what is no packet is counted")
+
+    first.send_signal(signal.SIGTERM)
+    wait_until(lambda: not first.is_ready(), "a stopping daemon is not ready")
+    checks.expect("a stopping daemon ends by itself", first.process.wait(PATIENCE) == 0)
+    checks.expect("all flows outlive it", ask_all(caller, [second], flows + more) == ["ok"] * 24)
+    checks.expect("no packet reached a back end that does not hold its flow",
+                  not any(backend.strays for backend in backends))
+
+
+def main():
+    policy = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "deploy",
+                          "placement.lua")
+    checks = Checks()
+    with tempfile.TemporaryDirectory() as directory:
+        fleet = TokenFleet(os.path.abspath(sys.argv[1]), directory, os.path.abspath(policy))
+        try:
+            run(fleet, checks)
+        finally:
+            fleet.stop()
+            if checks.failed:
+                for daemon in fleet.daemons:
+                    with open(daemon.log, encoding="utf-8") as log:
+                        print(log.read()[-4000:])
+    return 1 if checks.failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
