--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -354,11 +354,17 @@
         self.build, self.directory, self.policy = build, directory, policy
         self.data_port, self.ready_port = free_port(), free_port()
         self.peer_port, self.admin_port = free_port(), free_port()
-        self.store = Store("127.0.0.1")
+        # A part of loopback for each run, so that two runs do not meet.
+        self.network = f"127.{os.getpid() % 200 + 20}"
+        self.store = Store(self.at(0, 1))
         self.next_id = 0x1000
         self.daemons, self.backends = [], []
         self.version = 0
 
+    def at(self, net, host):
+        """Returns an address of this run."""
+        return f"{self.network}.{net}.{host}"
+
     def publish(self, routes):
         """`routes`: (address, port, service) each."""
         self.version += 1
--- a/scripts/token_smoke.py
+++ b/scripts/token_smoke.py
@@ -35,12 +35,12 @@
 
 def run(fleet, checks):
     fleet.publish([(*ROUTE, "web")])
-    backends = [fleet.start_backend(f"127.0.2.{i}", "web") for i in range(1, 4)]
-    first = fleet.start_daemon("127.0.0.2", ["127.0.0.2"])
-    second = fleet.start_daemon("127.0.0.3", ["127.0.0.2"])
+    backends = [fleet.start_backend(fleet.at(2, i), "web") for i in range(1, 4)]
+    first = fleet.start_daemon(fleet.at(0, 2), [fleet.at(0, 2)])
+    second = fleet.start_daemon(fleet.at(0, 3), [fleet.at(0, 2)])
     for daemon in (first, second):
         wait_until(daemon.is_ready, f"{daemon.name} is ready")
-    caller = Caller(fleet, "127.0.1.1")
+    caller = Caller(fleet, fleet.at(1, 1))
 
     flows = open_many(caller, [first], 12)
     checks.expect("every opening is placed", len(flows) == 12)
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -125,13 +125,16 @@
 /// How long every change is taken at once after a packet could not be decided for want of a back
 /// end that may just be registering.
 inline constexpr Duration kWantedFor = 1000ms;
-/// A starting daemon asks peers when the store has not answered for this long.
+/// A starting daemon asks peers when the store has answered nothing for this long.
 inline constexpr Duration kStoreFirstTry = 150ms;
 /// A daemon with a view asks peers for a newer one when the store has failed it for this long.
 inline constexpr Duration kStoreSilence = 1500ms;
 inline constexpr Duration kAskPeersEvery = 400ms;
+/// Whole views that a daemon gives in a second; who asks beyond that is told of other peers. A view
+/// of 3,000 back ends has 300 KB.
+inline constexpr std::uint32_t kViewsPerSecond = 4;
 /// Peers asked at once, and peers remembered.
-inline constexpr std::size_t kPeersAsked = 3;
+inline constexpr std::size_t kPeersAsked = 2;
 inline constexpr std::size_t kMostViewPeers = 32;
 
 /// A view counts as current for this long after the store's last answer.
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -105,6 +105,8 @@
   bool isComplete() const { return complete_; }
 
   Revision revision() const { return revision_; }
+  /// @return when the store last answered anything; zero before the first answer.
+  Time lastAnswerAt() const { return lastAnswerAt_; }
   const StoreReaderCounters& counters() const { return counters_; }
   std::uint32_t failuresInRow() const { return failuresInRow_; }
 
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/constants.h"
-
 namespace cobaltgauge::core {
 namespace {
 
@@ -91,7 +89,7 @@
 
 bool ViewExchange::needsPeers(Time now) const {
   if (!reader_.isComplete()) {
-    return now - startedAt_ >= kStoreFirstTry;
+    return now - std::max(startedAt_, reader_.lastAnswerAt()) >= kStoreFirstTry;
   }
   return now - lastCurrentAt_ >= kStoreSilence;
 }
@@ -134,14 +132,15 @@
   }
 }
 
-ViewTransfer ViewExchange::viewFor(const ViewRequest& request, Time now) const {
+ViewTransfer ViewExchange::viewFor(const ViewRequest& request, Time now) {
   ViewTransfer view;
   for (const Endpoint& peer : peers_) {
     if (peer != request.replyTo) {
       view.peers.push_back(peer);
     }
   }
-  if (!reader_.isComplete() || reader_.revision() <= request.have) {
+  const bool isNews = reader_.isComplete() && reader_.revision() > request.have;
+  if (!isNews || !views_.admit(RankedTokenBucket::kHighestRank, now)) {
     return view;
   }
   view.revision = reader_.revision();
--- a/src/core/view_exchange.h
+++ b/src/core/view_exchange.h
@@ -10,6 +10,8 @@
 
 #include <vector>
 
+#include "core/admission.h"
+#include "core/constants.h"
 #include "core/random.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
@@ -57,7 +59,7 @@
   void introduce();
   void askSome(Time now);
   void addPeer(const Endpoint& peer);
-  ViewTransfer viewFor(const ViewRequest& request, Time now) const;
+  ViewTransfer viewFor(const ViewRequest& request, Time now);
 
   Endpoint self_;
   TokenSteering& steering_;
@@ -65,6 +67,7 @@
   StoreReader& reader_;
   Random& random_;
   std::vector<Endpoint> peers_;  ///< Newest last.
+  RankedTokenBucket views_{kViewsPerSecond};
   std::vector<OutgoingView> outgoing_;
   bool introduced_ = false;
   Time startedAt_{};
--- a/tests/core/view_exchange_test.cc
+++ b/tests/core/view_exchange_test.cc
@@ -176,6 +176,32 @@
   BOOST_TEST(second.exchange.counters().requestsSent == sent);
 }
 
+// At 300 machines the seeds sent each starting daemon 300 KB though the store was answering them,
+// and it took 30 s until all served.
+BOOST_AUTO_TEST_CASE(a_daemon_whose_listing_goes_on_asks_nobody) {
+  store.pageSize = 1;
+  for (int page = 0; page < 3; ++page) {
+    now += core::kStoreFirstTry - 1ms;
+    read(third);
+    third.exchange.onTick(now);
+  }
+  BOOST_TEST(!third.reader.isComplete());
+  BOOST_TEST(third.exchange.counters().requestsSent == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(views_are_given_only_so_often) {
+  std::size_t views = 0;
+  for (std::uint8_t host = 20; host < 60; ++host) {
+    first.exchange.onRequest({endpoint(9, host, 7720), 0, true}, now);
+  }
+  for (const core::OutgoingView& message : first.exchange.takeMessages()) {
+    const auto* view = std::get_if<core::ViewTransfer>(&message.message);
+    views += view != nullptr && view->revision != 0 ? 1U : 0U;
+  }
+  BOOST_TEST(views >= 1U);
+  BOOST_TEST(views <= core::kViewsPerSecond);
+}
+
 BOOST_AUTO_TEST_CASE(a_route_without_targets_is_left_out) {
   core::ViewTransfer view;
   view.revision = 10;
