Count closed flows no longer as open; order back ends at one address by revision

Cause: the last packet after a close made a flow count as open for 15 s more; a listing that gives a later back end of an address before the earlier one left both open for flows.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -59,7 +59,7 @@
   tokens_.try_emplace(tokenOf(registration.id), key);
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
-  markEnded(entry);
+  markEnded(registration.endpoint);
   candidates_.erase(entry.address.service);
   if (isNew) {
     return RegistryEvent::kAdded;
@@ -73,10 +73,18 @@
   return sameContent ? RegistryEvent::kNone : RegistryEvent::kChanged;
 }
 
-void BackendRegistry::markEnded(const Entry& successor) {
-  for (const std::string& key : endpoints_[successor.address.endpoint]) {
+void BackendRegistry::markEnded(const Endpoint& endpoint) {
+  // Of all that registered at an address only the last one can be there. A listing gives them in
+  // any order.
+  const std::set<std::string>& keys = endpoints_[endpoint];
+  Revision last = 0;
+  for (const std::string& key : keys) {
+    const Entry& entry = entries_.at(key);
+    last = std::max(last, entry.present ? entry.revision : 0);
+  }
+  for (const std::string& key : keys) {
     Entry& entry = entries_.at(key);
-    if (!entry.ended && entry.revision < successor.revision) {
+    if (!entry.ended && entry.revision < last) {
       entry.ended = true;
       candidates_.erase(entry.address.service);
     }
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -98,7 +98,7 @@
 
   static PlacementCandidate candidateOf(const Entry& entry);
   bool isCandidate(const std::string& key, const Entry& entry) const;
-  void markEnded(const Entry& successor);
+  void markEnded(const Endpoint& endpoint);
   void collectCandidates(ServiceId service, std::vector<PlacementCandidate>& list) const;
   void forget(const std::string& key, const Entry& entry);
 
--- a/src/core/token_flows.cc
+++ b/src/core/token_flows.cc
@@ -57,7 +57,7 @@
   std::vector<TokenFlow> taken;
   for (auto flow = order_.begin(); flow != order_.end();) {
     const auto next = std::next(flow);
-    if (flow->backend == backend) {
+    if (flow->backend == backend && !flow->closed) {
       taken.push_back(*flow);
       drop(flow);
     }
@@ -66,11 +66,24 @@
   return taken;
 }
 
-void TokenFlows::drop(Order::iterator flow) {
-  const auto open = open_.find(flow->backend);
+void TokenFlows::close(TokenFlow& flow) {
+  if (!flow.closed) {
+    flow.closed = true;
+    countOut(flow.backend);
+  }
+}
+
+void TokenFlows::countOut(BackendId backend) {
+  const auto open = open_.find(backend);
   if (--open->second == 0) {
     open_.erase(open);
   }
+}
+
+void TokenFlows::drop(Order::iterator flow) {
+  if (!flow->closed) {
+    countOut(flow->backend);
+  }
   index_.erase(flow->fingerprint);
   order_.erase(flow);
 }
--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -24,6 +24,7 @@
   bool dataAnswered = true;   ///< New bytes were acknowledged since.
   std::uint32_t dataEnd = 0;  ///< Sequence number after the caller's last data.
   std::uint32_t acknowledgement = 0;
+  bool closed = false;    ///< Its caller has closed it; kept for the packets that follow.
   bool answered = false;  ///< The caller has shown that the back end answered.
 };
 
@@ -40,6 +41,9 @@
   /// Marks a flow as seen now.
   void touch(TokenFlow& flow, Time now);
 
+  /// Marks a flow as closed: it no longer counts as open.
+  void close(TokenFlow& flow);
+
   void erase(FlowFingerprint fingerprint);
 
   /// Forgets flows that were idle for longer than `idle`.
@@ -59,6 +63,7 @@
   using Order = std::list<TokenFlow>;
 
   void drop(Order::iterator flow);
+  void countOut(BackendId backend);
 
   std::size_t capacity_;
   Order order_;  ///< Idle for longest first.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -53,7 +53,12 @@
   const FlowFingerprint fingerprint = fingerprintOf(packet.flow, options_.hashSeed);
   TokenFlow* flow = flows_.find(fingerprint);
   if (packet.kind == PacketKind::kClosing) {
-    flows_.erase(fingerprint);
+    if (flow != nullptr) {
+      flows_.close(*flow);
+    }
+    return;
+  }
+  if (flow != nullptr && flow->closed) {
     return;
   }
   if (flow == nullptr || flow->backend != backend.id) {
@@ -308,7 +313,7 @@
     return;
   }
   nextMaintenance_ = now + kMaintenanceInterval;
-  flows_.expire(now, options_.flowIdleTimeout);
+  flows_.expire(now, std::max<Duration>(options_.flowIdleTimeout, routes_.idleTimeout()));
   health_.expire(now);
   pacer_.expire(now);
   resetFlowsOfEnded();
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -68,6 +68,15 @@
   BOOST_TEST((registry.findByToken(core::tokenOf(BackendId{id}))->id == BackendId{other}));
 }
 
+// A listing gives items by key; the later back end may come before the one that it replaced.
+BOOST_AUTO_TEST_CASE(the_last_at_an_address_is_known_in_whatever_order_they_are_listed) {
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
+  registry.put("servers/b", makeRegistration(2, "other", 1, 1), 5, now);
+  BOOST_TEST(registry.takesNewFlows(BackendId{1}));
+  BOOST_TEST(registry.hasEnded(BackendId{2}));
+  BOOST_TEST(!registry.hasEnded(BackendId{1}));
+}
+
 BOOST_AUTO_TEST_CASE(departed_back_ends_are_forgotten_in_time) {
   registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
   registry.remove("servers/1", 2, now);
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -75,6 +75,20 @@
   BOOST_TEST(flowsOfFirst(400, 100) >= 50);
 }
 
+// The last acknowledgement after a close made the flow count as open for another 15 s.
+BOOST_AUTO_TEST_CASE(a_closed_flow_does_not_count_as_open_again) {
+  const BackendId backend = openAndAnswer(1);
+  core::PacketSummary close = packet(1, core::PacketKind::kClosing);
+  close.token = core::tokenOf(backend);
+  BOOST_TEST((backendOf(steering.onPacket(close, now)) == backend));
+  BOOST_TEST(steering.flows().openOn(backend) == 0U);
+  BOOST_TEST((backendOf(send(1, backend, 9, 0)) == backend));
+  BOOST_TEST(steering.flows().openOn(backend) == 0U);
+  // A late copy of its opening opens nothing.
+  now += 300ms;
+  BOOST_TEST((dropOf(open(1, 1)) == DropReason::kStaleOpening));
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_back_end_keeps_its_flows_and_gets_no_new_one) {
   core::Registration leaving = makeRegistration(1, "web", 1, 1);
   leaving.state = core::BackendState::kLeaving;
