Count verdicts, collect candidates and note departures in one place each

Found on reading the change once more: Balancer and TokenSteering counted verdicts by the same code; two lists of back ends were collected by the same loop; two ways of vanishing wrote the same fields; a field of TokenFlow and an accessor of StoreReader were read by nobody. Behaviour is unchanged.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -101,10 +101,14 @@
   if (!entry.present) {
     return RegistryEvent::kNone;
   }
+  depart(entry, now);
+  return RegistryEvent::kVanished;
+}
+
+void BackendRegistry::depart(Entry& entry, Time now) {
   entry.present = false;
   entry.removedAt = now;
   candidates_.erase(entry.address.service);
-  return RegistryEvent::kVanished;
 }
 
 std::vector<std::string> BackendRegistry::retainOnly(const std::set<std::string>& keys,
@@ -118,10 +122,8 @@
   for (const std::string& key : vanished) {
     // The removal's own revision is unknown; the listing's is the latest that it can have.
     Entry& entry = entries_.at(key);
-    entry.present = false;
     entry.revision = listedAt;
-    entry.removedAt = now;
-    candidates_.erase(entry.address.service);
+    depart(entry, now);
   }
   return vanished;
 }
@@ -161,40 +163,36 @@
 const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
   const auto [list, isNew] = candidates_.try_emplace(service);
   if (isNew) {
-    collectCandidates(service, list->second);
+    list->second = collect(service, [this](const std::string& key, const Entry& entry) {
+      return isCandidate(key, entry);
+    });
   }
   return list->second;
 }
 
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
                                                                Time since) const {
-  std::vector<PlacementCandidate> list;
-  const auto keys = services_.find(service);
-  if (keys == services_.end()) {
-    return list;
-  }
-  for (const std::string& key : keys->second) {
-    const Entry& entry = entries_.at(key);
+  return collect(service, [since](const std::string&, const Entry& entry) {
     const bool unannounced = entry.registration.state == BackendState::kActive;
-    if (!entry.present && !entry.ended && unannounced && entry.removedAt > since) {
-      list.push_back(candidateOf(entry));
-    }
-  }
-  return list;
+    return !entry.present && !entry.ended && unannounced && entry.removedAt > since;
+  });
 }
 
-void BackendRegistry::collectCandidates(ServiceId service,
-                                        std::vector<PlacementCandidate>& list) const {
+template <typename Predicate>
+std::vector<PlacementCandidate> BackendRegistry::collect(ServiceId service,
+                                                         Predicate belongs) const {
+  std::vector<PlacementCandidate> list;
   const auto keys = services_.find(service);
   if (keys == services_.end()) {
-    return;
+    return list;
   }
   for (const std::string& key : keys->second) {
     const Entry& entry = entries_.at(key);
-    if (isCandidate(key, entry)) {
+    if (belongs(key, entry)) {
       list.push_back(candidateOf(entry));
     }
   }
+  return list;
 }
 
 void BackendRegistry::reweigh() {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -99,7 +98,11 @@
   static PlacementCandidate candidateOf(const Entry& entry);
   bool isCandidate(const std::string& key, const Entry& entry) const;
   void markEnded(const Endpoint& endpoint);
-  void collectCandidates(ServiceId service, std::vector<PlacementCandidate>& list) const;
+  /// Notes that an item is no longer in the store.
+  void depart(Entry& entry, Time now);
+  /// @return the back ends of a service for which `belongs(key, entry)` holds.
+  template <typename Predicate>
+  std::vector<PlacementCandidate> collect(ServiceId service, Predicate belongs) const;
   void forget(const std::string& key, const Entry& entry);
 
   Duration keepDeparted_;
--- a/src/core/balancer.h
+++ b/src/core/balancer.h
@@ -50,11 +50,7 @@
 };
 
 /// Counters of one balancer; see docs/METRICS.md.
-struct BalancerCounters {
-  std::array<std::uint64_t, kRouteReasons> routed{};    ///< By RouteReason.
-  std::array<std::uint64_t, kDropReasons> dropped{};    ///< By DropReason.
-  std::array<std::uint64_t, kRefuseReasons> refused{};  ///< By RefuseReason.
-  std::uint64_t passedToPeer = 0;
+struct BalancerCounters : VerdictCounters {
   std::uint64_t suspensions = 0;
   std::uint64_t hintsSent = 0;
 };
--- a/src/core/balancer_routing.cc
+++ b/src/core/balancer_routing.cc
@@ -32,15 +32,7 @@
 }
 
 Verdict Balancer::count(Verdict verdict) {
-  if (const auto* forward = std::get_if<ForwardToBackend>(&verdict)) {
-    ++counters_.routed[static_cast<std::size_t>(forward->reason)];
-  } else if (const auto* refuse = std::get_if<Refuse>(&verdict)) {
-    ++counters_.refused[static_cast<std::size_t>(refuse->reason)];
-  } else if (const auto* drop = std::get_if<Drop>(&verdict)) {
-    ++counters_.dropped[static_cast<std::size_t>(drop->reason)];
-  } else {
-    ++counters_.passedToPeer;
-  }
+  counters_.count(verdict);
   return verdict;
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -108,7 +108,6 @@
   /// @return when the store last answered anything; zero before the first answer.
   Time lastAnswerAt() const { return lastAnswerAt_; }
   const StoreReaderCounters& counters() const { return counters_; }
-  std::uint32_t failuresInRow() const { return failuresInRow_; }
 
  private:
   void onPage(const StoreReply& reply, Time now);
--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -17,7 +17,6 @@
   FlowFingerprint fingerprint{0};
   FlowKey key;
   BackendId backend = kNoBackend;
-  ServiceId service{0};
   Time openedAt{};  ///< When the first opening was placed here; zero where it was not.
   Time lastSeen{};
   Time dataSentAt{};          ///< When the caller's last new data passed.
@@ -44,8 +43,6 @@
   /// Marks a flow as closed: it no longer counts as open.
   void close(TokenFlow& flow);
 
-  void erase(FlowFingerprint fingerprint);
-
   /// Forgets flows that were idle for longer than `idle`.
   void expire(Time now, Duration idle);
 
@@ -62,6 +59,7 @@
  private:
   using Order = std::list<TokenFlow>;
 
+  void erase(FlowFingerprint fingerprint);
   void drop(Order::iterator flow);
   void countOut(BackendId backend);
 
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -26,7 +26,9 @@
 
 Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
   const bool opens = packet.kind == PacketKind::kOpening;
-  return count(opens ? steerOpening(packet, now) : steerOpen(packet, now));
+  const Verdict verdict = opens ? steerOpening(packet, now) : steerOpen(packet, now);
+  counters_.count(verdict);
+  return verdict;
 }
 
 Verdict TokenSteering::steerOpen(const PacketSummary& packet, Time now) {
@@ -62,7 +64,7 @@
     return;
   }
   if (flow == nullptr || flow->backend != backend.id) {
-    TokenFlow learned{fingerprint, packet.flow, backend.id, backend.service};
+    TokenFlow learned{fingerprint, packet.flow, backend.id};
     learned.acknowledgement = packet.acknowledgement;
     learned.answered = true;
     noteData(packet, flows_.put(learned, now), now);
@@ -154,8 +156,7 @@
     return Drop{DropReason::kPaced};
   }
   const BackendAddress& backend = *backends_.find(choice.id);
-  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, choice.id,
-                 backend.service};
+  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, choice.id};
   flow.openedAt = now;
   decision_.backend = choice.id;
   decision_.openFlows = flows_.openOn(choice.id);
@@ -255,17 +256,6 @@
   return ForwardToBackend{backend, routes_.version(), reason, tokenOf(backend.id)};
 }
 
-Verdict TokenSteering::count(Verdict verdict) {
-  if (const auto* forward = std::get_if<ForwardToBackend>(&verdict)) {
-    ++counters_.routed[static_cast<std::size_t>(forward->reason)];
-  } else if (const auto* refusal = std::get_if<Refuse>(&verdict)) {
-    ++counters_.refused[static_cast<std::size_t>(refusal->reason)];
-  } else if (const auto* drop = std::get_if<Drop>(&verdict)) {
-    ++counters_.dropped[static_cast<std::size_t>(drop->reason)];
-  }
-  return verdict;
-}
-
 void TokenSteering::onResume() {
   openingsAreStale_ = true;
   health_.onResume();
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -9,7 +9,9 @@
 ///  - A refusal of an opening is given only by a view that is known to be current.
 #pragma once
 
-#include <array>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
@@ -29,13 +31,6 @@
   Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
 };
 
-/// Counters of a TokenSteering; see docs/METRICS.md.
-struct TokenSteeringCounters {
-  std::array<std::uint64_t, kRouteReasons> routed{};
-  std::array<std::uint64_t, kDropReasons> dropped{};
-  std::array<std::uint64_t, kRefuseReasons> refused{};
-};
-
 /// How an opening was decided, for logs.
 struct OpeningDecision {
   std::string route;
@@ -90,7 +85,7 @@
   RouteTable& routes() { return routes_; }
   const RouteTable& routes() const { return routes_; }
 
-  const TokenSteeringCounters& counters() const { return counters_; }
+  const VerdictCounters& counters() const { return counters_; }
   const TokenFlows& flows() const { return flows_; }
   const BackendHealth& health() const { return health_; }
   /// @return how the last opening was decided.
@@ -126,7 +121,6 @@
   void resetFlowsOfEnded();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
   Verdict forward(const BackendAddress& backend, RouteReason reason) const;
-  Verdict count(Verdict verdict);
 
   TokenSteeringOptions options_;
   Random& random_;
@@ -137,7 +131,7 @@
   OpeningPacer pacer_;
   std::unordered_map<Endpoint, Time, EndpointHash> emptySince_;  ///< Routes without back ends.
   std::vector<FlowReset> resets_;
-  TokenSteeringCounters counters_;
+  VerdictCounters counters_;
   OpeningDecision decision_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -2,6 +2,18 @@
 
 namespace cobaltgauge::core {
 
+void VerdictCounters::count(const Verdict& verdict) {
+  if (const auto* forward = std::get_if<ForwardToBackend>(&verdict)) {
+    ++routed[static_cast<std::size_t>(forward->reason)];
+  } else if (const auto* refuse = std::get_if<Refuse>(&verdict)) {
+    ++refused[static_cast<std::size_t>(refuse->reason)];
+  } else if (const auto* drop = std::get_if<Drop>(&verdict)) {
+    ++dropped[static_cast<std::size_t>(drop->reason)];
+  } else {
+    ++passedToPeer;
+  }
+}
+
 bool mayChangeWithView(DropReason reason) {
   return reason == DropReason::kNoConfiguration || reason == DropReason::kUnknownToken ||
          reason == DropReason::kEmptyService;
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -2,6 +2,7 @@
 /// What the core decides about a packet.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <variant>
 
@@ -98,6 +99,16 @@
 
 using Verdict = std::variant<ForwardToBackend, ForwardToPeer, Refuse, Drop>;
 
+/// How many packets were decided in which way.
+struct VerdictCounters {
+  std::array<std::uint64_t, kRouteReasons> routed{};    ///< By RouteReason.
+  std::array<std::uint64_t, kDropReasons> dropped{};    ///< By DropReason.
+  std::array<std::uint64_t, kRefuseReasons> refused{};  ///< By RefuseReason.
+  std::uint64_t passedToPeer = 0;
+
+  void count(const Verdict& verdict);
+};
+
 /// @return true where a newer view may decide the packet otherwise.
 bool mayChangeWithView(DropReason reason);
 /// @return true where the packet lacks a back end that may just be registering.
