--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -52,6 +52,7 @@
   entry.present = true;
   if (!sameContent) {
     entry.warmUntil = now + registration.warmUpLeft;
+    entry.weight = weights_.weightOf(registration);
   }
   keys_[registration.id] = key;
   // The back end that was known first keeps a token that two share; the other takes no flows.
@@ -133,8 +134,8 @@
 }
 
 PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) {
-  return {entry.address.id, std::max(entry.registration.capacity, 1U), entry.warmUntil,
-          entry.registration.zone};
+  return {entry.address.id, std::max(entry.registration.capacity, 1U), entry.weight,
+          entry.warmUntil};
 }
 
 bool BackendRegistry::isCandidate(const std::string& key, const Entry& entry) const {
@@ -177,13 +178,21 @@
   for (const std::string& key : services_[service]) {
     const Entry& entry = entries_.at(key);
     if (isCandidate(key, entry)) {
-      list.push_back({entry.address.id, std::max(entry.registration.capacity, 1U), entry.warmUntil,
-                      entry.registration.zone});
+      list.push_back(candidateOf(entry));
     }
   }
   candidates_[service] = std::move(list);
 }
 
+void BackendRegistry::reweigh() {
+  for (auto& [key, entry] : entries_) {
+    entry.weight = weights_.weightOf(entry.registration);
+  }
+  for (const auto& [service, keys] : services_) {
+    rebuild(service);
+  }
+}
+
 void BackendRegistry::forget(const std::string& key, const Entry& entry) {
   const auto owner = tokens_.find(tokenOf(entry.address.id));
   if (owner != tokens_.end() && owner->second == key) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/placement_weights.h"
 #include "core/registration.h"
 #include "core/types.h"
 
@@ -20,8 +21,8 @@
 struct PlacementCandidate {
   BackendId id = kNoBackend;
   std::uint32_t capacity = 1;
+  std::uint32_t weight = kDefaultPlacementWeight;
   Time warmUntil{};  ///< Slow until this time.
-  std::string zone;
 };
 
 /// What happened to a back end, for logs.
@@ -42,7 +43,12 @@
 class BackendRegistry {
  public:
   /// @param keepDeparted how long a back end that is gone stays reachable by token.
-  explicit BackendRegistry(Duration keepDeparted) : keepDeparted_(keepDeparted) {}
+  /// @param weights outlives the registry.
+  BackendRegistry(Duration keepDeparted, PlacementWeights& weights)
+      : keepDeparted_(keepDeparted), weights_(weights) {}
+
+  /// Weighs every back end again, after the policy changed.
+  void reweigh();
 
   /// Takes one item. @return what it changed.
   RegistryEvent put(const std::string& key, const Registration& registration, Revision revision,
@@ -85,6 +91,7 @@
     bool ended = false;   ///< Its address belongs to a later back end.
     Time removedAt{};
     Time warmUntil{};
+    std::uint32_t weight = kDefaultPlacementWeight;
   };
 
   static PlacementCandidate candidateOf(const Entry& entry);
@@ -94,6 +101,7 @@
   void forget(const std::string& key, const Entry& entry);
 
   Duration keepDeparted_;
+  PlacementWeights& weights_;
   std::map<std::string, Entry> entries_;  ///< By key.
   std::unordered_map<SteeringToken, std::string> tokens_;
   std::unordered_map<BackendId, std::string> keys_;
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -16,10 +16,11 @@
 
 }  // namespace
 
-TokenSteering::TokenSteering(const TokenSteeringOptions& options, Random& random)
+TokenSteering::TokenSteering(const TokenSteeringOptions& options, PlacementWeights& weights,
+                             Random& random)
     : options_(options),
       random_(random),
-      backends_(options.longestFlow),
+      backends_(options.longestFlow, weights),
       routes_(random.below(UINT64_MAX)),
       flows_(options.flowEntries) {}
 
@@ -198,6 +199,9 @@
   const std::size_t start = random_.below(candidates.size());
   for (std::size_t i = 0; i < looks; ++i) {
     const Choice choice = assess(candidates[(start + i) % candidates.size()], avoided, now);
+    if (choice.excluded) {
+      continue;
+    }
     const bool better = best.id == kNoBackend || isBetter(choice, best);
     const bool worse = !better && isBetter(best, choice);
     ties = better ? 1 : ties + (worse ? 0U : 1U);
@@ -217,13 +221,14 @@
   choice.capacity = candidate.capacity;
   choice.suspected = candidate.id == avoided || health_.isSuspected(candidate.id, now);
   choice.busy = pacer_.isBusy(candidate.id, now);
-  choice.load = flows * factor / candidate.capacity;
+  choice.excluded = candidate.weight == 0;
+  choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
   return choice;
 }
 
 bool TokenSteering::isBetter(const Choice& left, const Choice& right) {
-  return std::tie(left.suspected, left.busy, left.load) <
-         std::tie(right.suspected, right.busy, right.load);
+  return std::tie(left.excluded, left.suspected, left.busy, left.load) <
+         std::tie(right.excluded, right.suspected, right.busy, right.load);
 }
 
 Verdict TokenSteering::refuse(RefuseReason reason, RefusalCertainty certainty) const {
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -47,7 +47,8 @@
 
 class TokenSteering : public FlowSteering {
  public:
-  TokenSteering(const TokenSteeringOptions& options, Random& random);
+  /// @param weights outlives the steering.
+  TokenSteering(const TokenSteeringOptions& options, PlacementWeights& weights, Random& random);
 
   Verdict onPacket(const PacketSummary& packet, Time now) override;
   void onTick(Time now) override;
@@ -87,6 +88,7 @@
   struct Choice {
     BackendId id = kNoBackend;
     std::uint32_t capacity = 1;
+    bool excluded = true;  ///< The policy gives it no new flow.
     bool suspected = true;
     bool busy = true;
     double load = 0;
--- /dev/null
+++ b/src/daemon/policy_weights.cc
@@ -0,0 +1,56 @@
+#include "daemon/policy_weights.h"
+
+#include "daemon/log.h"
+
+namespace cobaltgauge::daemon {
+
+bool PolicyWeights::load(const std::string& source) {
+  core::Registration sample;
+  sample.zone = zone_;
+  if (!evaluate(source, sample)) {
+    return false;
+  }
+  source_ = source;
+  weights_.clear();
+  return true;
+}
+
+std::uint32_t PolicyWeights::weightOf(const core::Registration& registration) {
+  if (source_.empty()) {
+    return core::kDefaultPlacementWeight;
+  }
+  const Kind kind{registration.service, registration.zone, registration.softwareVersion,
+                  registration.capacity};
+  const auto known = weights_.find(kind);
+  if (known != weights_.end()) {
+    return known->second;
+  }
+  const std::optional<std::uint32_t> weight = evaluate(source_, registration);
+  if (!weight) {
+    logEvent(LogLevel::kError, "policy_failed",
+             {{"service", registration.service},
+              {"zone", registration.zone},
+              {"reason", evaluator_.lastReason()},
+              {"weight", std::to_string(core::kDefaultPlacementWeight)}});
+  }
+  return weights_.emplace(kind, weight.value_or(core::kDefaultPlacementWeight)).first->second;
+}
+
+std::optional<std::uint32_t> PolicyWeights::evaluate(const std::string& source,
+                                                     const core::Registration& registration) {
+  policy::PolicyInput input;
+  input.source = source;
+  input.flowClass = registration.service;
+  policy::PolicyBackend backend;
+  backend.name = registration.service;
+  backend.zone = registration.zone;
+  backend.state = registration.state;
+  backend.capacity = registration.capacity;
+  backend.version = registration.softwareVersion;
+  backend.sameZone = registration.zone == zone_;
+  input.backends.push_back(backend);
+  const std::optional<policy::PolicyResult> result = evaluator_.evaluate(input);
+  return result ? std::optional(result->weights.front()) : std::nullopt;
+}
+
+}  // namespace cobaltgauge::daemon
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -44,6 +44,7 @@
   std::chrono::seconds longestFlow{60};
   std::chrono::milliseconds stopGrace{6000};
   core::Endpoint readinessListen;
+  std::string policyFile;  ///< Empty: all back ends are weighed alike.
 };
 
 /// One setting: where it stands, what it means, what is allowed.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -126,6 +126,12 @@
   fields.push_back(numberField("steering", "stop_grace_ms",
                                "Time from SIGTERM until the process must have ended",
                                &Settings::stopGrace, 1'000, 600'000));
+  fields.push_back(field(
+      "steering", "policy_file", "Policy program that weighs back ends for new flows (token)",
+      "the path of a Lua file; empty: all alike", [](Settings& settings, const std::string& text) {
+        settings.policyFile = text;
+        return true;
+      }));
   fields.push_back(endpointField("readiness", "listen",
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -1,6 +1,8 @@
 #include "daemon/token_daemon.h"
 
 #include <csignal>
+#include <fstream>
+#include <iterator>
 
 #include "core/constants.h"
 #include "core/hashing.h"
@@ -36,7 +38,8 @@
 TokenDaemon::TokenDaemon(Settings settings)
     : settings_(std::move(settings)),
       formats_(net::makeEdgeFormats()),
-      steering_(steeringOptions(settings_), random_),
+      weights_(settings_.zone),
+      steering_(steeringOptions(settings_), weights_, random_),
       updater_(steering_.backends(), steering_.routes(), logViewChange),
       reader_(updater_, random_),
       packets_(context_, *formats_.packets, steering_),
@@ -52,6 +55,9 @@
   packets_.setVerdictListener([this](const core::PacketSummary& packet, const core::Verdict& v) {
     logVerdict(packet, v, steering_, reader_.revision());
   });
+  if (!loadPolicy()) {
+    return false;
+  }
   if (!packets_.open(settings_.dataListen)) {
     lastReason_ = packets_.lastReason();
     return false;
@@ -80,6 +86,23 @@
   return true;
 }
 
+bool TokenDaemon::loadPolicy() {
+  if (settings_.policyFile.empty()) {
+    return true;
+  }
+  std::ifstream file(settings_.policyFile);
+  if (!file) {
+    lastReason_ = "cannot read policy file " + settings_.policyFile;
+    return false;
+  }
+  const std::string source(std::istreambuf_iterator<char>(file), {});
+  if (!weights_.load(source)) {
+    lastReason_ = settings_.policyFile + ": " + weights_.lastReason();
+    return false;
+  }
+  return true;
+}
+
 void TokenDaemon::run() {
   context_.run();
   flushLog();
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -14,6 +14,7 @@
 #include "core/view_updater.h"
 #include "daemon/backend_prober.h"
 #include "daemon/packet_port.h"
+#include "daemon/policy_weights.h"
 #include "daemon/settings.h"
 #include "daemon/store_link.h"
 #include "daemon/system_random.h"
@@ -33,6 +34,7 @@
   const std::string& lastReason() const { return lastReason_; }
 
  private:
+  bool loadPolicy();
   bool isReady() const;
   net::HttpResponse answerReadiness(const std::string& path) const;
   void onBatch(core::Time now);
@@ -51,6 +53,7 @@
   asio::io_context context_;
   SystemRandom random_;
   net::EdgeFormats formats_;
+  PolicyWeights weights_;
   core::TokenSteering steering_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
--- a/src/policy/policy_evaluator.cc
+++ b/src/policy/policy_evaluator.cc
@@ -49,12 +49,19 @@
 
   void pushBackend(const PolicyBackend& backend) {
     lua_State* state = sandbox_.state();
-    lua_createtable(state, 0, 4);
+    lua_createtable(state, 0, 6);
     setField("name", backend.name);
     setField("zone", backend.zone);
     setField("state", backend.state == core::BackendState::kActive ? "active" : "leaving");
     lua_pushinteger(state, backend.capacity);
     lua_setfield(state, -2, "capacity");
+    if (!backend.version.empty()) {
+      setField("version", backend.version);
+    }
+    if (backend.sameZone) {
+      lua_pushboolean(state, *backend.sameZone ? 1 : 0);
+      lua_setfield(state, -2, "same_zone");
+    }
   }
 
   /// Takes a number from the top of the stack and checks its range.
--- a/src/policy/policy_evaluator.h
+++ b/src/policy/policy_evaluator.h
@@ -18,6 +18,10 @@
   std::string zone;
   core::BackendState state = core::BackendState::kActive;
   std::uint32_t capacity = 0;  ///< Flows that the back end is built for.
+  std::string version{};       ///< Of its software; empty where it is not known.
+  /// Whether it is in the zone of the daemon that asks; absent where every daemon must get the same
+  /// result.
+  std::optional<bool> sameZone{};
 };
 
 /// Input of one evaluation.
