--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -98,8 +98,9 @@
 /// Below the time for which such a back end serves on.
 inline constexpr Duration kVanishedFallback = 2000ms;
 
-/// How long the store may hold a watch. Keep-alive probes tell a dead connection much earlier.
-inline constexpr std::chrono::milliseconds kWatchWait = 10s;
+/// How long the store may hold a watch. Its answer, even without a change, shows that the view is
+/// the store's; followers of this daemon need to know that well before they read themselves.
+inline constexpr std::chrono::milliseconds kWatchWait = 900ms;
 /// Wait of the first watch after a lost one. The store may be about to drop its history, and
 /// answers such a watch only when its wait is over; an answer proves that nothing was missed.
 inline constexpr std::chrono::milliseconds kConfirmWait = 300ms;
@@ -110,7 +111,7 @@
 /// return.
 inline constexpr Duration kReadTimeout = 250ms;
 /// Time beyond its wait that a watch may take.
-inline constexpr Duration kWatchSlack = 1000ms;
+inline constexpr Duration kWatchSlack = 500ms;
 inline constexpr std::uint32_t kReadsPerTimeout = 3;
 inline constexpr std::uint32_t kReadTimeoutDoublings = 3;
 /// Wait before a failed read is repeated: doubled likewise, half of it random, and short while a
@@ -137,7 +138,36 @@
 inline constexpr std::size_t kPeersAsked = 2;
 inline constexpr std::size_t kMostViewPeers = 32;
 
-/// A view counts as current for this long after the store's last answer.
-inline constexpr Duration kViewCurrentFor = 1000ms;
+/// A view counts as current for this long after it was confirmed. Longer than kWatchWait, so that
+/// one confirmation follows the other, and well below the time in which changes must be in force.
+inline constexpr Duration kViewCurrentFor = 1400ms;
+
+// Following a peer; see docs/design/005-view-relay.md.
+
+/// A follower whose view may be this old asks other peers; a sign of life comes each kWatchWait.
+inline constexpr Duration kAskPeersAfter = 1150ms;
+/// A view that may be this old is read from the store. Seeds, which others follow, are earlier, so
+/// that one of them is there before the rest read as well. Changes must be in force within 3 s.
+inline constexpr Duration kSeedReadsAfter = 1200ms;
+inline constexpr Duration kFollowerReadsAfter = 1600ms;
+/// A follower renews its subscription this often, and is forgotten after the lease.
+inline constexpr Duration kRenewEvery = 1500ms;
+inline constexpr Duration kSubscriptionLease = 4000ms;
+/// How often a seed whose reading goes well looks for a reader that ranks before it.
+inline constexpr Duration kSeedAsksEvery = 2000ms;
+/// Two signs of life without a change are at least this far apart.
+inline constexpr Duration kLeastPushGap = 300ms;
+/// How long the relation to a peer's clock is kept after it was last heard in answer.
+inline constexpr Duration kClockMemory = 10s;
+/// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
+/// life takes the processor about 10 us a follower.
+inline constexpr std::size_t kMostFollowers = 32;
+/// Followers that an answer names, so that daemons know of others than the seeds.
+inline constexpr std::size_t kPeersNamed = 4;
+/// A change log's batch with more items is left out: followers read it from the store, since
+/// sending it to all of them would fill a small machine's link. An item has about 100 bytes.
+inline constexpr std::size_t kHeaviestBatch = 128;
+inline constexpr std::size_t kHeaviestLog = 512;
+inline constexpr std::size_t kMostBatches = 256;
 
 }  // namespace cobaltgauge::core
--- a/src/core/registration.h
+++ b/src/core/registration.h
@@ -55,6 +55,15 @@
   std::vector<Route> routes;
 };
 
+/// What a configuration version changed in the routes of an earlier one.
+struct RouteDelta {
+  ConfigurationVersion from = 0;  ///< The version that it applies to.
+  ConfigurationVersion version = 0;
+  std::chrono::milliseconds idleTimeout{0};
+  std::vector<Route> changed;  ///< Routes that are new or differ.
+  std::vector<Endpoint> dropped;
+};
+
 /// An item that was removed from the store.
 struct RemovedItem {};
 
@@ -67,7 +76,7 @@
 struct StoreChange {
   std::string key;
   Revision revision = 0;
-  std::variant<RemovedItem, Registration, RouteSet, UnreadableItem> item;
+  std::variant<RemovedItem, Registration, RouteSet, UnreadableItem, RouteDelta> item;
 };
 
 }  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/relay/view_relay.cc
@@ -0,0 +1,341 @@
+#include "core/relay/view_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/constants.h"
+#include "core/hashing.h"
+#include "core/view_conversion.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Ranks of daemons that are no seeds lie behind those of all seeds.
+constexpr std::uint64_t kRankOfOthers = std::uint64_t{ 1 } << 32U;
+
+std::uint64_t HashOf(const Endpoint& endpoint)
+{
+  return static_cast<std::uint64_t>(backendIdOf(ServiceId{ 0 }, endpoint, 0));
+}
+
+std::uint64_t RankOf(const Endpoint& endpoint, bool isSeed)
+{
+  const std::uint64_t rank = HashOf(endpoint) & (kRankOfOthers - 1);
+  return isSeed ? rank : kRankOfOthers + rank;
+}
+
+} // namespace
+
+ViewRelay::ViewRelay(const Endpoint& self,
+                     StoreReader& reader,
+                     StoreSink& sink,
+                     ChangeLog& log,
+                     Random& random)
+  : Self(self)
+  , Reader(reader)
+  , Sink(sink)
+  , Log(log)
+  , RandomSource(random)
+  , OwnRank(RankOf(self, false))
+{
+}
+
+void ViewRelay::SetSeeds(const std::vector<Endpoint>& seeds)
+{
+  this->Seeds = seeds;
+  this->IsSeed = std::erase(this->Seeds, this->Self) != 0;
+  this->OwnRank = RankOf(this->Self, this->IsSeed);
+  // Each daemon prefers seeds in an order of its own, which spreads followers.
+  const std::uint64_t own = HashOf(this->Self);
+  std::sort(this->Seeds.begin(),
+            this->Seeds.end(),
+            [own](const Endpoint& left, const Endpoint& right) {
+              return mixHash(own, HashOf(left)) < mixHash(own, HashOf(right));
+            });
+}
+
+Duration ViewRelay::GetReadLimit() const
+{
+  return this->IsSeed ? kSeedReadsAfter : kFollowerReadsAfter;
+}
+
+void ViewRelay::ActivateReader()
+{
+  const bool active =
+    this->Reading || this->CatchingUp || this->Reader.isListing();
+  this->Reader.setActive(active);
+}
+
+void ViewRelay::OnTick(const std::vector<Endpoint>& peers, Time now)
+{
+  this->ForgetOld(now);
+  const Duration age = now - this->Reader.confirmedAt();
+  if (this->Upstream && age >= kAskPeersAfter) {
+    this->StopFollowing();
+  }
+  if (!this->Reading && age >= this->GetReadLimit()) {
+    this->Reading = true;
+    ++this->Counters.ReadingBegan;
+  }
+  this->ActivateReader();
+  if (now < this->NextAskAt || this->Leaving) {
+    return;
+  }
+  if (this->Upstream) {
+    this->NextAskAt = now + kRenewEvery;
+    this->Subscribe(*this->Upstream, now);
+    return;
+  }
+  const bool isContent = this->IsSeed && this->Reader.isCurrent(now);
+  this->NextAskAt = now + (isContent ? kSeedAsksEvery : kAskPeersEvery);
+  this->Ask(peers, now);
+}
+
+void ViewRelay::Ask(const std::vector<Endpoint>& peers, Time now)
+{
+  if (!this->Seeds.empty()) {
+    this->Subscribe(this->Seeds[this->NextSeed++ % this->Seeds.size()], now);
+  }
+  const std::vector<Endpoint>& others =
+    this->Referred.empty() ? peers : this->Referred;
+  if (!others.empty()) {
+    const Endpoint& other = others[this->RandomSource.below(others.size())];
+    if (other != this->Self) {
+      this->Subscribe(other, now);
+    }
+  }
+}
+
+void ViewRelay::Subscribe(const Endpoint& destination, Time now)
+{
+  ++this->Counters.SubscriptionsSent;
+  const auto sentAt = static_cast<std::uint64_t>(now.count());
+  this->Outgoing.push_back(
+    { { destination },
+      ViewSubscription{ this->Self, this->Reader.revision(), sentAt } });
+}
+
+void ViewRelay::OnStoreAnswer(Time now)
+{
+  if (this->Reader.isComplete()) {
+    this->Log.Close(this->Reader.revision());
+  }
+  if (this->Reader.confirmedAt() > this->LastConfirmed) {
+    this->LastConfirmed = this->Reader.confirmedAt();
+    this->ViewRank = this->OwnRank;
+    this->CatchingUp = false;
+  }
+  this->ActivateReader();
+  this->Push(now);
+}
+
+void ViewRelay::OnSubscription(const ViewSubscription& subscription, Time now)
+{
+  ViewUpdate reply = this->Describe(subscription.have, now);
+  reply.echoUs = subscription.sentAtUs;
+  const bool isKnown = this->Followers.count(subscription.replyTo) != 0;
+  const bool isFull = this->Followers.size() >= kMostFollowers;
+  for (const auto& [follower, expires] : this->Followers) {
+    if (follower != subscription.replyTo && reply.peers.size() < kPeersNamed) {
+      reply.peers.push_back(follower);
+    }
+  }
+  if (!isKnown && isFull) {
+    reply.full = true;
+  } else if (!this->Leaving) {
+    this->Followers[subscription.replyTo] = now + kSubscriptionLease;
+  }
+  ++this->Counters.UpdatesSent;
+  this->Outgoing.push_back({ { subscription.replyTo }, std::move(reply) });
+}
+
+ViewUpdate ViewRelay::Describe(Revision have, Time now) const
+{
+  ViewUpdate update;
+  update.sender = this->Self;
+  update.clockUs = static_cast<std::uint64_t>(now.count());
+  update.leaving = this->Leaving;
+  if (this->Log.GetComplete() == 0) {
+    return update;
+  }
+  const auto confirmed = this->Reader.confirmedAt().count();
+  update.confirmedUs = static_cast<std::uint64_t>(confirmed);
+  update.readerRank = this->ViewRank;
+  update.revision = this->Log.GetComplete();
+  update.from = this->Log.GetBase();
+  if (const auto changes = this->Log.Since(have)) {
+    update.from = std::min(have, update.revision);
+    addToUpdate(*changes, update);
+  }
+  return update;
+}
+
+void ViewRelay::Push(Time now)
+{
+  const Revision complete = this->Log.GetComplete();
+  const Time confirmed = this->Reader.confirmedAt();
+  const bool isNews = complete > this->LastPushed ||
+    confirmed - this->LastPushConfirmed >= kLeastPushGap;
+  if (complete == 0 || !isNews || this->Leaving) {
+    return;
+  }
+  std::vector<Endpoint> destinations;
+  for (const auto& [follower, expires] : this->Followers) {
+    destinations.push_back(follower);
+  }
+  if (!destinations.empty()) {
+    this->Counters.UpdatesSent += destinations.size();
+    this->Outgoing.push_back(
+      { std::move(destinations), this->Describe(this->LastPushed, now) });
+  }
+  this->LastPushed = complete;
+  this->LastPushConfirmed = confirmed;
+}
+
+void ViewRelay::NoteClock(const ViewUpdate& update, Time now)
+{
+  const auto echo = Time(static_cast<Time::rep>(update.echoUs));
+  if (update.echoUs == 0 || echo > now || now - echo > kSubscriptionLease) {
+    return;
+  }
+  const std::int64_t offset = static_cast<std::int64_t>(update.echoUs) -
+    static_cast<std::int64_t>(update.clockUs);
+  this->Clocks[update.sender] = { offset, now };
+}
+
+std::optional<Time> ViewRelay::ConfirmationTime(const ViewUpdate& update,
+                                                Time now) const
+{
+  const auto clock = this->Clocks.find(update.sender);
+  if (clock == this->Clocks.end()) {
+    return std::nullopt;
+  }
+  const auto confirmed = static_cast<std::int64_t>(update.confirmedUs);
+  return std::min(now, Time(confirmed + clock->second.OffsetUs));
+}
+
+UpdateOutcome ViewRelay::OnUpdate(const ViewUpdate& update, Time now)
+{
+  if (update.leaving) {
+    this->Clocks.erase(update.sender);
+    if (this->Upstream == update.sender) {
+      this->StopFollowing();
+    }
+    return UpdateOutcome::kUnusable;
+  }
+  if (update.full) {
+    this->Referred = update.peers;
+  }
+  this->NoteClock(update, now);
+  const std::optional<Time> confirmed = this->ConfirmationTime(update, now);
+  if (!confirmed || update.revision == 0) {
+    return UpdateOutcome::kUnusable;
+  }
+  const Revision before = this->Reader.revision();
+  if (before == 0) {
+    return UpdateOutcome::kUnusable;
+  }
+  if (!this->Apply(update, now)) {
+    ++this->Counters.Gaps;
+    // A lost update is asked for; what the peer lacks too, the store has.
+    if (update.echoUs == 0) {
+      this->Subscribe(update.sender, now);
+    } else {
+      this->CatchingUp = true;
+      this->ActivateReader();
+    }
+    return UpdateOutcome::kGap;
+  }
+  this->Reader.confirm(*confirmed);
+  if (this->Reader.confirmedAt() > this->LastConfirmed) {
+    this->LastConfirmed = this->Reader.confirmedAt();
+    this->ViewRank = update.readerRank;
+  }
+  this->Follow(update, now);
+  this->Push(now);
+  if (this->Reader.revision() == before) {
+    return UpdateOutcome::kConfirmed;
+  }
+  ++this->Counters.UpdatesTaken;
+  return UpdateOutcome::kTaken;
+}
+
+bool ViewRelay::Apply(const ViewUpdate& update, Time now)
+{
+  const Revision have = this->Reader.revision();
+  if (this->Reader.isListing() || have < update.from) {
+    return false;
+  }
+  if (update.revision <= have) {
+    return true;
+  }
+  for (const StoreChange& change : changesOf(update)) {
+    if (!this->Sink.onChange(change, now)) {
+      return false;
+    }
+  }
+  this->Reader.adopt(update.revision);
+  this->Log.Close(update.revision);
+  return true;
+}
+
+void ViewRelay::Follow(const ViewUpdate& update, Time now)
+{
+  const bool isFresh = now - this->Reader.confirmedAt() < kAskPeersAfter;
+  const bool isBefore = update.readerRank < this->OwnRank;
+  if (!isFresh || (!isBefore && !this->Reader.isFailing())) {
+    return;
+  }
+  this->Reading = false;
+  this->ActivateReader();
+  if (!update.full && !this->Upstream) {
+    this->Upstream = update.sender;
+    this->Referred.clear();
+    this->NextAskAt = now + kRenewEvery;
+  }
+}
+
+void ViewRelay::StopFollowing()
+{
+  this->Upstream.reset();
+  this->NextAskAt = Time{};
+}
+
+void ViewRelay::OnResume()
+{
+  this->CatchingUp = true;
+  this->StopFollowing();
+  this->ActivateReader();
+}
+
+void ViewRelay::Leave()
+{
+  this->Leaving = true;
+  ViewUpdate farewell;
+  farewell.sender = this->Self;
+  farewell.leaving = true;
+  std::vector<Endpoint> destinations;
+  for (const auto& [follower, expires] : this->Followers) {
+    destinations.push_back(follower);
+  }
+  this->Followers.clear();
+  if (!destinations.empty()) {
+    this->Outgoing.push_back({ std::move(destinations), farewell });
+  }
+}
+
+void ViewRelay::ForgetOld(Time now)
+{
+  std::erase_if(this->Followers,
+                [now](const auto& item) { return item.second <= now; });
+  std::erase_if(this->Clocks, [now](const auto& item) {
+    return now - item.second.LearnedAt > kClockMemory;
+  });
+}
+
+std::vector<OutgoingRelay> ViewRelay::TakeMessages()
+{
+  return std::exchange(this->Outgoing, {});
+}
+
+} // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/relay/view_relay.h
@@ -0,0 +1,147 @@
+/// @file
+/// Lets few daemons read the store and the others follow them.  See
+/// docs/design/005-view-relay.md.
+///
+/// A deterministic state machine without input or output.  Invariants:
+///  - A daemon knows how old its view can be at most, whatever was delayed:
+///    the age is bounded by a round trip on its own clock.
+///  - A daemon whose view may be older than its limit reads the store itself.
+///  - A view that came from a daemon never counts as fresher because it came
+///    back to it: only an answer of the store makes a view fresh.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/random.h"
+#include "core/relay/change_log.h"
+#include "core/store_reader.h"
+#include "core/view_messages.h"
+
+namespace cobaltgauge::core {
+
+/// One message on its way to some peers.
+struct OutgoingRelay
+{
+  std::vector<Endpoint> Destinations;
+  std::variant<ViewSubscription, ViewUpdate> Message;
+};
+
+/// What became of an update.
+enum class UpdateOutcome : std::uint8_t
+{
+  kTaken,     ///< It changed the view.
+  kConfirmed, ///< The view was up to date; its age is known anew.
+  kGap,       ///< The view lacks what the update builds on.
+  kUnusable,  ///< It says nothing about the view, or its age is unknown.
+};
+
+/// Counters of a ViewRelay; see docs/METRICS.md.
+struct ViewRelayCounters
+{
+  std::uint64_t UpdatesSent = 0;
+  std::uint64_t UpdatesTaken = 0;
+  std::uint64_t Gaps = 0;
+  std::uint64_t SubscriptionsSent = 0;
+  std::uint64_t ReadingBegan = 0;
+};
+
+/** \class ViewRelay
+ * \brief Decide who reads the store, and pass changes on.
+ *
+ * Readers are ranked; a reader that hears a fresh view of one that ranks
+ * before it, or that the store fails, stops reading and follows.  Seeds rank
+ * before all others, so that everyone can find the readers.  A follower
+ * subscribes to one daemon for a lease and gets each change, and a sign of
+ * life with each answer of the store.
+ */
+class ViewRelay
+{
+public:
+  /// \param self where this daemon takes peer messages.
+  /// All references outlive the relay.
+  ViewRelay(const Endpoint& self,
+            StoreReader& reader,
+            StoreSink& sink,
+            ChangeLog& log,
+            Random& random);
+
+  /// Name the daemons that everyone knows of.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
+
+  /// \param peers other daemons that may be asked.
+  void OnTick(const std::vector<Endpoint>& peers, Time now);
+
+  /// Call after the reader took an answer of the store.
+  void OnStoreAnswer(Time now);
+
+  void OnSubscription(const ViewSubscription& subscription, Time now);
+  UpdateOutcome OnUpdate(const ViewUpdate& update, Time now);
+
+  /// Call after the process was suspended: its view may be old.
+  void OnResume();
+
+  /// Tell the followers to look for another daemon; this one stops.
+  void Leave();
+
+  std::vector<OutgoingRelay> TakeMessages();
+
+  /// Tell whether this daemon reads the store rather than follow a peer.
+  bool IsReading() const { return this->Reading; }
+  /// Get the daemon that is followed, if any.
+  const std::optional<Endpoint>& GetUpstream() const { return this->Upstream; }
+  std::size_t CountFollowers() const { return this->Followers.size(); }
+  const ViewRelayCounters& GetCounters() const { return this->Counters; }
+
+private:
+  /// How a peer's clock relates to this daemon's.
+  struct ClockRelation
+  {
+    std::int64_t OffsetUs = 0; ///< Added to the peer's time: not later here.
+    Time LearnedAt{};
+  };
+
+  void NoteClock(const ViewUpdate& update, Time now);
+  std::optional<Time> ConfirmationTime(const ViewUpdate& update,
+                                       Time now) const;
+  bool Apply(const ViewUpdate& update, Time now);
+  void Follow(const ViewUpdate& update, Time now);
+  void StopFollowing();
+  void ActivateReader();
+  Duration GetReadLimit() const;
+  void Ask(const std::vector<Endpoint>& peers, Time now);
+  void Subscribe(const Endpoint& destination, Time now);
+  ViewUpdate Describe(Revision have, Time now) const;
+  void Push(Time now);
+  void ForgetOld(Time now);
+
+  Endpoint Self;
+  StoreReader& Reader;
+  StoreSink& Sink;
+  ChangeLog& Log;
+  Random& RandomSource;
+  std::vector<Endpoint> Seeds; ///< Without this daemon; preferred first.
+  std::vector<Endpoint> Referred;
+  bool IsSeed = false;
+  std::uint64_t OwnRank = 0;
+  std::uint64_t ViewRank = 0; ///< Of the reader that confirmed the view last.
+  bool Reading = true;
+  bool CatchingUp = false; ///< One read is wanted though a peer is followed.
+  bool Leaving = false;
+  std::optional<Endpoint> Upstream;
+  std::map<Endpoint, Time> Followers; ///< With the end of their lease.
+  std::map<Endpoint, ClockRelation> Clocks;
+  std::size_t NextSeed = 0;
+  Time NextAskAt{};
+  Time LastConfirmed{};
+  Time LastPushConfirmed{};
+  Revision LastPushed = 0;
+  std::vector<OutgoingRelay> Outgoing;
+  ViewRelayCounters Counters;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -9,33 +9,63 @@
 }
 
 RouteOffer RouteTable::offer(const RouteSet& routes, Time now) {
-  if (routes.version == version_) {
-    return RouteOffer::kUnchanged;
-  }
-  if (routes.version < version_) {
-    return RouteOffer::kOlder;
-  }
-  std::unordered_map<Endpoint, RouteEntry, EndpointHash> next;
+  return routes.version > version_    ? apply(difference(routes), now)
+         : routes.version == version_ ? RouteOffer::kUnchanged
+                                      : RouteOffer::kOlder;
+}
+
+RouteDelta RouteTable::difference(const RouteSet& routes) const {
+  RouteDelta delta{version_, routes.version, routes.idleTimeout, {}, {}};
+  // Of routes with one address the last one counts.
+  std::unordered_map<Endpoint, const Route*, EndpointHash> wanted;
   for (const Route& route : routes.routes) {
-    const RouteEntry* known = find(route.endpoint);
-    const bool sameSplit = known != nullptr && known->route.targets == route.targets;
-    WeightedSplit split =
-        sameSplit ? known->split
-                  : WeightedSplit(route.targets, startPoint_ ^ EndpointHash{}(route.endpoint));
-    next.insert_or_assign(route.endpoint, RouteEntry{route, std::move(split)});
-    dropped_.erase(route.endpoint);
+    wanted.insert_or_assign(route.endpoint, &route);
+  }
+  for (const auto& [endpoint, route] : wanted) {
+    const auto known = routes_.find(endpoint);
+    if (known == routes_.end() || known->second.route != *route) {
+      delta.changed.push_back(*route);
+    }
   }
   for (const auto& [endpoint, entry] : routes_) {
-    if (!next.contains(endpoint)) {
-      dropped_.emplace(endpoint, now);
+    if (!wanted.contains(endpoint)) {
+      delta.dropped.push_back(endpoint);
     }
   }
-  routes_ = std::move(next);
-  version_ = routes.version;
-  idleTimeout_ = routes.idleTimeout;
+  return delta;
+}
+
+RouteOffer RouteTable::apply(const RouteDelta& delta, Time now) {
+  if (delta.version <= version_) {
+    return delta.version == version_ ? RouteOffer::kUnchanged : RouteOffer::kOlder;
+  }
+  if (delta.from != version_) {
+    return RouteOffer::kGap;
+  }
+  for (const Route& route : delta.changed) {
+    put(route);
+    dropped_.erase(route.endpoint);
+  }
+  for (const Endpoint& endpoint : delta.dropped) {
+    routes_.erase(endpoint);
+    dropped_.emplace(endpoint, now);
+  }
+  version_ = delta.version;
+  idleTimeout_ = delta.idleTimeout;
+  lastChange_ = delta;
   return RouteOffer::kAccepted;
 }
 
+void RouteTable::put(const Route& route) {
+  const auto known = routes_.find(route.endpoint);
+  if (known != routes_.end() && known->second.route.targets == route.targets) {
+    known->second.route = route;
+    return;
+  }
+  const WeightedSplit split(route.targets, startPoint_ ^ EndpointHash{}(route.endpoint));
+  routes_.insert_or_assign(route.endpoint, RouteEntry{route, split});
+}
+
 RouteEntry* RouteTable::find(const Endpoint& endpoint) {
   const auto found = routes_.find(endpoint);
   return found == routes_.end() ? nullptr : &found->second;
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -19,7 +19,12 @@
 };
 
 /// What became of an offered route set.
-enum class RouteOffer : std::uint8_t { kAccepted, kUnchanged, kOlder };
+enum class RouteOffer : std::uint8_t {
+  kAccepted,
+  kUnchanged,
+  kOlder,
+  kGap,  ///< It changes routes of a version that is not in force here.
+};
 
 /// One route with the state of its split.
 struct RouteEntry {
@@ -36,6 +41,12 @@
   /// Takes a route set that is newer than the one in force.
   RouteOffer offer(const RouteSet& routes, Time now);
 
+  /// Takes what a version changed in the one in force.
+  RouteOffer apply(const RouteDelta& delta, Time now);
+
+  /// @return what the last accepted version changed.
+  const RouteDelta& lastChange() const { return lastChange_; }
+
   /// @return the route of an address, or null.
   RouteEntry* find(const Endpoint& endpoint);
   /// @return true where a version dropped this route and none has brought it back.
@@ -51,7 +62,11 @@
   std::chrono::milliseconds idleTimeout() const { return idleTimeout_; }
 
  private:
+  RouteDelta difference(const RouteSet& routes) const;
+  void put(const Route& route);
+
   std::uint64_t startPoint_;
+  RouteDelta lastChange_;
   ConfigurationVersion version_ = 0;
   std::chrono::milliseconds idleTimeout_{0};
   std::unordered_map<Endpoint, RouteEntry, EndpointHash> routes_;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -27,7 +27,7 @@
 }
 
 std::optional<StoreRead> StoreReader::nextRead(Time now) {
-  if (reading_ || now < nextReadAt_) {
+  if (reading_ || !active_ || now < nextReadAt_) {
     return std::nullopt;
   }
   reading_ = true;
@@ -85,7 +85,10 @@
   revision_ = std::max(revision_, listedAt_);
   listing_ = false;
   confirming_ = staleWillDo_;
-  complete_ = complete_ || !staleWillDo_;
+  if (!staleWillDo_) {
+    complete_ = true;
+    confirmedAt_ = now;
+  }
   clearListing();
 }
 
@@ -97,6 +100,7 @@
   revision_ = std::max(revision_, reply.at);
   confirming_ = false;
   complete_ = true;
+  confirmedAt_ = now;
   if (!reply.changes.empty()) {
     const bool inBurst = lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
     lastChangeAt_ = now;
@@ -146,12 +150,20 @@
   }
 }
 
+void StoreReader::confirm(Time at) {
+  if (listing_ || revision_ == 0) {
+    return;
+  }
+  complete_ = true;
+  confirmedAt_ = std::max(confirmedAt_, at);
+}
+
 bool StoreReader::isCurrent(Time now) const {
   if (!complete_ || listing_) {
     return false;
   }
   const bool watching = reading_ && !confirming_;
-  return watching || now - lastAnswerAt_ < kViewCurrentFor;
+  return watching || now - confirmedAt_ < kViewCurrentFor;
 }
 
 std::chrono::milliseconds StoreReader::watchWait() const {
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -61,7 +61,8 @@
 class StoreSink {
  public:
   virtual ~StoreSink() = default;
-  virtual void onChange(const StoreChange& change, Time now) = 0;
+  /// @return false where the view lacks what the change builds on.
+  virtual bool onChange(const StoreChange& change, Time now) = 0;
   /// A listing is complete: an item that is not in `keys` and not newer than `listedAt` is gone.
   virtual void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) = 0;
 };
@@ -91,12 +92,25 @@
   /// Takes over a view that is complete up to a revision and came from elsewhere.
   void adopt(Revision revision);
 
+  /// Notes that a peer knew, at this time, that nothing newer than this view was in the store.
+  void confirm(Time at);
+
+  /// Lets nextRead() give reads, or not: a daemon that follows a peer has no need of them.
+  void setActive(bool active) { active_ = active; }
+  bool isActive() const { return active_; }
+
   /// Notes that a packet could not be decided for want of a back end: changes are urgent.
   void onWanted(Time now) { wantedAt_ = now; }
 
   /// @return when nextRead() may give a read, where none is under way.
   Time nextReadAt() const { return nextReadAt_; }
   bool isReading() const { return reading_; }
+  /// @return true while a listing is to be made or under way.
+  bool isListing() const { return listing_; }
+  /// @return true where the last read failed.
+  bool isFailing() const { return failuresInRow_ > 0; }
+  /// @return when the view was last known to be the store's; zero where it never was.
+  Time confirmedAt() const { return confirmedAt_; }
 
   /// @return true where the view is as new as the store, as far as can be known here: a watch is
   /// under way on a view that is complete, or the last answer is recent.
@@ -121,6 +135,7 @@
 
   StoreSink& sink_;
   Random& random_;
+  bool active_ = true;
   bool reading_ = false;
   bool listing_ = true;
   bool complete_ = false;
@@ -129,6 +144,7 @@
   bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time lastAnswerAt_{};
+  Time confirmedAt_{};
   Time lastChangeAt_{};
   Revision revision_ = 0;  ///< Changes up to this one are known; base of the next watch.
   Revision listedAt_ = 0;  ///< Of the listing's first page.
--- /dev/null
+++ b/src/core/view_conversion.cc
@@ -0,0 +1,113 @@
+#include "core/view_conversion.h"
+
+#include <utility>
+
+namespace cobaltgauge::core {
+
+std::uint32_t wholeMilliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+ViewBackend toMessage(const StoreChange& change, const Registration& registration) {
+  return {change.key,
+          change.revision,
+          registration.id,
+          registration.service,
+          registration.endpoint,
+          registration.zone,
+          registration.softwareVersion,
+          registration.capacity,
+          registration.state == BackendState::kLeaving,
+          wholeMilliseconds(registration.warmUpLeft)};
+}
+
+StoreChange toChange(const ViewBackend& backend) {
+  Registration registration;
+  registration.id = backend.id;
+  registration.service = backend.service;
+  registration.endpoint = backend.endpoint;
+  registration.zone = backend.zone;
+  registration.softwareVersion = backend.softwareVersion;
+  registration.capacity = backend.capacity;
+  registration.state = backend.leaving ? BackendState::kLeaving : BackendState::kActive;
+  registration.warmUpLeft = std::chrono::milliseconds(backend.warmUpLeftMs);
+  return {backend.key, backend.revision, registration};
+}
+
+ViewRoute toMessage(const Route& route) {
+  ViewRoute message{route.name, route.endpoint, {}, {}};
+  for (const RouteTarget& target : route.targets) {
+    message.services.push_back(target.service);
+    message.weights.push_back(target.weight);
+  }
+  return message;
+}
+
+/// @return the route, or nothing where it has no targets.
+std::optional<Route> toRoute(const ViewRoute& message) {
+  if (message.services.empty() || message.services.size() != message.weights.size()) {
+    return std::nullopt;
+  }
+  Route route{message.name, message.endpoint, {}};
+  for (std::size_t i = 0; i < message.services.size(); ++i) {
+    route.targets.push_back({message.services[i], message.weights[i]});
+  }
+  return route;
+}
+
+namespace {
+
+ViewRouteDelta toMessage(const StoreChange& change, const RouteDelta& delta) {
+  ViewRouteDelta message{
+      change.key, change.revision, delta.from, delta.version, wholeMilliseconds(delta.idleTimeout),
+      {},         delta.dropped};
+  for (const Route& route : delta.changed) {
+    message.changed.push_back(toMessage(route));
+  }
+  return message;
+}
+
+StoreChange toChange(const ViewRouteDelta& message) {
+  RouteDelta delta{message.from,
+                   message.version,
+                   std::chrono::milliseconds(message.idleTimeoutMs),
+                   {},
+                   message.dropped};
+  for (const ViewRoute& item : message.changed) {
+    if (std::optional<Route> route = toRoute(item)) {
+      delta.changed.push_back(std::move(*route));
+    }
+  }
+  return {message.key, message.revision, std::move(delta)};
+}
+
+}  // namespace
+
+void addToUpdate(const std::vector<StoreChange>& changes, ViewUpdate& update) {
+  for (const StoreChange& change : changes) {
+    if (const auto* registration = std::get_if<Registration>(&change.item)) {
+      update.backends.push_back(toMessage(change, *registration));
+    } else if (std::holds_alternative<RemovedItem>(change.item)) {
+      update.removals.push_back({change.key, change.revision});
+    } else if (const auto* delta = std::get_if<RouteDelta>(&change.item)) {
+      update.routes.push_back(toMessage(change, *delta));
+    }
+  }
+}
+
+std::vector<StoreChange> changesOf(const ViewUpdate& update) {
+  std::vector<StoreChange> changes;
+  for (const ViewBackend& backend : update.backends) {
+    changes.push_back(toChange(backend));
+  }
+  for (const ViewRemoval& removal : update.removals) {
+    changes.push_back({removal.key, removal.revision, RemovedItem{}});
+  }
+  for (const ViewRouteDelta& delta : update.routes) {
+    changes.push_back(toChange(delta));
+  }
+  return changes;
+}
+
+}  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/view_conversion.h
@@ -0,0 +1,27 @@
+/// @file
+/// Turns a view and its changes into messages between daemons and back.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/registration.h"
+#include "core/view_messages.h"
+
+namespace cobaltgauge::core {
+
+std::uint32_t wholeMilliseconds(Duration duration);
+
+ViewBackend toMessage(const StoreChange& change, const Registration& registration);
+StoreChange toChange(const ViewBackend& backend);
+
+ViewRoute toMessage(const Route& route);
+/// @return the route, or nothing where it has no targets.
+std::optional<Route> toRoute(const ViewRoute& message);
+
+/// Adds changes to an update. Items that cannot be read are left out.
+void addToUpdate(const std::vector<StoreChange>& changes, ViewUpdate& update);
+/// @return the changes of an update. Revisions order those of one key, so kinds may be mixed.
+std::vector<StoreChange> changesOf(const ViewUpdate& update);
+
+}  // namespace cobaltgauge::core
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -3,63 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace cobaltgauge::core {
-namespace {
-
-std::uint32_t milliseconds(Duration duration) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-ViewBackend toMessage(const StoreChange& change, const Registration& registration) {
-  return {change.key,
-          change.revision,
-          registration.id,
-          registration.service,
-          registration.endpoint,
-          registration.zone,
-          registration.softwareVersion,
-          registration.capacity,
-          registration.state == BackendState::kLeaving,
-          milliseconds(registration.warmUpLeft)};
-}
-
-StoreChange toChange(const ViewBackend& backend) {
-  Registration registration;
-  registration.id = backend.id;
-  registration.service = backend.service;
-  registration.endpoint = backend.endpoint;
-  registration.zone = backend.zone;
-  registration.softwareVersion = backend.softwareVersion;
-  registration.capacity = backend.capacity;
-  registration.state = backend.leaving ? BackendState::kLeaving : BackendState::kActive;
-  registration.warmUpLeft = std::chrono::milliseconds(backend.warmUpLeftMs);
-  return {backend.key, backend.revision, registration};
-}
-
-ViewRoute toMessage(const Route& route) {
-  ViewRoute message{route.name, route.endpoint, {}, {}};
-  for (const RouteTarget& target : route.targets) {
-    message.services.push_back(target.service);
-    message.weights.push_back(target.weight);
-  }
-  return message;
-}
-
-/// @return the route, or nothing where it has no targets.
-std::optional<Route> toRoute(const ViewRoute& message) {
-  if (message.services.empty() || message.services.size() != message.weights.size()) {
-    return std::nullopt;
-  }
-  Route route{message.name, message.endpoint, {}};
-  for (std::size_t i = 0; i < message.services.size(); ++i) {
-    route.targets.push_back({message.services[i], message.weights[i]});
-  }
-  return route;
-}
-
-}  // namespace
+#include "core/view_conversion.h"
 
+namespace cobaltgauge::core {
 ViewExchange::ViewExchange(const Endpoint& self, TokenSteering& steering, StoreSink& sink,
                            StoreReader& reader, Random& random)
     : self_(self), steering_(steering), sink_(sink), reader_(reader), random_(random) {}
@@ -87,6 +33,12 @@
   peers_.push_back(peer);
 }
 
+void ViewExchange::learnPeers(const std::vector<Endpoint>& peers) {
+  for (const Endpoint& peer : peers) {
+    addPeer(peer);
+  }
+}
+
 bool ViewExchange::needsPeers(Time now) const {
   if (!reader_.isComplete()) {
     return now - std::max(startedAt_, reader_.lastAnswerAt()) >= kStoreFirstTry;
@@ -144,7 +96,7 @@
     return view;
   }
   view.revision = reader_.revision();
-  view.ageMs = milliseconds(now - lastCurrentAt_);
+  view.ageMs = wholeMilliseconds(now - lastCurrentAt_);
   view.version = steering_.routes().version();
   view.idleTimeoutMs = static_cast<std::uint32_t>(steering_.routes().idleTimeout().count());
   for (const Route& route : steering_.routes().routes()) {
@@ -157,9 +109,7 @@
 }
 
 bool ViewExchange::onTransfer(const ViewTransfer& transfer, Time now) {
-  for (const Endpoint& peer : transfer.peers) {
-    addPeer(peer);
-  }
+  learnPeers(transfer.peers);
   if (transfer.revision == 0) {
     return false;
   }
--- a/src/core/view_exchange.h
+++ b/src/core/view_exchange.h
@@ -53,6 +53,10 @@
   std::vector<OutgoingView> takeMessages();
   const ViewExchangeCounters& counters() const { return counters_; }
   std::size_t peerCount() const { return peers_.size(); }
+  /// @return daemons that may exist.
+  const std::vector<Endpoint>& peers() const { return peers_; }
+  /// Notes daemons that a peer named.
+  void learnPeers(const std::vector<Endpoint>& peers);
 
  private:
   bool needsPeers(Time now) const;
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -51,4 +51,46 @@
   std::vector<Endpoint> peers;
 };
 
+/// An item that is no longer in the store.
+struct ViewRemoval {
+  std::string key;
+  Revision revision = 0;
+};
+
+/// What a configuration version changed in the routes of an earlier one.
+struct ViewRouteDelta {
+  std::string key;
+  Revision revision = 0;
+  ConfigurationVersion from = 0;
+  ConfigurationVersion version = 0;
+  std::uint32_t idleTimeoutMs = 0;
+  std::vector<ViewRoute> changed;
+  std::vector<Endpoint> dropped;
+};
+
+/// Asks for every change of a daemon's view from now on, for the time of a lease, and for those
+/// that the sender lacks.
+struct ViewSubscription {
+  Endpoint replyTo;            ///< Where the sender takes peer messages.
+  Revision have = 0;           ///< The sender's view is complete up to here.
+  std::uint64_t sentAtUs = 0;  ///< By the sender's clock; returned in the answer.
+};
+
+/// What changed in a daemon's view, and how old the view can be. Times are the sender's.
+struct ViewUpdate {
+  Endpoint sender;
+  std::uint64_t echoUs = 0;       ///< Of the subscription that this answers; zero: of none.
+  std::uint64_t clockUs = 0;      ///< When this was sent.
+  std::uint64_t confirmedUs = 0;  ///< When the view was known to be the store's.
+  std::uint64_t readerRank = 0;   ///< Of the daemon whose reading showed that.
+  Revision from = 0;              ///< A view complete up to here is brought up to `revision`.
+  Revision revision = 0;          ///< Zero: the sender has no view.
+  bool leaving = false;           ///< The sender stops; look for another daemon.
+  bool full = false;              ///< Not subscribed; one of `peers` may have room.
+  std::vector<ViewBackend> backends;
+  std::vector<ViewRemoval> removals;
+  std::vector<ViewRouteDelta> routes;
+  std::vector<Endpoint> peers;  ///< Some that follow the sender.
+};
+
 }  // namespace cobaltgauge::core
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -4,50 +4,79 @@
 
 namespace cobaltgauge::core {
 
-void ViewUpdater::onChange(const StoreChange& change, Time now) {
-  std::visit([this, &change, now](const auto& item) { take(change, item, now); }, change.item);
+bool ViewUpdater::onChange(const StoreChange& change, Time now) {
+  return std::visit([this, &change, now](const auto& item) { return take(change, item, now); },
+                    change.item);
 }
 
-void ViewUpdater::take(const StoreChange& change, const Registration& registration, Time now) {
+bool ViewUpdater::take(const StoreChange& change, const Registration& registration, Time now) {
   const RegistryEvent event = backends_.put(change.key, registration, change.revision, now);
+  if (event != RegistryEvent::kNone) {
+    record(change);
+  }
   if (!listed_ && event == RegistryEvent::kAdded) {
     ++listedBackends_;
-    return;
+    return true;
   }
   reportBackend(change.key, change.revision, event, registration.service);
+  return true;
 }
 
-void ViewUpdater::take(const StoreChange& change, const RouteSet& routes, Time now) {
-  const RouteOffer offer = routes_.offer(routes, now);
-  if (offer == RouteOffer::kUnchanged) {
-    return;
+bool ViewUpdater::take(const StoreChange& change, const RouteSet& routes, Time now) {
+  return reportRoutes(change, routes_.offer(routes, now), routes.version);
+}
+
+bool ViewUpdater::take(const StoreChange& change, const RouteDelta& delta, Time now) {
+  return reportRoutes(change, routes_.apply(delta, now), delta.version);
+}
+
+bool ViewUpdater::reportRoutes(const StoreChange& change, RouteOffer offer,
+                               ConfigurationVersion version) {
+  if (offer == RouteOffer::kUnchanged || offer == RouteOffer::kGap) {
+    return offer == RouteOffer::kUnchanged;
+  }
+  const bool accepted = offer == RouteOffer::kAccepted;
+  if (accepted) {
+    record({change.key, change.revision, routes_.lastChange()});
   }
   ViewChange report;
-  report.kind =
-      offer == RouteOffer::kAccepted ? ViewChange::Kind::kRoutes : ViewChange::Kind::kOlderRoutes;
+  report.kind = accepted ? ViewChange::Kind::kRoutes : ViewChange::Kind::kOlderRoutes;
   report.key = change.key;
   report.revision = change.revision;
-  report.version = routes.version;
+  report.version = version;
   listener_(report);
+  return true;
 }
 
-void ViewUpdater::take(const StoreChange& change, const RemovedItem&, Time now) {
+bool ViewUpdater::take(const StoreChange& change, const RemovedItem&, Time now) {
   // Routes are never removed as a whole: a version replaces them.
-  reportBackend(change.key, change.revision, backends_.remove(change.key, change.revision, now),
-                "");
+  const RegistryEvent event = backends_.remove(change.key, change.revision, now);
+  if (event != RegistryEvent::kNone) {
+    record(change);
+  }
+  reportBackend(change.key, change.revision, event, "");
+  return true;
 }
 
-void ViewUpdater::take(const StoreChange& change, const UnreadableItem& unreadable, Time) {
+bool ViewUpdater::take(const StoreChange& change, const UnreadableItem& unreadable, Time) {
   ViewChange report;
   report.kind = ViewChange::Kind::kUnreadable;
   report.key = change.key;
   report.revision = change.revision;
   report.reason = unreadable.reason;
   listener_(report);
+  return true;
+}
+
+void ViewUpdater::record(StoreChange change) {
+  if (log_ != nullptr) {
+    log_->Append(std::move(change));
+  }
 }
 
 void ViewUpdater::onListed(const std::set<std::string>& keys, Revision listedAt, Time now) {
   for (const std::string& key : backends_.retainOnly(keys, listedAt, now)) {
+    record({key, listedAt, RemovedItem{}});
     reportBackend(key, listedAt, RegistryEvent::kVanished, "");
   }
   if (!std::exchange(listed_, true)) {
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "core/relay/change_log.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 
@@ -28,23 +29,29 @@
  public:
   using Listener = std::function<void(const ViewChange&)>;
 
-  ViewUpdater(BackendRegistry& backends, RouteTable& routes, Listener listener)
-      : backends_(backends), routes_(routes), listener_(std::move(listener)) {}
+  /// @param log takes every change that had an effect; outlives the updater. Null for none.
+  ViewUpdater(BackendRegistry& backends, RouteTable& routes, Listener listener,
+              ChangeLog* log = nullptr)
+      : backends_(backends), routes_(routes), listener_(std::move(listener)), log_(log) {}
 
-  void onChange(const StoreChange& change, Time now) override;
+  bool onChange(const StoreChange& change, Time now) override;
   void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) override;
 
  private:
-  void take(const StoreChange& change, const Registration& registration, Time now);
-  void take(const StoreChange& change, const RouteSet& routes, Time now);
-  void take(const StoreChange& change, const RemovedItem& removed, Time now);
-  void take(const StoreChange& change, const UnreadableItem& unreadable, Time now);
+  bool take(const StoreChange& change, const Registration& registration, Time now);
+  bool take(const StoreChange& change, const RouteSet& routes, Time now);
+  bool take(const StoreChange& change, const RouteDelta& delta, Time now);
+  bool take(const StoreChange& change, const RemovedItem& removed, Time now);
+  bool take(const StoreChange& change, const UnreadableItem& unreadable, Time now);
+  bool reportRoutes(const StoreChange& change, RouteOffer offer, ConfigurationVersion version);
+  void record(StoreChange change);
   void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                      const std::string& service);
 
   BackendRegistry& backends_;
   RouteTable& routes_;
   Listener listener_;
+  ChangeLog* log_;
   bool listed_ = false;  ///< The first listing is complete.
   std::size_t listedBackends_ = 0;
 };
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -13,7 +13,7 @@
       timer_(context) {}
 
 void StoreLink::start() {
-  if (reader_.isReading()) {
+  if (reader_.isReading() || !reader_.isActive()) {
     return;
   }
   const core::Time now = bootTime();
--- a/src/daemon/store_link.h
+++ b/src/daemon/store_link.h
@@ -22,7 +22,8 @@
   StoreLink(asio::io_context& context, const core::Endpoint& store,
             const net::StoreDialect& dialect, core::StoreReader& reader, Listener listener);
 
-  /// Makes the read that is due; to be called at start. Later ones follow by themselves.
+  /// Makes the read that is due; to be called at start and when the reader became active. Later
+  /// ones follow by themselves while it is.
   void start();
 
   /// Gives the read under way up, whose answer may never come, and reads at once. For a process
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -60,9 +60,10 @@
       formats_(net::makeEdgeFormats()),
       weights_(settings_.zone),
       steering_(steeringOptions(settings_), weights_, random_),
-      updater_(steering_.backends(), steering_.routes(), logViewChange),
+      updater_(steering_.backends(), steering_.routes(), logViewChange, &changes_),
       reader_(updater_, random_),
       exchange_(settings_.clusterListen, steering_, updater_, reader_, random_),
+      relay_(settings_.clusterListen, reader_, updater_, changes_, random_),
       peers_(context_,
              net::PeerCodec(settings_.clusterName, settings_.clusterKey,
                             core::memberIdOf(settings_.name)),
@@ -97,6 +98,7 @@
     return false;
   }
   exchange_.setSeeds(seedsOf(settings_));
+  relay_.SetSeeds(seedsOf(settings_));
   if (!admin_.open(settings_.adminListen)) {
     // Serving matters more than being watched.
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
@@ -168,7 +170,8 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics is here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_, exchange_, packets_, latencies_, isReady()};
+  const TokenMetricSources sources{steering_, reader_,    exchange_, relay_,
+                                   packets_,  latencies_, isReady()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -223,6 +226,7 @@
   noticeSuspension(now);
   steering_.onTick(now);
   exchange_.onTick(now);
+  tickRelay(now);
   sendToPeers();
   carryOutHealth(now);
   if (now >= nextSettingsCheck_) {
@@ -244,6 +248,7 @@
   logEvent(LogLevel::kWarning, "resumed",
            {{"gap_ms", std::to_string(gap / std::chrono::milliseconds(1))}});
   steering_.onResume();
+  relay_.OnResume();
   store_->restart();
 }
 
@@ -255,6 +260,8 @@
     noteViewState(now);
     packets_.retryPending(now);
   }
+  relay_.OnStoreAnswer(bootTime());
+  sendToPeers();
   if (read.kind == core::StoreRead::Kind::kList) {
     latencies_.onStoreAnswer(latency);
   }
@@ -278,6 +285,11 @@
     exchange_.onRequest(*request, now);
   } else if (const auto* transfer = std::get_if<core::ViewTransfer>(&received.frame)) {
     onTransfer(*transfer, now);
+  } else if (const auto* subscription = std::get_if<core::ViewSubscription>(&received.frame)) {
+    exchange_.learnPeers({subscription->replyTo});
+    relay_.OnSubscription(*subscription, now);
+  } else if (const auto* update = std::get_if<core::ViewUpdate>(&received.frame)) {
+    onUpdate(*update, now);
   }
   sendToPeers();
 }
@@ -293,10 +305,42 @@
             {"version", std::to_string(transfer.version)},
             {"age_ms", std::to_string(transfer.ageMs)},
             {"backends", std::to_string(transfer.backends.size())}});
+  relay_.OnStoreAnswer(now);
   noteViewState(now);
   packets_.retryPending(now);
 }
 
+void TokenDaemon::onUpdate(const core::ViewUpdate& update, core::Time now) {
+  exchange_.learnPeers(update.peers);
+  const core::UpdateOutcome outcome = relay_.OnUpdate(update, now);
+  logUpstream(now);
+  if (outcome == core::UpdateOutcome::kTaken || reader_.isComplete() != steering_.hasWholeView()) {
+    noteViewState(now);
+    packets_.retryPending(now);
+  }
+  store_->start();
+}
+
+void TokenDaemon::tickRelay(core::Time now) {
+  relay_.OnTick(exchange_.peers(), now);
+  logUpstream(now);
+  store_->start();
+}
+
+void TokenDaemon::logUpstream(core::Time now) {
+  if (relay_.GetUpstream() == loggedUpstream_) {
+    return;
+  }
+  loggedUpstream_ = relay_.GetUpstream();
+  const core::Duration age = now - reader_.confirmedAt();
+  logEvent(LogLevel::kInfo, loggedUpstream_ ? "upstream_found" : "upstream_lost",
+           {{"peer", loggedUpstream_ ? net::formatEndpoint(*loggedUpstream_) : "none"},
+            {"reads_store", relay_.IsReading() ? "yes" : "no"},
+            {"view_age_ms", std::to_string(age / std::chrono::milliseconds(1))},
+            {"revision", std::to_string(reader_.revision())},
+            {"version", std::to_string(steering_.routes().version())}});
+}
+
 void TokenDaemon::noteViewState(core::Time now) {
   steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now));
 }
@@ -307,6 +351,11 @@
         [this, &outgoing](const auto& message) { peers_.send(outgoing.destination, message); },
         outgoing.message);
   }
+  for (const core::OutgoingRelay& outgoing : relay_.TakeMessages()) {
+    std::visit(
+        [this, &outgoing](const auto& message) { peers_.send(outgoing.Destinations, message); },
+        outgoing.Message);
+  }
 }
 
 void TokenDaemon::onSignal(int signal) {
@@ -321,6 +370,8 @@
   logEvent(LogLevel::kInfo, "planned_stop_began");
   leaving_ = true;
   leavingSince_ = bootTime();
+  relay_.Leave();
+  sendToPeers();
 }
 
 void TokenDaemon::reloadSettings(const char* cause) {
@@ -337,6 +388,7 @@
     steering_.backends().reweigh();
   }
   exchange_.setSeeds(seedsOf(settings_));
+  relay_.SetSeeds(seedsOf(settings_));
   if (settings_.platform != storeBefore) {
     connectStore();
   }
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "core/relay/view_relay.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_exchange.h"
@@ -57,6 +58,10 @@
   void waitForSignal();
   void onFrame(const net::ReceivedFrame& received);
   void onTransfer(const core::ViewTransfer& transfer, core::Time now);
+  void onUpdate(const core::ViewUpdate& update, core::Time now);
+  void tickRelay(core::Time now);
+  /// Logs whether this daemon reads the store or follows a peer, where that has changed.
+  void logUpstream(core::Time now);
   void noteViewState(core::Time now);
   void sendToPeers();
   void onSignal(int signal);
@@ -72,9 +77,11 @@
   net::EdgeFormats formats_;
   PolicyWeights weights_;
   core::TokenSteering steering_;
+  core::ChangeLog changes_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
   core::ViewExchange exchange_;
+  core::ViewRelay relay_;
   net::PeerTransport peers_;
   LatencyHistograms latencies_;
   PacketPort packets_;
@@ -89,6 +96,7 @@
   core::Time leavingSince_{};
   bool leaving_ = false;
   bool storeReachable_ = true;
+  std::optional<core::Endpoint> loggedUpstream_;
   std::string lastReason_;
 };
 
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/relay/view_relay.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_exchange.h"
@@ -39,6 +40,7 @@
   const core::TokenSteering& steering;
   const core::StoreReader& reader;
   const core::ViewExchange& exchange;
+  const core::ViewRelay& relay;
   const PacketPort& packets;
   const LatencyHistograms& latencies;
   bool ready = false;
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -26,7 +26,7 @@
     std::variant<core::Ping, core::Ack, core::PingRequest, core::MemberSync,
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
                  core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
-                 core::ViewRequest, core::ViewTransfer>;
+                 core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -87,6 +87,17 @@
 auto fieldsOf(IsMessage<core::ViewTransfer> auto& m) {
   return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers);
 }
+auto fieldsOf(IsMessage<core::ViewRemoval> auto& m) { return std::tie(m.key, m.revision); }
+auto fieldsOf(IsMessage<core::ViewRouteDelta> auto& m) {
+  return std::tie(m.key, m.revision, m.from, m.version, m.idleTimeoutMs, m.changed, m.dropped);
+}
+auto fieldsOf(IsMessage<core::ViewSubscription> auto& m) {
+  return std::tie(m.replyTo, m.have, m.sentAtUs);
+}
+auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
+  return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
+                  m.leaving, m.full, m.backends, m.removals, m.routes, m.peers);
+}
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -160,12 +160,23 @@
 }
 
 void PeerTransport::send(const core::Endpoint& destination, const PeerFrame& frame) {
-  std::vector<std::uint8_t> bytes = codec_.encode(frame);
-  counters_.bytesSent += bytes.size();
+  send(std::vector<core::Endpoint>{destination}, frame);
+}
+
+void PeerTransport::send(const std::vector<core::Endpoint>& destinations, const PeerFrame& frame) {
+  const std::vector<std::uint8_t> bytes = codec_.encode(frame);
   // A forwarded packet is data and must not wait for a connection, whatever its length.
   const bool isData = std::holds_alternative<ForwardedPacket>(frame);
+  for (const core::Endpoint& destination : destinations) {
+    sendBytes(destination, bytes, isData);
+  }
+}
+
+void PeerTransport::sendBytes(const core::Endpoint& destination,
+                              const std::vector<std::uint8_t>& bytes, bool isData) {
+  counters_.bytesSent += bytes.size();
   if (bytes.size() > kMaxDatagramBytes && !isData) {
-    sendStream(destination, std::move(bytes));
+    sendStream(destination, bytes);
     return;
   }
   ++counters_.datagramsSent;
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -39,6 +39,8 @@
   core::Endpoint localEndpoint() const;
 
   void send(const core::Endpoint& destination, const PeerFrame& frame);
+  /// Sends one frame to several peers; it is encoded once.
+  void send(const std::vector<core::Endpoint>& destinations, const PeerFrame& frame);
   void close();
 
   const PeerTransportCounters& counters() const { return counters_; }
@@ -48,6 +50,8 @@
 
   void receiveDatagram();
   void acceptStream();
+  void sendBytes(const core::Endpoint& destination, const std::vector<std::uint8_t>& bytes,
+                 bool isData);
   void sendStream(const core::Endpoint& destination, std::vector<std::uint8_t> bytes);
   void deliver(ByteView bytes);
 
--- /dev/null
+++ b/tests/core/relay/view_relay_test.cc
@@ -0,0 +1,484 @@
+#include "core/relay/view_relay.h"
+
+#include <functional>
+#include <memory>
+
+#include "core/constants.h"
+#include "core/view_updater.h"
+#include "support/token_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::ReadOutcome;
+using core::UpdateOutcome;
+
+constexpr core::Duration kStep = 100ms;
+
+/// One daemon's view and relay, with a clock of its own.
+struct Node
+{
+  core::Endpoint Address;
+  core::Duration ClockOffset;
+  sim::SeededRandom Random;
+  core::EqualWeights Weights;
+  core::BackendRegistry Backends{ 60s, this->Weights };
+  core::RouteTable Routes{ 0 };
+  core::ChangeLog Log;
+  core::ViewUpdater Updater{ this->Backends,
+                             this->Routes,
+                             [](const core::ViewChange&) {},
+                             &this->Log };
+  core::StoreReader Reader{ this->Updater, this->Random };
+  core::ViewRelay Relay{ this->Address,
+                         this->Reader,
+                         this->Updater,
+                         this->Log,
+                         this->Random };
+  std::optional<core::StoreRead> Pending;
+  core::Time AskedAt{};
+  std::uint64_t Calls = 0;
+  bool Alive = true;        ///< Neither killed nor frozen.
+  bool StoreSilent = false; ///< The store's answers do not reach it.
+  bool StoreRefuses = false;
+  bool PeersCut = false; ///< No message of a peer reaches it, nor its own any.
+
+  Node(std::uint8_t host, core::Duration clockOffset)
+    : Address(endpoint(9, host, 7720))
+    , ClockOffset(clockOffset)
+    , Random(host)
+  {
+  }
+
+  core::Time Clock(core::Time now) const { return now + this->ClockOffset; }
+};
+
+struct Message
+{
+  core::Endpoint Destination;
+  std::variant<core::ViewSubscription, core::ViewUpdate> Content;
+};
+
+/// A fleet whose first three daemons are everyone's seeds.
+struct RelayFixture
+{
+  static constexpr std::size_t kSeeds = 3;
+
+  FakeStore Store;
+  std::vector<std::unique_ptr<Node>> Nodes;
+  std::vector<Message> Waiting; ///< For a daemon that is frozen.
+  core::Time Now = 100s;
+  std::uint64_t Lost = 0; ///< Every so many messages one is lost; 0: none.
+  std::uint64_t Sent = 0;
+
+  RelayFixture()
+  {
+    this->Store.put("op/config", makeRoutes(7, { { 1, "web" } }));
+    this->Store.put("servers/1", makeRegistration(1, "web", 1, 1));
+    this->Grow(12);
+  }
+
+  void Grow(std::size_t count)
+  {
+    std::vector<core::Endpoint> seeds;
+    while (this->Nodes.size() < count) {
+      const auto host = static_cast<std::uint8_t>(this->Nodes.size() + 1);
+      // Clocks of machines have nothing to do with each other.
+      this->Nodes.push_back(std::make_unique<Node>(host, host * 1000s));
+    }
+    for (std::size_t i = 0; i < kSeeds; ++i) {
+      seeds.push_back(this->Nodes[i]->Address);
+    }
+    for (auto& node : this->Nodes) {
+      node->Relay.SetSeeds(seeds);
+    }
+  }
+
+  Node& At(std::size_t index) { return *this->Nodes[index]; }
+
+  /// The store answers a read at once where it has news, else after its wait.
+  void ServeStore(Node& node)
+  {
+    const core::Time clock = node.Clock(this->Now);
+    if (!node.Pending) {
+      node.Pending = node.Reader.nextRead(clock);
+      node.AskedAt = clock;
+      node.Calls += node.Pending ? 1 : 0;
+    }
+    if (!node.Pending) {
+      return;
+    }
+    const core::Duration waited = clock - node.AskedAt;
+    std::optional<core::StoreReply> reply;
+    if (node.StoreRefuses) {
+      reply = failedRead(ReadOutcome::kThrottled);
+    } else if (node.StoreSilent) {
+      if (waited >= node.Pending->timeout) {
+        reply = failedRead(ReadOutcome::kTimedOut);
+      }
+    } else {
+      reply = this->Store.answer(*node.Pending);
+      const bool isWatch = node.Pending->kind == core::StoreRead::Kind::kWatch;
+      if (isWatch && reply->changes.empty() && waited < node.Pending->wait) {
+        reply.reset();
+      }
+    }
+    if (reply) {
+      node.Pending.reset();
+      node.Reader.onReply(*reply, clock);
+      node.Relay.OnStoreAnswer(clock);
+    }
+  }
+
+  void Collect(Node& node, std::vector<Message>& messages)
+  {
+    for (core::OutgoingRelay& outgoing : node.Relay.TakeMessages()) {
+      for (const core::Endpoint& destination : outgoing.Destinations) {
+        const bool lost = this->Lost != 0 && ++this->Sent % this->Lost == 0;
+        if (!node.PeersCut && !lost) {
+          messages.push_back({ destination, outgoing.Message });
+        }
+      }
+    }
+  }
+
+  void Deliver(const Message& message)
+  {
+    for (auto& node : this->Nodes) {
+      if (node->Address != message.Destination || node->PeersCut) {
+        continue;
+      }
+      if (!node->Alive) {
+        this->Waiting.push_back(message);
+        continue;
+      }
+      const core::Time clock = node->Clock(this->Now);
+      if (const auto* subscription =
+            std::get_if<core::ViewSubscription>(&message.Content)) {
+        node->Relay.OnSubscription(*subscription, clock);
+      } else {
+        node->Relay.OnUpdate(std::get<core::ViewUpdate>(message.Content),
+                             clock);
+      }
+    }
+  }
+
+  void Exchange()
+  {
+    for (int hop = 0; hop < 6; ++hop) {
+      std::vector<Message> messages;
+      for (auto& node : this->Nodes) {
+        if (node->Alive) {
+          this->Collect(*node, messages);
+        }
+      }
+      for (const Message& message : messages) {
+        this->Deliver(message);
+      }
+    }
+  }
+
+  void Step()
+  {
+    this->Now += kStep;
+    std::vector<core::Endpoint> peers;
+    for (auto& node : this->Nodes) {
+      peers.push_back(node->Address);
+    }
+    for (auto& node : this->Nodes) {
+      if (node->Alive) {
+        node->Relay.OnTick(peers, node->Clock(this->Now));
+        this->ServeStore(*node);
+      }
+    }
+    this->Exchange();
+  }
+
+  void Run(core::Duration span)
+  {
+    for (const core::Time end = this->Now + span; this->Now < end;) {
+      this->Step();
+    }
+  }
+
+  std::size_t CountReading() const
+  {
+    std::size_t count = 0;
+    for (const auto& node : this->Nodes) {
+      count += node->Alive && node->Reader.isActive() ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::uint64_t CountCalls() const
+  {
+    std::uint64_t calls = 0;
+    for (const auto& node : this->Nodes) {
+      calls += node->Calls;
+    }
+    return calls;
+  }
+
+  /// \return the daemons that read the store now.
+  std::vector<Node*> Readers()
+  {
+    std::vector<Node*> readers;
+    for (auto& node : this->Nodes) {
+      if (node->Alive && node->Relay.IsReading()) {
+        readers.push_back(node.get());
+      }
+    }
+    return readers;
+  }
+
+  /// \return how long it takes until all that live have this version.
+  core::Duration TimeUntilInForce(core::ConfigurationVersion version)
+  {
+    const core::Time began = this->Now;
+    const auto lacks = [version](const std::unique_ptr<Node>& node) {
+      return node->Alive && !node->StoreRefuses && !node->StoreSilent &&
+        node->Routes.version() < version;
+    };
+    while (std::any_of(this->Nodes.begin(), this->Nodes.end(), lacks)) {
+      this->Step();
+      BOOST_REQUIRE((this->Now - began < 30s));
+    }
+    return this->Now - began;
+  }
+
+  void ChangeRoutes(core::ConfigurationVersion version)
+  {
+    this->Store.put("op/config",
+                    makeRoutes(version, { { 1, "web" }, { 2, "web" } }));
+  }
+};
+
+/// Changes must be in force within 3 s on every daemon that is in touch.
+constexpr core::Duration kInForceWithin = 3s;
+
+BOOST_FIXTURE_TEST_SUITE(ViewRelayTest, RelayFixture)
+
+// Every daemon watched every change: 3,581 calls on a calm day with 74
+// daemons.
+BOOST_AUTO_TEST_CASE(one_seed_reads_and_all_others_follow)
+{
+  this->Run(5s);
+  BOOST_TEST(this->CountReading() == 1U);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Reader.isComplete());
+    BOOST_TEST(node->Reader.isCurrent(node->Clock(this->Now)));
+  }
+  const std::uint64_t before = this->CountCalls();
+  this->Run(10s);
+  BOOST_TEST(this->CountCalls() - before <= 14U);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_reaches_all_at_once)
+{
+  this->Run(5s);
+  this->ChangeRoutes(9);
+  this->Store.put("servers/2", makeRegistration(2, "web", 1, 2));
+  this->Store.put("servers/1", core::RemovedItem{});
+  BOOST_TEST((this->TimeUntilInForce(9) <= 2 * kStep));
+  this->Run(kStep);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Backends.activeCount() == 1U);
+    BOOST_TEST(node->Routes.size() == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_readers_death_is_made_good_within_the_bound)
+{
+  this->Run(5s);
+  BOOST_REQUIRE(this->Readers().size() == 1U);
+  this->Readers()[0]->Alive = false;
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->Run(5s);
+  BOOST_TEST(this->CountReading() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(all_seeds_die_and_the_others_agree_on_few_readers)
+{
+  this->Run(5s);
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    this->At(i).Alive = false;
+  }
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->Run(10s);
+  BOOST_TEST(this->CountReading() == 1U);
+}
+
+// The store may serve the operator and most daemons and say nothing to some.
+BOOST_AUTO_TEST_CASE(a_reader_that_the_store_ignores_is_replaced)
+{
+  this->Run(5s);
+  Node* reader = this->Readers()[0];
+  reader->StoreSilent = true;
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->Run(5s);
+  BOOST_TEST(reader->Routes.version() == 9U);
+  BOOST_TEST(reader->Reader.isCurrent(reader->Clock(this->Now)));
+}
+
+// A daemon without any view gets one through the ViewExchange.
+BOOST_AUTO_TEST_CASE(daemons_that_the_store_refuses_follow_those_it_serves)
+{
+  this->Run(3s);
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    this->At(i).StoreRefuses = true;
+  }
+  this->Run(8s);
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->Run(3s);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Routes.version() == 9U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_cut_from_its_peers_reads_the_store)
+{
+  this->Run(5s);
+  this->At(8).PeersCut = true;
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->At(8).PeersCut = false;
+  this->Run(5s);
+  BOOST_TEST(!this->At(8).Relay.IsReading());
+}
+
+// What waited in a frozen daemon's socket looks new and is old.
+BOOST_AUTO_TEST_CASE(updates_that_waited_do_not_make_a_view_fresh)
+{
+  this->Run(5s);
+  Node& frozen = this->At(8);
+  frozen.Alive = false;
+  this->Run(3s);
+  frozen.Alive = true;
+  frozen.PeersCut = true;
+  this->Now += 5s;
+  const core::Time clock = frozen.Clock(this->Now);
+  BOOST_REQUIRE(!this->Waiting.empty());
+  for (const Message& message : this->Waiting) {
+    if (const auto* update = std::get_if<core::ViewUpdate>(&message.Content)) {
+      frozen.Relay.OnUpdate(*update, clock);
+    }
+  }
+  BOOST_TEST(!frozen.Reader.isCurrent(clock));
+  frozen.Relay.OnTick({}, clock);
+  BOOST_TEST(frozen.Reader.isActive());
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_daemon_reads_at_once)
+{
+  this->Run(5s);
+  this->At(8).Relay.OnResume();
+  BOOST_TEST(this->At(8).Reader.isActive());
+  this->Run(3s);
+  BOOST_TEST(!this->At(8).Reader.isActive());
+}
+
+BOOST_AUTO_TEST_CASE(lost_updates_are_asked_for)
+{
+  this->Run(5s);
+  this->Lost = 7;
+  for (core::ConfigurationVersion version = 9; version < 40; ++version) {
+    this->ChangeRoutes(version);
+    BOOST_TEST((this->TimeUntilInForce(version) < kInForceWithin));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_batch_too_heavy_to_pass_on_is_read_from_the_store)
+{
+  this->Run(5s);
+  for (std::uint64_t id = 10; id < 10 + 2 * core::kHeaviestBatch; ++id) {
+    this->Store.put(
+      "servers/" + std::to_string(id),
+      makeRegistration(id, "web", 3, static_cast<std::uint8_t>(id % 250)));
+  }
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+  this->Run(3s);
+  BOOST_TEST(this->CountReading() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(what_a_listing_found_gone_is_passed_on)
+{
+  this->Run(5s);
+  this->Store.put("servers/2", makeRegistration(2, "web", 1, 2));
+  this->Run(1s);
+  this->Store.put("servers/1", core::RemovedItem{});
+  this->Store.compact();
+  this->Run(3s);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Backends.activeCount() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(followers_leave_a_daemon_that_stops)
+{
+  this->Run(5s);
+  Node* reader = this->Readers()[0];
+  BOOST_TEST(reader->Relay.CountFollowers() > 0U);
+  reader->Relay.Leave();
+  this->Run(3s);
+  BOOST_TEST(reader->Relay.CountFollowers() == 0U);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST((node->Relay.GetUpstream() != reader->Address));
+  }
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_daemon_refers_to_its_followers)
+{
+  this->Grow(4 * core::kMostFollowers);
+  this->Run(10s);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Relay.CountFollowers() <= core::kMostFollowers);
+    BOOST_TEST(node->Reader.isCurrent(node->Clock(this->Now)));
+  }
+  BOOST_TEST(this->CountReading() <= 2U);
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
+}
+
+BOOST_AUTO_TEST_CASE(an_update_of_unknown_age_says_nothing)
+{
+  this->Run(5s);
+  core::ViewUpdate update;
+  update.sender = endpoint(9, 200, 7720);
+  update.from = this->Store.revision();
+  update.revision = this->Store.revision() + 5;
+  const core::Time clock = this->At(8).Clock(this->Now);
+  BOOST_TEST(
+    (this->At(8).Relay.OnUpdate(update, clock) == UpdateOutcome::kUnusable));
+  BOOST_TEST(this->At(8).Reader.revision() == this->Store.revision());
+}
+
+BOOST_AUTO_TEST_CASE(routes_that_build_on_another_version_are_a_gap)
+{
+  this->Run(5s);
+  Node& node = this->At(8);
+  core::ViewUpdate update;
+  update.sender = this->At(0).Address;
+  update.echoUs =
+    static_cast<std::uint64_t>((node.Clock(this->Now) - 1ms).count());
+  update.clockUs = update.confirmedUs = 1;
+  update.from = this->Store.revision();
+  update.revision = this->Store.revision() + 5;
+  update.routes.push_back(
+    { "op/config", update.revision, 8, 9, 0, {}, { endpoint(90, 1, 443) } });
+  const core::Time clock = node.Clock(this->Now);
+  BOOST_TEST((node.Relay.OnUpdate(update, clock) == UpdateOutcome::kGap));
+  BOOST_TEST(node.Routes.version() == 7U);
+  BOOST_TEST(node.Reader.isActive());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -58,6 +58,8 @@
                                       core::ListingRequest{},
                                       core::ViewRequest{},
                                       core::ViewTransfer{},
+                                      core::ViewSubscription{},
+                                      core::ViewUpdate{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
@@ -67,6 +69,34 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(UpdatesOfTheViewSurviveTheWire) {
+  core::ViewUpdate update;
+  update.sender.port = 7720;
+  update.echoUs = 1;
+  update.clockUs = UINT64_MAX;
+  update.confirmedUs = 3;
+  update.readerRank = 4;
+  update.from = 5;
+  update.revision = 6;
+  update.full = true;
+  update.removals.push_back({"servers/1", 6});
+  update.routes.push_back({"op/config", 6, 7, 8, 9, {{"r", {{}, 443}, {"web"}, {1}}}, {{{}, 80}}});
+  const auto received = codec().decode(codec().encode(update));
+  BOOST_TEST_REQUIRE(received.has_value());
+  const auto& message = std::get<core::ViewUpdate>(received->frame);
+  BOOST_TEST((message.sender == update.sender));
+  BOOST_TEST(message.clockUs == update.clockUs);
+  BOOST_TEST(message.confirmedUs == update.confirmedUs);
+  BOOST_TEST(message.readerRank == update.readerRank);
+  BOOST_TEST(message.from == update.from);
+  BOOST_TEST(message.revision == update.revision);
+  BOOST_TEST(message.full);
+  BOOST_TEST(!message.leaving);
+  BOOST_TEST(message.removals.at(0).key == "servers/1");
+  BOOST_TEST(message.routes.at(0).changed.at(0).services.at(0) == "web");
+  BOOST_TEST(message.routes.at(0).dropped.at(0).port == 80);
+}
+
 BOOST_AUTO_TEST_CASE(StrangersAreToldApart) {
   const auto bytes = codec().encode(core::Ping{});
   PeerCodec otherKey = codec("test", "another byte key");
