Find back ends that leave callers without answers, by all daemons together

Change: daemons observe answers that are late by 600 ms and report them to the seeds; two reporters within 2 s make an outlier, which comes last for new flows; the list travels with the view (docs/design/006, with the guards against blaming back ends for a daemon's own troubles).

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -159,6 +159,25 @@
 inline constexpr Duration kLeastPushGap = 300ms;
 /// How long the relation to a peer's clock is kept after it was last heard in answer.
 inline constexpr Duration kClockMemory = 10s;
+// Outlier detection; see docs/design/006-outlier-detection.md.
+
+/// An answer that a caller has not begun to receive after this long is late. Ten times what a busy
+/// back end with a full queue takes, and below half of any caller's patience.
+inline constexpr Duration kAnswerLate = 600ms;
+/// So many different daemons have to see late answers within this time.
+inline constexpr std::size_t kOutlierReporters = 2;
+inline constexpr Duration kOutlierEvidence = 2000ms;
+/// How long a verdict holds without new evidence; then the back end is tried again.
+inline constexpr Duration kOutlierFor = 4000ms;
+/// A daemon with fewer answers for each late one suspects itself and reports nothing.
+inline constexpr std::uint64_t kAnsweredPerLate = 3;
+/// Where more than one back end in so many is an outlier, the cause lies elsewhere: none counts.
+inline constexpr std::size_t kBackendsPerOutlier = 3;
+/// Bounds of what is remembered and sent; a busy daemon has about 1,000 answers due at a time.
+inline constexpr std::size_t kMostExpectedAnswers = 8192;
+inline constexpr std::size_t kMostObservations = 64;
+inline constexpr std::size_t kMostOutliersTold = 64;
+
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
 inline constexpr std::size_t kMostFollowers = 32;
--- /dev/null
+++ b/src/core/outlier/outlier_detector.h
@@ -0,0 +1,93 @@
+/// @file
+/// Finds back ends that take flows and leave them unanswered while they call
+/// themselves well.  One daemon sees too few flows to tell; all of them
+/// together see enough.  See docs/design/006-outlier-detection.md.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/types.h"
+#include "core/view_messages.h"
+
+namespace cobaltgauge::core {
+
+/// Counters of an OutlierDetector; see docs/METRICS.md.
+struct OutlierCounters
+{
+  std::uint64_t LateAnswers = 0;
+  std::uint64_t Withheld = 0; ///< Late answers blamed on this daemon itself.
+  std::uint64_t Found = 0;    ///< Verdicts of this daemon.
+};
+
+/** \class OutlierDetector
+ * \brief Collect late answers, and decide or adopt which back ends are out.
+ *
+ * Observations go to the seeds, whom every daemon knows; each seed decides,
+ * and its list travels back with the view.  An outlier only comes last when a
+ * new flow is placed; its open flows stay.
+ */
+class OutlierDetector
+{
+public:
+  /// \param reporter tells this daemon's observations from others'.
+  explicit OutlierDetector(std::uint64_t reporter)
+    : Reporter(reporter)
+  {
+  }
+
+  /// A back end answered a caller of this daemon.
+  void OnAnswered() { ++this->Answered; }
+
+  /// A back end left a caller of this daemon unanswered for kAnswerLate.
+  void OnLate(BackendId backend);
+
+  /// Take what this daemon has observed since, for those that decide.
+  OutlierReport TakeReport();
+
+  /// Take observations, where this daemon decides for others.
+  /// \return the back ends that have become outliers by them.
+  std::vector<BackendId> Decide(const OutlierReport& report, Time now);
+
+  /// Take the list of the daemon that decides.
+  void Adopt(const std::vector<BackendId>& outliers, Time now);
+
+  /// Forget outliers without recent evidence or news.
+  void Expire(Time now);
+
+  bool IsOutlier(BackendId backend) const
+  {
+    return this->Outliers.count(backend) != 0;
+  }
+
+  /// Get the outliers, as they are told to other daemons.
+  std::vector<BackendId> GetOutliers() const;
+
+  const OutlierCounters& GetCounters() const { return this->Counters; }
+
+private:
+  struct Evidence
+  {
+    std::map<std::uint64_t, Time> LateAt; ///< Latest by reporter.
+
+    void Forget(Time before);
+  };
+
+  bool SuspectsItself() const;
+
+  std::uint64_t Reporter;
+  std::vector<OutlierObservation> Pending;
+  std::map<BackendId, Evidence> Observed;
+  std::map<BackendId, Time> Outliers; ///< With the end of the verdict.
+  /// Of the present and the last period of kOutlierEvidence.
+  std::uint64_t Answered = 0;
+  std::uint64_t AnsweredBefore = 0;
+  std::uint64_t Late = 0;
+  std::uint64_t LateBefore = 0;
+  Time PeriodEnds{};
+  OutlierCounters Counters;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -30,11 +30,13 @@
                      StoreReader& reader,
                      StoreSink& sink,
                      ChangeLog& log,
+                     OutlierDetector& outliers,
                      Random& random)
   : Self(self)
   , Reader(reader)
   , Sink(sink)
   , Log(log)
+  , Outliers(outliers)
   , RandomSource(random)
   , OwnRank(RankOf(self, false))
 {
@@ -78,6 +80,7 @@
     ++this->Counters.ReadingBegan;
   }
   this->ActivateReader();
+  this->ReportOutliers(now);
   if (now < this->NextAskAt || this->Leaving) {
     return;
   }
@@ -155,6 +158,7 @@
   update.sender = this->Self;
   update.clockUs = static_cast<std::uint64_t>(now.count());
   update.leaving = this->Leaving;
+  update.outliers = this->Outliers.GetOutliers();
   if (this->Log.GetComplete() == 0) {
     return update;
   }
@@ -179,10 +183,7 @@
   if (complete == 0 || !isNews || this->Leaving) {
     return;
   }
-  std::vector<Endpoint> destinations;
-  for (const auto& [follower, expires] : this->Followers) {
-    destinations.push_back(follower);
-  }
+  std::vector<Endpoint> destinations = this->ListFollowers();
   if (!destinations.empty()) {
     this->Counters.UpdatesSent += destinations.size();
     this->Outgoing.push_back(
@@ -192,6 +193,55 @@
   this->LastPushConfirmed = confirmed;
 }
 
+std::vector<Endpoint> ViewRelay::ListFollowers() const
+{
+  std::vector<Endpoint> list;
+  for (const auto& [follower, expires] : this->Followers) {
+    list.push_back(follower);
+  }
+  return list;
+}
+
+void ViewRelay::ReportOutliers(Time now)
+{
+  this->Outliers.Expire(now);
+  const OutlierReport report = this->Outliers.TakeReport();
+  if (report.observations.empty()) {
+    return;
+  }
+  if (!this->Seeds.empty()) {
+    this->Outgoing.push_back({ this->Seeds, report });
+  }
+  this->OnReport(report, now);
+}
+
+void ViewRelay::OnReport(const OutlierReport& report, Time now)
+{
+  if (!this->IsSeed) {
+    return;
+  }
+  const std::vector<BackendId> found = this->Outliers.Decide(report, now);
+  this->FoundOutliers.insert(
+    this->FoundOutliers.end(), found.begin(), found.end());
+  if (!found.empty()) {
+    this->LastPushConfirmed = Time{};
+    this->Push(now);
+  }
+}
+
+std::vector<BackendId> ViewRelay::TakeFoundOutliers()
+{
+  return std::exchange(this->FoundOutliers, {});
+}
+
+bool ViewRelay::IsDecider(const Endpoint& sender) const
+{
+  const bool isSeed =
+    std::find(this->Seeds.begin(), this->Seeds.end(), sender) !=
+    this->Seeds.end();
+  return !this->IsSeed && (isSeed || this->Upstream == sender);
+}
+
 void ViewRelay::NoteClock(const ViewUpdate& update, Time now)
 {
   const auto echo = Time(static_cast<Time::rep>(update.echoUs));
@@ -226,6 +276,9 @@
   if (update.full) {
     this->Referred = update.peers;
   }
+  if (this->IsDecider(update.sender)) {
+    this->Outliers.Adopt(update.outliers, now);
+  }
   this->NoteClock(update, now);
   const std::optional<Time> confirmed = this->ConfirmationTime(update, now);
   if (!confirmed || update.revision == 0) {
@@ -314,10 +367,7 @@
   ViewUpdate farewell;
   farewell.sender = this->Self;
   farewell.leaving = true;
-  std::vector<Endpoint> destinations;
-  for (const auto& [follower, expires] : this->Followers) {
-    destinations.push_back(follower);
-  }
+  std::vector<Endpoint> destinations = this->ListFollowers();
   this->Followers.clear();
   if (!destinations.empty()) {
     this->Outgoing.push_back({ std::move(destinations), farewell });
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -17,6 +17,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
 #include "core/store_reader.h"
@@ -28,7 +29,7 @@
 struct OutgoingRelay
 {
   std::vector<Endpoint> Destinations;
-  std::variant<ViewSubscription, ViewUpdate> Message;
+  std::variant<ViewSubscription, ViewUpdate, OutlierReport> Message;
 };
 
 /// What became of an update.
@@ -68,6 +69,7 @@
             StoreReader& reader,
             StoreSink& sink,
             ChangeLog& log,
+            OutlierDetector& outliers,
             Random& random);
 
   /// Name the daemons that everyone knows of.
@@ -82,6 +84,12 @@
   void OnSubscription(const ViewSubscription& subscription, Time now);
   UpdateOutcome OnUpdate(const ViewUpdate& update, Time now);
 
+  /// Take what another daemon has observed; seeds decide by it.
+  void OnReport(const OutlierReport& report, Time now);
+
+  /// Take the back ends that this daemon has found to be outliers, for logs.
+  std::vector<BackendId> TakeFoundOutliers();
+
   /// Call after the process was suspended: its view may be old.
   void OnResume();
 
@@ -118,11 +126,15 @@
   ViewUpdate Describe(Revision have, Time now) const;
   void Push(Time now);
   void ForgetOld(Time now);
+  void ReportOutliers(Time now);
+  bool IsDecider(const Endpoint& sender) const;
+  std::vector<Endpoint> ListFollowers() const;
 
   Endpoint Self;
   StoreReader& Reader;
   StoreSink& Sink;
   ChangeLog& Log;
+  OutlierDetector& Outliers;
   Random& RandomSource;
   std::vector<Endpoint> Seeds; ///< Without this daemon; preferred first.
   std::vector<Endpoint> Referred;
@@ -140,6 +152,7 @@
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
+  std::vector<BackendId> FoundOutliers;
   std::vector<OutgoingRelay> Outgoing;
   ViewRelayCounters Counters;
 };
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -81,6 +81,9 @@
 
 void TokenSteering::noteAnswer(TokenFlow& flow, Time now) {
   health_.onAnswer(flow.backend, now);
+  if (outliers_ != nullptr && !flow.dataAnswered) {
+    outliers_->OnAnswered();
+  }
   if (latencies_ != nullptr && !flow.answered && flow.openedAt != Time{}) {
     latencies_->onOpeningAnswered(now - flow.openedAt);
   } else if (latencies_ != nullptr && !flow.dataAnswered) {
@@ -100,6 +103,10 @@
     flow.dataEnd = end;
     flow.dataSentAt = now;
     flow.dataAnswered = false;
+    // Of a flow that was opened elsewhere it is not known what was sent before.
+    if (outliers_ != nullptr && flow.openedAt != Time{}) {
+      deadlines_.Expect(flow.fingerprint, flow.dataEnd, now);
+    }
   } else {
     health_.onRepeatedData(flow.backend, flow.dataSentAt, now);
   }
@@ -214,8 +221,10 @@
   std::uint64_t ties = 0;
   const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
   const std::size_t start = random_.below(candidates.size());
+  const bool withOutliers = outliersCount(candidates);
   for (std::size_t i = 0; i < looks; ++i) {
-    const Choice choice = assess(candidates[(start + i) % candidates.size()], avoided, now);
+    const Choice choice =
+        assess(candidates[(start + i) % candidates.size()], avoided, withOutliers, now);
     if (choice.excluded) {
       continue;
     }
@@ -230,13 +239,14 @@
 }
 
 TokenSteering::Choice TokenSteering::assess(const PlacementCandidate& candidate, BackendId avoided,
-                                            Time now) const {
+                                            bool outliersCount, Time now) const {
   const double flows = flows_.openOn(candidate.id) + 1.0;
   const double factor = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
   Choice choice;
   choice.id = candidate.id;
   choice.capacity = candidate.capacity;
-  choice.suspected = candidate.id == avoided || health_.isSuspected(candidate.id, now);
+  const bool isOutlier = outliersCount && outliers_->IsOutlier(candidate.id);
+  choice.suspected = candidate.id == avoided || isOutlier || health_.isSuspected(candidate.id, now);
   choice.busy = pacer_.isBusy(candidate.id, now);
   choice.excluded = candidate.weight == 0;
   choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
@@ -256,7 +266,33 @@
   return ForwardToBackend{backend, routes_.version(), reason, tokenOf(backend.id)};
 }
 
+bool TokenSteering::outliersCount(const std::vector<PlacementCandidate>& candidates) const {
+  if (outliers_ == nullptr) {
+    return false;
+  }
+  std::size_t found = 0;
+  for (const BackendId outlier : outliers_->GetOutliers()) {
+    found += std::any_of(candidates.begin(), candidates.end(),
+                         [outlier](const auto& candidate) { return candidate.id == outlier; })
+                 ? 1U
+                 : 0U;
+  }
+  return found != 0 && found * kBackendsPerOutlier <= candidates.size();
+}
+
+void TokenSteering::noteLateAnswers(Time now) {
+  for (const AnswerDeadlines::Expected& expected : deadlines_.TakeDue(now)) {
+    const TokenFlow* flow = flows_.find(expected.Flow);
+    const bool isLate = flow != nullptr && !flow->closed && !flow->dataAnswered &&
+                        flow->dataEnd == expected.DataEnd;
+    if (isLate) {
+      outliers_->OnLate(flow->backend);
+    }
+  }
+}
+
 void TokenSteering::onResume() {
+  deadlines_.Clear();
   openingsAreStale_ = true;
   health_.onResume();
 }
@@ -299,6 +335,7 @@
 }
 
 void TokenSteering::onTick(Time now) {
+  noteLateAnswers(now);
   if (now < nextMaintenance_) {
     return;
   }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -17,6 +17,8 @@
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
 #include "core/opening_pacer.h"
+#include "core/outlier/answer_deadlines.h"
+#include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/route_table.h"
 #include "core/token_flows.h"
@@ -77,6 +79,10 @@
   /// @return back ends whose address should be connected to; answer each by onProbe().
   std::vector<BackendAddress> takeProbes(Time now);
   void onProbe(BackendId backend, ProbeResult result, Time now);
+  /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
+  /// null for none.
+  void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
+
   /// @return flows whose callers are to be told that their back end is gone.
   std::vector<FlowReset> takeResets();
 
@@ -110,13 +116,18 @@
   Choice chooseForRoute(RouteEntry& route, BackendId avoided, Time now);
   Choice chooseAmong(const std::vector<PlacementCandidate>& candidates, BackendId avoided,
                      Time now);
-  Choice assess(const PlacementCandidate& candidate, BackendId avoided, Time now) const;
+  Choice assess(const PlacementCandidate& candidate, BackendId avoided, bool outliersCount,
+                Time now) const;
   static bool isBetter(const Choice& left, const Choice& right);
   /// @return what an opening gets where no back end of its route takes flows.
   Verdict withoutBackend(const Route& route, Time now);
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   void noteAnswer(TokenFlow& flow, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
+  /// Reports back ends whose answers are overdue.
+  void noteLateAnswers(Time now);
+  /// @return true where outliers among the candidates are to come last.
+  bool outliersCount(const std::vector<PlacementCandidate>& candidates) const;
   void resetFlowsOf(BackendId backend, RefuseReason reason);
   void resetFlowsOfEnded();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
@@ -133,6 +144,8 @@
   std::vector<FlowReset> resets_;
   VerdictCounters counters_;
   OpeningDecision decision_;
+  OutlierDetector* outliers_ = nullptr;
+  AnswerDeadlines deadlines_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
   bool viewCurrent_ = false;
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -68,6 +68,17 @@
   std::vector<Endpoint> dropped;
 };
 
+/// A daemon has seen a back end leave a caller without an answer.
+struct OutlierObservation {
+  BackendId backend = kNoBackend;
+  std::uint64_t reporter = 0;  ///< Tells daemons apart.
+};
+
+/// Observations on their way to the daemon that decides.
+struct OutlierReport {
+  std::vector<OutlierObservation> observations;
+};
+
 /// Asks for every change of a daemon's view from now on, for the time of a lease, and for those
 /// that the sender lacks.
 struct ViewSubscription {
@@ -90,7 +101,8 @@
   std::vector<ViewBackend> backends;
   std::vector<ViewRemoval> removals;
   std::vector<ViewRouteDelta> routes;
-  std::vector<Endpoint> peers;  ///< Some that follow the sender.
+  std::vector<Endpoint> peers;      ///< Some that follow the sender.
+  std::vector<BackendId> outliers;  ///< Back ends that leave callers without answers.
 };
 
 }  // namespace cobaltgauge::core
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -63,7 +63,8 @@
       updater_(steering_.backends(), steering_.routes(), logViewChange, &changes_),
       reader_(updater_, random_),
       exchange_(settings_.clusterListen, steering_, updater_, reader_, random_, &changes_),
-      relay_(settings_.clusterListen, reader_, updater_, changes_, random_),
+      outliers_(static_cast<std::uint64_t>(core::memberIdOf(settings_.name))),
+      relay_(settings_.clusterListen, reader_, updater_, changes_, outliers_, random_),
       peers_(context_,
              net::PeerCodec(settings_.clusterName, settings_.clusterKey,
                             core::memberIdOf(settings_.name)),
@@ -104,6 +105,7 @@
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
   }
   steering_.setLatencyObserver(&latencies_);
+  steering_.setOutliers(&outliers_);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -290,6 +292,8 @@
     relay_.OnSubscription(*subscription, now);
   } else if (const auto* update = std::get_if<core::ViewUpdate>(&received.frame)) {
     onUpdate(*update, now);
+  } else if (const auto* report = std::get_if<core::OutlierReport>(&received.frame)) {
+    relay_.OnReport(*report, now);
   }
   sendToPeers();
 }
@@ -324,6 +328,9 @@
 void TokenDaemon::tickRelay(core::Time now) {
   relay_.OnTick(exchange_.peers(), now);
   logUpstream(now);
+  for (const core::BackendId backend : relay_.TakeFoundOutliers()) {
+    logOutlier(backend, reader_.revision());
+  }
   store_->start();
 }
 
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -81,6 +81,7 @@
   core::ViewUpdater updater_;
   core::StoreReader reader_;
   core::ViewExchange exchange_;
+  core::OutlierDetector outliers_;
   core::ViewRelay relay_;
   net::PeerTransport peers_;
   LatencyHistograms latencies_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -1,5 +1,6 @@
 #include "daemon/token_log.h"
 
+#include "core/constants.h"
 #include "daemon/log.h"
 #include "net/address.h"
 
@@ -106,4 +107,11 @@
   }
 }
 
+void logOutlier(core::BackendId backend, core::Revision viewRevision) {
+  logEvent(LogLevel::kWarning, "outlier_found",
+           {{"backend", hex(backend)},
+            {"reporters_at_least", std::to_string(core::kOutlierReporters)},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -22,4 +22,7 @@
 /// Logs a change of the view.
 void logViewChange(const core::ViewChange& change);
 
+/// A back end left callers of several daemons without answers; it comes last for new flows.
+void logOutlier(core::BackendId backend, core::Revision viewRevision);
+
 }  // namespace cobaltgauge::daemon
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -26,7 +26,8 @@
     std::variant<core::Ping, core::Ack, core::PingRequest, core::MemberSync,
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
                  core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
-                 core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate>;
+                 core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate,
+                 core::OutlierReport>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -96,8 +97,12 @@
 }
 auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
   return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
-                  m.leaving, m.full, m.backends, m.removals, m.routes, m.peers);
+                  m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers);
 }
+auto fieldsOf(IsMessage<core::OutlierObservation> auto& m) {
+  return std::tie(m.backend, m.reporter);
+}
+auto fieldsOf(IsMessage<core::OutlierReport> auto& m) { return std::tie(m.observations); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -30,11 +30,9 @@
                              [](const core::ViewChange&) {},
                              &this->Log };
   core::StoreReader Reader{ this->Updater, this->Random };
-  core::ViewRelay Relay{ this->Address,
-                         this->Reader,
-                         this->Updater,
-                         this->Log,
-                         this->Random };
+  core::OutlierDetector Outliers{ 0 };
+  core::ViewRelay Relay{ this->Address, this->Reader,   this->Updater,
+                         this->Log,     this->Outliers, this->Random };
   std::optional<core::StoreRead> Pending;
   core::Time AskedAt{};
   std::uint64_t Calls = 0;
@@ -47,6 +45,7 @@
     : Address(endpoint(9, host, 7720))
     , ClockOffset(clockOffset)
     , Random(host)
+    , Outliers(host)
   {
   }
 
@@ -56,7 +55,8 @@
 struct Message
 {
   core::Endpoint Destination;
-  std::variant<core::ViewSubscription, core::ViewUpdate> Content;
+  std::variant<core::ViewSubscription, core::ViewUpdate, core::OutlierReport>
+    Content;
 };
 
 /// A fleet whose first three daemons are everyone's seeds.
@@ -156,6 +156,9 @@
       if (const auto* subscription =
             std::get_if<core::ViewSubscription>(&message.Content)) {
         node->Relay.OnSubscription(*subscription, clock);
+      } else if (const auto* report =
+                   std::get_if<core::OutlierReport>(&message.Content)) {
+        node->Relay.OnReport(*report, clock);
       } else {
         node->Relay.OnUpdate(std::get<core::ViewUpdate>(message.Content),
                              clock);
@@ -446,6 +449,26 @@
   BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
 }
 
+BOOST_AUTO_TEST_CASE(what_two_daemons_saw_of_a_back_end_is_known_to_all)
+{
+  this->Grow(4 * core::kMostFollowers);
+  this->Run(10s);
+  for (const std::size_t observer : { 40U, 90U }) {
+    for (int i = 0; i < 10; ++i) {
+      this->At(observer).Outliers.OnAnswered();
+    }
+    this->At(observer).Outliers.OnLate(core::BackendId{ 1 });
+  }
+  this->Run(2s);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Outliers.IsOutlier(core::BackendId{ 1 }));
+  }
+  this->Run(core::kOutlierFor + 2s);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(!node->Outliers.IsOutlier(core::BackendId{ 1 }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_update_of_unknown_age_says_nothing)
 {
   this->Run(5s);
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -336,6 +336,64 @@
   BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
 }
 
+BOOST_AUTO_TEST_CASE(data_without_an_answer_is_reported_once) {
+  core::OutlierDetector outliers(1);
+  steering.setOutliers(&outliers);
+  const BackendId answering = openAndAnswer(1);
+  for (std::uint32_t sent = 0; sent < 10; ++sent) {
+    send(1, answering, 1 + sent, 10, 1000 + 10 * sent);
+    send(1, answering, 2 + sent, 0);
+  }
+  const BackendId silent = openAndAnswer(2);
+  send(2, silent, 1, 10);
+  now += core::kAnswerLate - 1ms;
+  steering.onTick(now);
+  BOOST_TEST(outliers.GetCounters().LateAnswers == 0U);
+  now += 2s;
+  steering.onTick(now);
+  now += 2s;
+  steering.onTick(now);
+  BOOST_TEST(outliers.GetCounters().LateAnswers == 1U);
+  const core::OutlierReport report = outliers.TakeReport();
+  BOOST_REQUIRE(report.observations.size() == 1U);
+  BOOST_TEST((report.observations[0].backend == silent));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_due_during_a_suspension_is_not_reported) {
+  core::OutlierDetector outliers(1);
+  steering.setOutliers(&outliers);
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 10);
+  now += 5s;
+  steering.onResume();
+  steering.onTick(now);
+  BOOST_TEST(outliers.GetCounters().LateAnswers == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_outlier_gets_no_new_flow_and_keeps_its_own) {
+  core::OutlierDetector outliers(1);
+  steering.setOutliers(&outliers);
+  const BackendId outlier = openAndAnswer(1);
+  outliers.Adopt({outlier}, now);
+  for (std::uint16_t port = 2; port <= 30; ++port) {
+    now += 100ms;
+    BOOST_TEST((openAndAnswer(port) != outlier));
+  }
+  BOOST_TEST((backendOf(send(1, outlier, 2, 10)) == outlier));
+}
+
+BOOST_AUTO_TEST_CASE(many_outliers_count_for_nothing) {
+  core::OutlierDetector outliers(1);
+  steering.setOutliers(&outliers);
+  outliers.Adopt({BackendId{1}, BackendId{2}}, now);
+  std::map<BackendId, int> flows;
+  for (std::uint16_t port = 1; port <= 30; ++port) {
+    now += 100ms;
+    ++flows[openAndAnswer(port)];
+  }
+  BOOST_TEST(flows.size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -60,6 +60,7 @@
                                       core::ViewTransfer{},
                                       core::ViewSubscription{},
                                       core::ViewUpdate{},
+                                      core::OutlierReport{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
