--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -41,7 +41,8 @@
   /// A back end answered a caller of this daemon.
   void OnAnswered() { ++this->Answered; }
 
-  /// A back end left a caller of this daemon unanswered for kAnswerLate.
+  /// A back end left a caller of this daemon unanswered for kAnswerLate, or
+  /// was silent and did not answer a probe either.
   void OnLate(BackendId backend);
 
   /// Take what this daemon has observed since, for those that decide.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -314,6 +314,9 @@
 
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
   if (health_.onProbe(backend, result, now)) {
+    if (outliers_ != nullptr) {
+      outliers_->OnLate(backend);
+    }
     resetFlowsOf(backend, RefuseReason::kBackendDead);
   }
 }
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -370,6 +370,23 @@
   BOOST_TEST(outliers.GetCounters().LateAnswers == 0U);
 }
 
+// While the store was down, each of 98 daemons found out by itself, by losing openings, which back
+// ends were dead: up to 290 probes a second (ptf-inc-8690).
+BOOST_AUTO_TEST_CASE(a_back_end_found_dead_is_reported) {
+  core::OutlierDetector outliers(1);
+  steering.setOutliers(&outliers);
+  for (int i = 0; i < 10; ++i) {
+    outliers.OnAnswered();
+  }
+  const BackendId backend = backendOf(open(1));
+  now += core::kAnswerPatience + 1ms;
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  const core::OutlierReport report = outliers.TakeReport();
+  BOOST_REQUIRE(report.observations.size() == 1U);
+  BOOST_TEST((report.observations[0].backend == backend));
+}
+
 BOOST_AUTO_TEST_CASE(an_outlier_gets_no_new_flow_and_keeps_its_own) {
   core::OutlierDetector outliers(1);
   steering.setOutliers(&outliers);
