--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -63,6 +63,8 @@
     return this->Outliers.count(backend) != 0;
   }
 
+  std::size_t CountOutliers() const { return this->Outliers.size(); }
+
   /// Get the outliers, as they are told to other daemons.
   std::vector<BackendId> GetOutliers() const;
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -172,8 +172,8 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics is here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_,    exchange_, relay_,
-                                   packets_,  latencies_, isReady()};
+  const TokenMetricSources sources{steering_, reader_,  exchange_,  relay_,
+                                   outliers_, packets_, latencies_, isReady()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -41,6 +41,7 @@
   const core::StoreReader& reader;
   const core::ViewExchange& exchange;
   const core::ViewRelay& relay;
+  const core::OutlierDetector& outliers;
   const PacketPort& packets;
   const LatencyHistograms& latencies;
   bool ready = false;
