Give whole views by bytes a second

Change: a budget of 1 MB a second in place of a number of views; a large view still goes out four times a second at most.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -34,6 +34,8 @@
   return true;
 }
 
+void RankedTokenBucket::charge(std::uint32_t tokens) { tokens_ = std::max(0.0, tokens_ - tokens); }
+
 std::chrono::seconds RankedTokenBucket::retryAfter(std::uint32_t rank) const {
   if (rate_ == 0) {
     return std::chrono::seconds(1);
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -19,6 +19,10 @@
   /// @return true where the flow may start; takes one token.
   bool admit(std::uint32_t rank, Time now);
 
+  /// Takes more tokens for work already admitted that turned out to cost more; as many as there
+  /// are.
+  void charge(std::uint32_t tokens);
+
   /// @return seconds until a flow of this rank could be admitted, at least one.
   std::chrono::seconds retryAfter(std::uint32_t rank) const;
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -131,9 +131,12 @@
 /// A daemon with a view asks peers for a newer one when the store has failed it for this long.
 inline constexpr Duration kStoreSilence = 1500ms;
 inline constexpr Duration kAskPeersEvery = 400ms;
-/// Whole views that a daemon gives in a second; who asks beyond that is told of other peers. A view
-/// of 3,000 back ends has 300 KB.
-inline constexpr std::uint32_t kViewsPerSecond = 4;
+/// What a daemon gives of whole views in a second, in units of about 16 KB: 1 MB, which a small
+/// machine's link still carries. Who asks beyond that is told of other peers. After most daemons
+/// were killed during an outage the few others are all that the rest can get a view from.
+inline constexpr std::uint32_t kViewUnitsPerSecond = 64;
+/// Back ends and routes in one unit; each takes about 60 to 100 bytes.
+inline constexpr std::size_t kItemsPerViewUnit = 200;
 /// Peers asked at once, and peers remembered.
 inline constexpr std::size_t kPeersAsked = 2;
 inline constexpr std::size_t kMostViewPeers = 32;
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -115,6 +115,8 @@
   for (const StoreChange& change : steering_.backends().contents()) {
     view.backends.push_back(toMessage(change, std::get<Registration>(change.item)));
   }
+  const std::size_t units = (view.routes.size() + view.backends.size()) / kItemsPerViewUnit;
+  views_.charge(static_cast<std::uint32_t>(units));
   return view;
 }
 
