Let the relay's limits follow the time in which changes have to be in force

Cause: the limits fit 3 s; an unseen deployment may want changes in force sooner.

Change: steering.apply_within_ms and drain_within_ms, filled from the platform's bounds; limits shrink in proportion and never grow.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -147,6 +147,8 @@
 
 // Following a peer; see docs/design/005-view-relay.md.
 
+/// The limits below fit changes that have to be in force everywhere within this time.
+inline constexpr Duration kChangesInForce = 3000ms;
 /// A follower whose view may be this old asks other peers; a sign of life comes each kWatchWait.
 inline constexpr Duration kAskPeersAfter = 1150ms;
 /// A view that may be this old is read from the store. Seeds, which others follow, are earlier, so
--- /dev/null
+++ b/src/core/relay/relay_timing.h
@@ -0,0 +1,40 @@
+/// @file
+/// How long each step may take until a view that may be old is the store's
+/// again, for the time in which changes have to be in force.
+#pragma once
+
+#include <algorithm>
+
+#include "core/constants.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// Time limits that follow from one bound.  The ratios are those of the
+/// constants, which fit a bound of kChangesInForce; a longer one does not
+/// stretch them, since a fresh view is better and costs little.
+struct RelayTiming
+{
+  Duration WatchWait = kWatchWait;
+  Duration CurrentFor = kViewCurrentFor;
+  Duration AskPeersAfter = kAskPeersAfter;
+  Duration SeedReadsAfter = kSeedReadsAfter;
+  Duration FollowerReadsAfter = kFollowerReadsAfter;
+
+  /// Get the limits for changes that have to be in force within `bound`.
+  static RelayTiming Within(Duration bound)
+  {
+    const double ratio =
+      std::min(1.0, double(bound.count()) / double(kChangesInForce.count()));
+    const auto scaled = [ratio](Duration duration) {
+      return Duration(static_cast<Duration::rep>(duration.count() * ratio));
+    };
+    return { scaled(kWatchWait),
+             scaled(kViewCurrentFor),
+             scaled(kAskPeersAfter),
+             scaled(kSeedReadsAfter),
+             scaled(kFollowerReadsAfter) };
+  }
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -42,6 +42,14 @@
 {
 }
 
+void ViewRelay::SetTiming(const RelayTiming& timing)
+{
+  this->Timing = timing;
+  this->Reader.setPace(
+    std::chrono::duration_cast<std::chrono::milliseconds>(timing.WatchWait),
+    timing.CurrentFor);
+}
+
 void ViewRelay::SetSeeds(const std::vector<Endpoint>& seeds)
 {
   this->Seeds = seeds;
@@ -58,7 +66,8 @@
 
 Duration ViewRelay::GetReadLimit() const
 {
-  return this->IsSeed ? kSeedReadsAfter : kFollowerReadsAfter;
+  return this->IsSeed ? this->Timing.SeedReadsAfter
+                      : this->Timing.FollowerReadsAfter;
 }
 
 void ViewRelay::ActivateReader()
@@ -72,7 +81,7 @@
 {
   this->ForgetOld(now);
   const Duration age = now - this->Reader.confirmedAt();
-  if (this->Upstream && age >= kAskPeersAfter) {
+  if (this->Upstream && age >= this->Timing.AskPeersAfter) {
     this->StopFollowing();
   }
   if (!this->Reading && age >= this->GetReadLimit()) {
@@ -334,7 +343,8 @@
 
 void ViewRelay::Follow(const ViewUpdate& update, Time now)
 {
-  const bool isFresh = now - this->Reader.confirmedAt() < kAskPeersAfter;
+  const bool isFresh =
+    now - this->Reader.confirmedAt() < this->Timing.AskPeersAfter;
   const bool isBefore = update.readerRank < this->OwnRank;
   if (!isFresh || (!isBefore && !this->Reader.isFailing())) {
     return;
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -20,6 +20,7 @@
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
+#include "core/relay/relay_timing.h"
 #include "core/store_reader.h"
 #include "core/view_messages.h"
 
@@ -72,6 +73,9 @@
             OutlierDetector& outliers,
             Random& random);
 
+  /// Set how old a view may get before each step is taken.
+  void SetTiming(const RelayTiming& timing);
+
   /// Name the daemons that everyone knows of.
   void SetSeeds(const std::vector<Endpoint>& seeds);
 
@@ -138,6 +142,7 @@
   Random& RandomSource;
   std::vector<Endpoint> Seeds; ///< Without this daemon; preferred first.
   std::vector<Endpoint> Referred;
+  RelayTiming Timing;
   bool IsSeed = false;
   std::uint64_t OwnRank = 0;
   std::uint64_t ViewRank = 0; ///< Of the reader that confirmed the view last.
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -163,14 +163,14 @@
     return false;
   }
   const bool watching = reading_ && !confirming_;
-  return watching || now - confirmedAt_ < kViewCurrentFor;
+  return watching || now - confirmedAt_ < currentFor_;
 }
 
 std::chrono::milliseconds StoreReader::watchWait() const {
   if (!complete_) {
     return kCatchUpWait;
   }
-  return confirming_ ? kConfirmWait : kWatchWait;
+  return confirming_ ? std::min(kConfirmWait, watchWait_) : watchWait_;
 }
 
 Duration StoreReader::timeoutNow() const {
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <vector>
 
+#include "core/constants.h"
 #include "core/random.h"
 #include "core/registration.h"
 #include "core/types.h"
@@ -95,6 +96,12 @@
   /// Notes that a peer knew, at this time, that nothing newer than this view was in the store.
   void confirm(Time at);
 
+  /// Sets how long a watch may wait, and for how long a confirmed view counts as current.
+  void setPace(std::chrono::milliseconds watchWait, Duration currentFor) {
+    watchWait_ = watchWait;
+    currentFor_ = currentFor;
+  }
+
   /// Lets nextRead() give reads, or not: a daemon that follows a peer has no need of them.
   void setActive(bool active) { active_ = active; }
   bool isActive() const { return active_; }
@@ -138,6 +145,8 @@
 
   StoreSink& sink_;
   Random& random_;
+  std::chrono::milliseconds watchWait_ = kWatchWait;
+  Duration currentFor_ = kViewCurrentFor;
   bool active_ = true;
   bool reading_ = false;
   bool listing_ = true;
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -1,5 +1,6 @@
 #include "daemon/peers/peer_link.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -39,6 +40,8 @@
                      core::memberIdOf(settings.name)),
       [this](const net::ReceivedFrame& received) { this->OnFrame(received); })
 {
+  this->Relay.SetTiming(core::RelayTiming::Within(
+    std::min(settings.applyWithin, settings.drainWithin)));
 }
 
 bool PeerLink::Open()
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -45,6 +45,8 @@
   SteeringMode steering = SteeringMode::kRecorded;
   std::chrono::seconds longestFlow{60};
   std::chrono::milliseconds stopGrace{6000};
+  std::chrono::milliseconds applyWithin{3000};
+  std::chrono::milliseconds drainWithin{3000};
   core::Endpoint readinessListen;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -149,6 +149,12 @@
   fields.push_back(numberField("steering", "stop_grace_ms",
                                "Time from SIGTERM until the process must have ended",
                                &Settings::stopGrace, 1'000, 600'000));
+  fields.push_back(numberField("steering", "apply_within_ms",
+                               "Time in which a new configuration has to be in force (token)",
+                               &Settings::applyWithin, 500, 600'000));
+  fields.push_back(numberField("steering", "drain_within_ms",
+                               "Time after which a leaving back end must get no new flow (token)",
+                               &Settings::drainWithin, 500, 600'000));
   fields.push_back(field(
       "steering", "policy_file", "Policy program that weighs back ends for new flows (token)",
       "the path of a Lua file; empty: all alike", [](Settings& settings, const std::string& text) {
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -221,6 +221,28 @@
   }
 }
 
+// Other deployments may want changes in force sooner.
+BOOST_AUTO_TEST_CASE(a_shorter_bound_shortens_all_limits)
+{
+  for (auto& node : this->Nodes) {
+    node->Relay.SetTiming(core::RelayTiming::Within(1500ms));
+  }
+  this->Run(5s);
+  BOOST_TEST(this->CountReading() == 1U);
+  for (std::size_t i = 0; i < kSeeds; ++i) {
+    this->At(i).Alive = false;
+  }
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_longer_bound_changes_nothing)
+{
+  const core::RelayTiming timing = core::RelayTiming::Within(30s);
+  BOOST_TEST((timing.WatchWait == core::kWatchWait));
+  BOOST_TEST((timing.FollowerReadsAfter == core::kFollowerReadsAfter));
+}
+
 BOOST_AUTO_TEST_CASE(an_update_of_unknown_age_says_nothing)
 {
   this->Run(5s);
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -107,6 +107,16 @@
              "'.'");
 }
 
+BOOST_AUTO_TEST_CASE(BoundsOfChangesAreRead) {
+  const Outcome good = load(kValid, {"--steering-apply-within-ms=2000"});
+  BOOST_REQUIRE(good.settings.has_value());
+  BOOST_TEST(good.settings->applyWithin.count() == 2000);
+  BOOST_TEST(good.settings->drainWithin.count() == 3000);
+  const Outcome bad = load(kValid, {"--steering-drain-within-ms=100"});
+  BOOST_TEST(!bad.settings.has_value());
+  BOOST_TEST(bad.reason.find("500") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(MissingFieldIsNamed) {
   BOOST_TEST(load("[daemon]\nname = \"x\"\n").reason ==
              "data.listen: missing; set it in the file or by --data-listen (ADDRESS:PORT or "
