--- a/src/core/relay/relay_timing.h
+++ b/src/core/relay/relay_timing.h
@@ -24,10 +24,9 @@
   /// Get the limits for changes that have to be in force within `bound`.
   static RelayTiming Within(Duration bound)
   {
-    const double ratio =
-      std::min(1.0, double(bound.count()) / double(kChangesInForce.count()));
-    const auto scaled = [ratio](Duration duration) {
-      return Duration(static_cast<Duration::rep>(duration.count() * ratio));
+    const Duration shorter = std::min(bound, kChangesInForce);
+    const auto scaled = [shorter](Duration duration) {
+      return duration * shorter.count() / kChangesInForce.count();
     };
     return { scaled(kWatchWait),
              scaled(kViewCurrentFor),
