Keep one copy of the routes, one endpoint hash, one condition for telling followers

The route table kept the last difference, after a start a copy of all routes, for the change log alone: a route set now becomes a difference first and takes the way that a peer's does.

--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "core/types.h"
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -5,6 +5,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/route_table.h"
 #include "core/view_conversion.h"
 
 namespace cobaltgauge::core {
@@ -13,14 +14,9 @@
 /// Ranks of daemons that are no seeds lie behind those of all seeds.
 constexpr std::uint64_t kRankOfOthers = std::uint64_t{ 1 } << 32U;
 
-std::uint64_t HashOf(const Endpoint& endpoint)
-{
-  return static_cast<std::uint64_t>(backendIdOf(ServiceId{ 0 }, endpoint, 0));
-}
-
 std::uint64_t RankOf(const Endpoint& endpoint, bool isSeed)
 {
-  const std::uint64_t rank = HashOf(endpoint) & (kRankOfOthers - 1);
+  const std::uint64_t rank = EndpointHash{}(endpoint) & (kRankOfOthers - 1);
   return isSeed ? rank : kRankOfOthers + rank;
 }
 
@@ -56,11 +52,12 @@
   this->IsSeed = std::erase(this->Seeds, this->Self) != 0;
   this->OwnRank = RankOf(this->Self, this->IsSeed);
   // Each daemon prefers seeds in an order of its own, which spreads followers.
-  const std::uint64_t own = HashOf(this->Self);
+  const std::uint64_t own = EndpointHash{}(this->Self);
   std::sort(this->Seeds.begin(),
             this->Seeds.end(),
             [own](const Endpoint& left, const Endpoint& right) {
-              return mixHash(own, HashOf(left)) < mixHash(own, HashOf(right));
+              return mixHash(own, EndpointHash{}(left)) <
+                mixHash(own, EndpointHash{}(right));
             });
 }
 
@@ -138,7 +135,7 @@
     this->CatchingUp = false;
   }
   this->ActivateReader();
-  this->Push(now);
+  this->PushNews(now);
 }
 
 void ViewRelay::OnSubscription(const ViewSubscription& subscription, Time now)
@@ -183,13 +180,18 @@
   return update;
 }
 
+void ViewRelay::PushNews(Time now)
+{
+  const bool isNews = this->Log.GetComplete() > this->LastPushed ||
+    this->Reader.confirmedAt() - this->LastPushConfirmed >= kLeastPushGap;
+  if (isNews) {
+    this->Push(now);
+  }
+}
+
 void ViewRelay::Push(Time now)
 {
-  const Revision complete = this->Log.GetComplete();
-  const Time confirmed = this->Reader.confirmedAt();
-  const bool isNews = complete > this->LastPushed ||
-    confirmed - this->LastPushConfirmed >= kLeastPushGap;
-  if (complete == 0 || !isNews || this->Leaving) {
+  if (this->Log.GetComplete() == 0 || this->Leaving) {
     return;
   }
   std::vector<Endpoint> destinations = this->ListFollowers();
@@ -198,8 +200,8 @@
     this->Outgoing.push_back(
       { std::move(destinations), this->Describe(this->LastPushed, now) });
   }
-  this->LastPushed = complete;
-  this->LastPushConfirmed = confirmed;
+  this->LastPushed = this->Log.GetComplete();
+  this->LastPushConfirmed = this->Reader.confirmedAt();
 }
 
 std::vector<Endpoint> ViewRelay::ListFollowers() const
@@ -233,7 +235,6 @@
   this->FoundOutliers.insert(
     this->FoundOutliers.end(), found.begin(), found.end());
   if (!found.empty()) {
-    this->LastPushConfirmed = Time{};
     this->Push(now);
   }
 }
@@ -314,7 +315,7 @@
     this->ViewRank = update.readerRank;
   }
   this->Follow(update, now);
-  this->Push(now);
+  this->PushNews(now);
   if (this->Reader.revision() == before) {
     return UpdateOutcome::kConfirmed;
   }
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -13,7 +13,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
@@ -128,6 +127,8 @@
   void Ask(const std::vector<Endpoint>& peers, Time now);
   void Subscribe(const Endpoint& destination, Time now);
   ViewUpdate Describe(Revision have, Time now) const;
+  /// Tell the followers, where there is something to tell.
+  void PushNews(Time now);
   void Push(Time now);
   void ForgetOld(Time now);
   void ReportOutliers(Time now);
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -9,13 +9,14 @@
 }
 
 RouteOffer RouteTable::offer(const RouteSet& routes, Time now) {
-  return routes.version > version_    ? apply(difference(routes), now)
-         : routes.version == version_ ? RouteOffer::kUnchanged
-                                      : RouteOffer::kOlder;
+  return apply(difference(routes), now);
 }
 
 RouteDelta RouteTable::difference(const RouteSet& routes) const {
   RouteDelta delta{version_, routes.version, routes.idleTimeout, {}, {}};
+  if (routes.version <= version_) {
+    return delta;
+  }
   // Of routes with one address the last one counts.
   std::unordered_map<Endpoint, const Route*, EndpointHash> wanted;
   for (const Route& route : routes.routes) {
@@ -52,7 +53,6 @@
   }
   version_ = delta.version;
   idleTimeout_ = delta.idleTimeout;
-  lastChange_ = delta;
   return RouteOffer::kAccepted;
 }
 
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -41,12 +41,12 @@
   /// Takes a route set that is newer than the one in force.
   RouteOffer offer(const RouteSet& routes, Time now);
 
+  /// @return what a route set changes in the one in force; nothing where it is not newer.
+  RouteDelta difference(const RouteSet& routes) const;
+
   /// Takes what a version changed in the one in force.
   RouteOffer apply(const RouteDelta& delta, Time now);
 
-  /// @return what the last accepted version changed.
-  const RouteDelta& lastChange() const { return lastChange_; }
-
   /// @return the route of an address, or null.
   RouteEntry* find(const Endpoint& endpoint);
   /// @return true where a version dropped this route and none has brought it back.
@@ -62,11 +62,9 @@
   std::chrono::milliseconds idleTimeout() const { return idleTimeout_; }
 
  private:
-  RouteDelta difference(const RouteSet& routes) const;
   void put(const Route& route);
 
   std::uint64_t startPoint_;
-  RouteDelta lastChange_;
   ConfigurationVersion version_ = 0;
   std::chrono::milliseconds idleTimeout_{0};
   std::unordered_map<Endpoint, RouteEntry, EndpointHash> routes_;
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -23,27 +23,23 @@
 }
 
 bool ViewUpdater::take(const StoreChange& change, const RouteSet& routes, Time now) {
-  return reportRoutes(change, routes_.offer(routes, now), routes.version);
+  return take(change, routes_.difference(routes), now);
 }
 
 bool ViewUpdater::take(const StoreChange& change, const RouteDelta& delta, Time now) {
-  return reportRoutes(change, routes_.apply(delta, now), delta.version);
-}
-
-bool ViewUpdater::reportRoutes(const StoreChange& change, RouteOffer offer,
-                               ConfigurationVersion version) {
+  const RouteOffer offer = routes_.apply(delta, now);
   if (offer == RouteOffer::kUnchanged || offer == RouteOffer::kGap) {
     return offer == RouteOffer::kUnchanged;
   }
   const bool accepted = offer == RouteOffer::kAccepted;
   if (accepted) {
-    record({change.key, change.revision, routes_.lastChange()});
+    record({change.key, change.revision, delta});
   }
   ViewChange report;
   report.kind = accepted ? ViewChange::Kind::kRoutes : ViewChange::Kind::kOlderRoutes;
   report.key = change.key;
   report.revision = change.revision;
-  report.version = version;
+  report.version = delta.version;
   listener_(report);
   return true;
 }
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -43,7 +43,6 @@
   bool take(const StoreChange& change, const RouteDelta& delta, Time now);
   bool take(const StoreChange& change, const RemovedItem& removed, Time now);
   bool take(const StoreChange& change, const UnreadableItem& unreadable, Time now);
-  bool reportRoutes(const StoreChange& change, RouteOffer offer, ConfigurationVersion version);
   void record(StoreChange change);
   void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                      const std::string& service);
