Let tokens hold the address of their back end

Cause: a token was a hash that only the registry resolves.

Change: 24 bits of the IPv4 address and 8 bits of a keyed hash of address and port. A daemon without any view finds the port out of the tokens of four hosts. Addresses that do not fit keep the hash; both forms are read, and steering.token_form = "hash" keeps the old one for an upgrade.

Ruled out: address and port in 32 bits (zones differ in more than two bytes, nothing left for a check), one byte of the port in turns (two ports of one host look alike at half of the hosts).

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -1,6 +1,7 @@
 #include "core/backend_registry.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "core/hashing.h"
 
@@ -59,6 +60,7 @@
   tokens_.try_emplace(tokenOf(registration.id), key);
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
+  indexAddress(registration.endpoint);
   markEnded(registration.endpoint);
   candidates_.erase(entry.address.service);
   if (isNew) {
@@ -128,11 +130,60 @@
   return vanished;
 }
 
+std::optional<SteeringToken> BackendRegistry::addressToken(const Endpoint& endpoint) const {
+  return reach_ == nullptr ? std::nullopt : reach_->GetCodec().Encode(endpoint);
+}
+
+void BackendRegistry::indexAddress(const Endpoint& endpoint) {
+  if (const std::optional<SteeringToken> token = addressToken(endpoint)) {
+    addressTokens_[*token].insert(endpoint);
+    reach_->AddPort(endpoint.port);
+  }
+}
+
+void BackendRegistry::forgetAddress(const Endpoint& endpoint) {
+  const std::optional<SteeringToken> token = addressToken(endpoint);
+  if (!token) {
+    return;
+  }
+  addressTokens_[*token].erase(endpoint);
+  if (addressTokens_[*token].empty()) {
+    addressTokens_.erase(*token);
+  }
+}
+
+const BackendAddress* BackendRegistry::findLastAt(const Endpoint& endpoint) const {
+  const auto keys = endpoints_.find(endpoint);
+  if (keys == endpoints_.end()) {
+    return nullptr;
+  }
+  const Entry* last = nullptr;
+  for (const std::string& key : keys->second) {
+    const Entry& entry = entries_.at(key);
+    const bool isLater = last == nullptr || std::tie(entry.present, entry.revision) >
+                                                std::tie(last->present, last->revision);
+    last = isLater ? &entry : last;
+  }
+  return last == nullptr ? nullptr : &last->address;
+}
+
 const BackendAddress* BackendRegistry::findByToken(SteeringToken token) const {
+  const auto addresses = addressTokens_.find(token);
+  if (addresses != addressTokens_.end()) {
+    const bool isCertain = addresses->second.size() == 1;
+    return isCertain ? findLastAt(*addresses->second.begin()) : nullptr;
+  }
   const auto key = tokens_.find(token);
   return key == tokens_.end() ? nullptr : &entries_.at(key->second).address;
 }
 
+SteeringToken BackendRegistry::tokenFor(const BackendAddress& backend) const {
+  const std::optional<SteeringToken> token = addressToken(backend.endpoint);
+  const auto addresses = token ? addressTokens_.find(*token) : addressTokens_.end();
+  const bool isCertain = addresses != addressTokens_.end() && addresses->second.size() == 1;
+  return isCertain ? *token : tokenOf(backend.id);
+}
+
 const BackendAddress* BackendRegistry::find(BackendId id) const {
   const auto key = keys_.find(id);
   return key == keys_.end() ? nullptr : &entries_.at(key->second).address;
@@ -212,6 +263,7 @@
   endpoints_[entry.address.endpoint].erase(key);
   if (endpoints_[entry.address.endpoint].empty()) {
     endpoints_.erase(entry.address.endpoint);
+    forgetAddress(entry.address.endpoint);
   }
 }
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -183,6 +183,16 @@
 inline constexpr std::size_t kMostObservations = 64;
 inline constexpr std::size_t kMostOutliersTold = 64;
 
+// Tokens that hold an address; see docs/design/007-tokens-that-reach.md.
+
+/// Tokens of so many hosts have to agree on a port. A port that is not theirs fits them once in
+/// 65,536 times.
+inline constexpr std::size_t kHostsForPort = 4;
+/// Hosts that are looked at before the search is given up.
+inline constexpr std::size_t kMostHostsForPort = 16;
+/// Ports of back ends that are tried for a token of an unknown back end.
+inline constexpr std::size_t kMostKnownPorts = 4;
+
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
 inline constexpr std::size_t kMostFollowers = 32;
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -1,6 +1,7 @@
 #include "core/token_steering.h"
 
 #include <algorithm>
+#include <memory>
 #include <tuple>
 #include <utility>
 
@@ -14,13 +15,21 @@
 /// Work on a back end that has just started takes about this much longer.
 constexpr double kWarmUpFactor = 1.6;
 
+std::unique_ptr<TokenReach> makeReach(const TokenSteeringOptions& options) {
+  if (!options.home) {
+    return nullptr;
+  }
+  return std::make_unique<TokenReach>(AddressTokenCodec(*options.home, options.hashSeed));
+}
+
 }  // namespace
 
 TokenSteering::TokenSteering(const TokenSteeringOptions& options, PlacementWeights& weights,
                              Random& random)
     : options_(options),
       random_(random),
-      backends_(options.longestFlow, weights),
+      reach_(makeReach(options)),
+      backends_(options.longestFlow, weights, reach_.get()),
       routes_(random.below(UINT64_MAX)),
       flows_(options.flowEntries) {}
 
@@ -37,7 +46,7 @@
   }
   const BackendAddress* backend = backends_.findByToken(packet.token);
   if (backend == nullptr) {
-    return Drop{DropReason::kUnknownToken};
+    return steerWithoutView(packet);
   }
   if (backends_.hasEnded(backend->id)) {
     resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
@@ -50,6 +59,22 @@
   return forward(*backend, RouteReason::kCarriedToken);
 }
 
+Verdict TokenSteering::steerWithoutView(const PacketSummary& packet) {
+  const std::optional<Endpoint> endpoint = reach_ ? reach_->Resolve(packet.token) : std::nullopt;
+  if (!endpoint) {
+    return Drop{DropReason::kUnknownToken};
+  }
+  // Without an id any back end at the address takes the packet. One that does not hold the flow
+  // resets it, which is right: the flow's own one has ended then.
+  BackendAddress backend;
+  backend.endpoint = *endpoint;
+  return ForwardToBackend{backend, routes_.version(), RouteReason::kReached, packet.token};
+}
+
+std::optional<std::uint16_t> TokenSteering::takeFoundPort() {
+  return reach_ ? reach_->TakeFoundPort() : std::nullopt;
+}
+
 void TokenSteering::noteSigns(const PacketSummary& packet, const BackendAddress& backend,
                               Time now) {
   const FlowFingerprint fingerprint = fingerprintOf(packet.flow, options_.hashSeed);
@@ -263,7 +288,7 @@
 }
 
 Verdict TokenSteering::forward(const BackendAddress& backend, RouteReason reason) const {
-  return ForwardToBackend{backend, routes_.version(), reason, tokenOf(backend.id)};
+  return ForwardToBackend{backend, routes_.version(), reason, backends_.tokenFor(backend)};
 }
 
 bool TokenSteering::outliersCount(const std::vector<PlacementCandidate>& candidates) const {
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -9,6 +9,8 @@
 ///  - A refusal of an opening is given only by a view that is known to be current.
 #pragma once
 
+#include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +22,7 @@
 #include "core/outlier/answer_deadlines.h"
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
+#include "core/reach/token_reach.h"
 #include "core/route_table.h"
 #include "core/token_flows.h"
 
@@ -31,6 +34,8 @@
   std::size_t flowEntries = 1U << 16U;
   Duration flowIdleTimeout = std::chrono::seconds(15);
   Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
+  /// An address of this daemon; tokens hold addresses that lie near it. None: tokens are hashes.
+  std::optional<IpAddress> home;
 };
 
 /// How an opening was decided, for logs.
@@ -83,6 +88,10 @@
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
 
+  /// @return the port of the back ends where it was found out since the last call: packets with
+  /// unknown tokens may be decided again.
+  std::optional<std::uint16_t> takeFoundPort();
+
   /// @return flows whose callers are to be told that their back end is gone.
   std::vector<FlowReset> takeResets();
 
@@ -100,6 +109,8 @@
  private:
   Verdict steerOpening(const PacketSummary& packet, Time now);
   Verdict steerOpen(const PacketSummary& packet, Time now);
+  /// Decides a packet of an open flow whose back end is in no view.
+  Verdict steerWithoutView(const PacketSummary& packet);
   Verdict repeatOpening(TokenFlow& flow, Time now);
   Verdict placeOpening(const PacketSummary& packet, RouteEntry& route, RouteReason reason,
                        BackendId avoided, Time now);
@@ -135,6 +146,7 @@
 
   TokenSteeringOptions options_;
   Random& random_;
+  std::unique_ptr<TokenReach> reach_;  ///< Null: tokens are hashes.
   BackendRegistry backends_;
   RouteTable routes_;
   TokenFlows flows_;
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -46,6 +46,8 @@
       return "repeated";
     case RouteReason::kReplaced:
       return "replaced";
+    case RouteReason::kReached:
+      return "reached";
   }
   return "invalid";
 }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -23,8 +23,9 @@
   kPlaced,         ///< The packet opens a flow; the back end was chosen by weight and load.
   kRepeated,       ///< A repeated opening; goes where the first one went.
   kReplaced,       ///< A repeated opening; the first back end is suspected to be silent.
+  kReached,        ///< No view knows the back end; the token holds its address.
 };
-inline constexpr std::size_t kRouteReasons = 10;
+inline constexpr std::size_t kRouteReasons = 11;
 
 /// Why a packet was dropped.
 enum class DropReason : std::uint8_t {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -20,6 +20,12 @@
   kToken,     ///< Packets of the surrounding platform, which return a token of ours.
 };
 
+/// What a token holds.
+enum class TokenForm : std::uint8_t {
+  kAddress,  ///< The back end's address where it fits; a daemon without a view can use it.
+  kHash,     ///< A hash of the back end's id; only a view resolves it.
+};
+
 enum class LogLevel : std::uint8_t { kDebug, kInfo, kWarning, kError };
 
 struct Settings {
@@ -43,6 +49,7 @@
   LogLevel logLevel = LogLevel::kInfo;
   std::chrono::milliseconds linger{2000};
   SteeringMode steering = SteeringMode::kRecorded;
+  TokenForm tokenForm = TokenForm::kAddress;
   std::chrono::seconds longestFlow{60};
   std::chrono::milliseconds stopGrace{6000};
   std::chrono::milliseconds applyWithin{3000};
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -111,6 +111,11 @@
   return text == "token" || text == "recorded";
 }
 
+bool assignTokenForm(Settings& settings, const std::string& text) {
+  settings.tokenForm = text == "hash" ? TokenForm::kHash : TokenForm::kAddress;
+  return text == "hash" || text == "address";
+}
+
 bool assignKey(Settings& settings, const std::string& text) {
   settings.clusterKey = text;
   return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes;
@@ -143,6 +148,10 @@
                                  &Settings::fabricReturn));
   fields.push_back(field("steering", "mode", "How packets of open flows find their back end",
                          "recorded or token", assignSteering));
+  fields.push_back(field("steering", "token_form",
+                         "What tokens hold: a back end's address, by which a daemon without a view "
+                         "reaches it, or a hash of its id",
+                         "address or hash", assignTokenForm));
   fields.push_back(numberField("steering", "longest_flow_seconds",
                                "Age that no flow exceeds; departed back ends are kept as long",
                                &Settings::longestFlow, 1, 86'400));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -40,6 +40,9 @@
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
   options.flowEntries = settings.flowTableEntries;
   options.longestFlow = settings.longestFlow;
+  if (settings.tokenForm == TokenForm::kAddress) {
+    options.home = settings.dataListen.address;
+  }
   return options;
 }
 
@@ -187,6 +190,10 @@
 
 void TokenDaemon::onDrained(core::Time now) {
   steering_.onQueueDrained();
+  if (const std::optional<std::uint16_t> port = steering_.takeFoundPort()) {
+    logEvent(LogLevel::kInfo, "backend_port_found", {{"port", std::to_string(*port)}});
+    packets_.retryPending(now);
+  }
   carryOutHealth(now);
 }
 
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -18,11 +18,28 @@
   return net::formatEndpoint(flow.source) + ">" + net::formatEndpoint(flow.destination);
 }
 
+/// One line a request: packets without data are not told.
+void logReached(const core::PacketSummary& packet, const core::ForwardToBackend& forward,
+                core::Revision viewRevision) {
+  if (packet.dataLength == 0) {
+    return;
+  }
+  logEvent(LogLevel::kInfo, "flow_reached",
+           {{"flow", flowText(packet.flow)},
+            {"address", net::formatEndpoint(forward.backend.endpoint)},
+            {"version", std::to_string(forward.version)},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 void logForward(const core::PacketSummary& packet, const core::ForwardToBackend& forward,
                 const core::TokenSteering& steering, core::Revision viewRevision) {
   if (forward.reason == core::RouteReason::kCarriedToken) {
     return;
   }
+  if (forward.reason == core::RouteReason::kReached) {
+    logReached(packet, forward, viewRevision);
+    return;
+  }
   const core::OpeningDecision& decision = steering.lastDecision();
   logEvent(LogLevel::kInfo, "opening_forwarded",
            {{"flow", flowText(packet.flow)},
