Open flows by the answers that are seen while no view knows the back ends

Cause: after a total loss of power openings waited for the store, then for each registration (894 openings of one route dropped as no_configuration in 1.4 s, 575 of another as empty_service), though callers' packets showed which back ends of the route lived.

The part of TokenSteering that decides openings has a file of its own.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -193,6 +193,13 @@
 /// Ports of back ends that are tried for a token of an unknown back end.
 inline constexpr std::size_t kMostKnownPorts = 4;
 
+/// How long an answer proves that its back end serves the flow's route. Shorter than the time after
+/// which an address may belong to another back end.
+inline constexpr Duration kAnswerProves = 1500ms;
+inline constexpr std::size_t kMostAnsweringBackends = 1024;
+/// How long registrations that lapsed while the store was away may take to come back.
+inline constexpr Duration kRegistrationsReturn = 2000ms;
+
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
 inline constexpr std::size_t kMostFollowers = 32;
--- /dev/null
+++ b/src/core/token_openings.cc
@@ -0,0 +1,220 @@
+/// @file
+/// The part of TokenSteering that decides openings.
+#include <algorithm>
+#include <tuple>
+
+#include "core/constants.h"
+#include "core/hashing.h"
+#include "core/token_steering.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Work on a back end that has just started takes about this much longer.
+constexpr double kWarmUpFactor = 1.6;
+
+}  // namespace
+
+Verdict TokenSteering::steerOpening(const PacketSummary& packet, Time now) {
+  decision_ = OpeningDecision{};
+  decision_.version = routes_.version();
+  if (openingsAreStale_) {
+    return Drop{DropReason::kStaleOpening};
+  }
+  const bool hasView = viewComplete_ && routes_.version() != 0;
+  RouteEntry* route = hasView ? routes_.find(packet.flow.destination) : nullptr;
+  if (hasView && route == nullptr) {
+    return viewCurrent_ ? refuse(RefuseReason::kNoRoute, RefusalCertainty::kNotRun)
+                        : Verdict(Drop{DropReason::kStaleView});
+  }
+  if (route != nullptr) {
+    decision_.route = route->route.name;
+  }
+  TokenFlow* known = flows_.find(fingerprintOf(packet.flow, options_.hashSeed));
+  const bool isRepeat =
+      known != nullptr && known->openedAt != Time{} && now - known->openedAt < kOpeningSpan;
+  if (!isRepeat) {
+    return placeOpening(packet, route, RouteReason::kPlaced, kNoBackend, now);
+  }
+  if (known->answered) {
+    // The flow is open. A second back end that answered would take its later packets.
+    return Drop{DropReason::kStaleOpening};
+  }
+  const bool takesFlows =
+      backends_.takesNewFlows(known->backend) || answering_.FindById(known->backend).has_value();
+  if (health_.isSuspected(known->backend, now) || !takesFlows) {
+    const BackendId silent = known->backend;
+    return placeOpening(packet, route, RouteReason::kReplaced, silent, now);
+  }
+  return repeatOpening(*known, now);
+}
+
+Verdict TokenSteering::repeatOpening(TokenFlow& flow, Time now) {
+  decision_.backend = flow.backend;
+  decision_.openFlows = flows_.openOn(flow.backend);
+  flows_.touch(flow, now);
+  return forwardOpening(flow.backend, RouteReason::kRepeated);
+}
+
+Verdict TokenSteering::forwardOpening(BackendId id, RouteReason reason) const {
+  if (const BackendAddress* backend = backends_.find(id)) {
+    return forward(*backend, reason);
+  }
+  return forwardToAddress(*answering_.FindById(id), reason);
+}
+
+Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry* route,
+                                    RouteReason reason, BackendId avoided, Time now) {
+  const std::vector<PlacementCandidate> answering =
+      answeringCandidates(packet.flow.destination, now);
+  const Choice choice = route == nullptr ? chooseAmong(answering, avoided, now)
+                                         : chooseForRoute(*route, answering, avoided, now);
+  if (choice.id == kNoBackend) {
+    return route == nullptr ? Drop{DropReason::kNoConfiguration}
+                            : withoutBackend(route->route, now);
+  }
+  emptySince_.erase(packet.flow.destination);
+  if (choice.busy && packet.openingCopy < kLastOpeningCopy) {
+    return Drop{DropReason::kPaced};
+  }
+  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, choice.id};
+  flow.openedAt = now;
+  decision_.backend = choice.id;
+  decision_.openFlows = flows_.openOn(choice.id);
+  flows_.put(flow, now);
+  health_.onOpening(choice.id, now);
+  pacer_.onOpening(choice.id, choice.capacity, now);
+  const bool isRegistered = backends_.find(choice.id) != nullptr;
+  return forwardOpening(choice.id, isRegistered ? reason : RouteReason::kAnswering);
+}
+
+bool TokenSteering::mayOpenByAnswers(Time now) const {
+  const bool hasJustStarted = startedAt_ != Time{} && now - startedAt_ < options_.openWithoutView;
+  const bool viewHasJustCome = viewSince_ != Time{} && now - viewSince_ < kRegistrationsReturn;
+  return reach_ != nullptr && (viewComplete_ ? viewHasJustCome : hasJustStarted);
+}
+
+std::vector<PlacementCandidate> TokenSteering::answeringCandidates(const Endpoint& route,
+                                                                   Time now) const {
+  std::vector<PlacementCandidate> candidates;
+  if (!mayOpenByAnswers(now)) {
+    return candidates;
+  }
+  for (const Endpoint& endpoint : answering_.Find(route, now)) {
+    // What is known of the back end at an address goes before what was seen of it.
+    if (!backends_.knowsAddress(endpoint)) {
+      PlacementCandidate candidate;
+      candidate.id = UnregisteredIdOf(endpoint);
+      candidates.push_back(candidate);
+    }
+  }
+  return candidates;
+}
+
+Verdict TokenSteering::withoutBackend(const Route& route, Time now) {
+  if (!viewCurrent_) {
+    return Drop{DropReason::kStaleView};
+  }
+  const Time emptySince = emptySince_.try_emplace(route.endpoint, now).first->second;
+  if (now - emptySince < kEmptyServicePatience) {
+    return Drop{DropReason::kEmptyService};
+  }
+  return refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun);
+}
+
+TokenSteering::Choice TokenSteering::chooseForRoute(
+    RouteEntry& route, const std::vector<PlacementCandidate>& answering, BackendId avoided,
+    Time now) {
+  const std::vector<RouteTarget>& targets = route.route.targets;
+  const RouteTarget& first = targets[route.split.next()];
+  std::vector<ServiceId> services{serviceIdOf(first.service)};
+  for (const RouteTarget& target : targets) {
+    if (target.weight > 0 && target.service != first.service) {
+      services.push_back(serviceIdOf(target.service));
+    }
+  }
+  if (!answering.empty()) {
+    // Registrations are still coming back: those that are there are too few for all openings.
+    std::vector<PlacementCandidate> all = backends_.candidates(services.front());
+    all.insert(all.end(), answering.begin(), answering.end());
+    return chooseAmong(all, avoided, now);
+  }
+  // Another part of the split is allowed to run the flow, and better than refusing it.
+  for (const ServiceId service : services) {
+    const Choice choice = chooseAmong(backends_.candidates(service), avoided, now);
+    if (choice.id != kNoBackend) {
+      return choice;
+    }
+  }
+  for (const ServiceId service : services) {
+    const Choice choice =
+        chooseAmong(backends_.vanishedSince(service, now - kVanishedFallback), avoided, now);
+    if (choice.id != kNoBackend) {
+      return choice;
+    }
+  }
+  return Choice{};
+}
+
+TokenSteering::Choice TokenSteering::chooseAmong(const std::vector<PlacementCandidate>& candidates,
+                                                 BackendId avoided, Time now) {
+  Choice best;
+  if (candidates.empty()) {
+    return best;
+  }
+  decision_.candidates = candidates.size();
+  std::uint64_t ties = 0;
+  const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
+  const std::size_t start = random_.below(candidates.size());
+  const bool withOutliers = outliersCount(candidates);
+  for (std::size_t i = 0; i < looks; ++i) {
+    const Choice choice =
+        assess(candidates[(start + i) % candidates.size()], avoided, withOutliers, now);
+    if (choice.excluded) {
+      continue;
+    }
+    const bool better = best.id == kNoBackend || isBetter(choice, best);
+    const bool worse = !better && isBetter(best, choice);
+    ties = better ? 1 : ties + (worse ? 0U : 1U);
+    if (better || (!worse && random_.below(ties) == 0)) {
+      best = choice;
+    }
+  }
+  return best;
+}
+
+TokenSteering::Choice TokenSteering::assess(const PlacementCandidate& candidate, BackendId avoided,
+                                            bool outliersCount, Time now) const {
+  const double flows = flows_.openOn(candidate.id) + 1.0;
+  const double factor = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
+  Choice choice;
+  choice.id = candidate.id;
+  choice.capacity = candidate.capacity;
+  const bool isOutlier = outliersCount && outliers_->IsOutlier(candidate.id);
+  choice.suspected = candidate.id == avoided || isOutlier || health_.isSuspected(candidate.id, now);
+  choice.busy = pacer_.isBusy(candidate.id, now);
+  choice.excluded = candidate.weight == 0;
+  choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
+  return choice;
+}
+
+bool TokenSteering::isBetter(const Choice& left, const Choice& right) {
+  return std::tie(left.excluded, left.suspected, left.busy, left.load) <
+         std::tie(right.excluded, right.suspected, right.busy, right.load);
+}
+
+bool TokenSteering::outliersCount(const std::vector<PlacementCandidate>& candidates) const {
+  if (outliers_ == nullptr) {
+    return false;
+  }
+  std::size_t found = 0;
+  for (const BackendId outlier : outliers_->GetOutliers()) {
+    found += std::any_of(candidates.begin(), candidates.end(),
+                         [outlier](const auto& candidate) { return candidate.id == outlier; })
+                 ? 1U
+                 : 0U;
+  }
+  return found != 0 && found * kBackendsPerOutlier <= candidates.size();
+}
+
+}  // namespace cobaltgauge::core
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = 1s;
-/// Work on a back end that has just started takes about this much longer.
-constexpr double kWarmUpFactor = 1.6;
-
 std::unique_ptr<TokenReach> makeReach(const TokenSteeringOptions& options) {
   if (!options.home) {
     return nullptr;
@@ -46,7 +43,7 @@
   }
   const BackendAddress* backend = backends_.findByToken(packet.token);
   if (backend == nullptr) {
-    return steerWithoutView(packet);
+    return steerWithoutView(packet, now);
   }
   if (backends_.hasEnded(backend->id)) {
     resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
@@ -59,16 +56,16 @@
   return forward(*backend, RouteReason::kCarriedToken);
 }
 
-Verdict TokenSteering::steerWithoutView(const PacketSummary& packet) {
+Verdict TokenSteering::steerWithoutView(const PacketSummary& packet, Time now) {
   const std::optional<Endpoint> endpoint = reach_ ? reach_->Resolve(packet.token) : std::nullopt;
   if (!endpoint) {
     return Drop{DropReason::kUnknownToken};
   }
-  // Without an id any back end at the address takes the packet. One that does not hold the flow
-  // resets it, which is right: the flow's own one has ended then.
   BackendAddress backend;
+  backend.id = UnregisteredIdOf(*endpoint);
   backend.endpoint = *endpoint;
-  return ForwardToBackend{backend, routes_.version(), RouteReason::kReached, packet.token};
+  noteSigns(packet, backend, now);
+  return forwardToAddress(*endpoint, RouteReason::kReached);
 }
 
 std::optional<std::uint16_t> TokenSteering::takeFoundPort() {
@@ -98,6 +95,9 @@
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
   if (newBytes || !flow->answered) {
     noteAnswer(*flow, now);
+    if (backend.id == UnregisteredIdOf(backend.endpoint)) {
+      answering_.OnAnswer(packet.flow.destination, backend.endpoint, now);
+    }
     flow->acknowledgement = packet.acknowledgement;
   }
   noteData(packet, *flow, now);
@@ -137,172 +137,21 @@
   }
 }
 
-Verdict TokenSteering::steerOpening(const PacketSummary& packet, Time now) {
-  decision_ = OpeningDecision{};
-  decision_.version = routes_.version();
-  if (openingsAreStale_) {
-    return Drop{DropReason::kStaleOpening};
-  }
-  if (!viewComplete_ || routes_.version() == 0) {
-    return Drop{DropReason::kNoConfiguration};
-  }
-  RouteEntry* route = routes_.find(packet.flow.destination);
-  if (route == nullptr) {
-    return viewCurrent_ ? refuse(RefuseReason::kNoRoute, RefusalCertainty::kNotRun)
-                        : Verdict(Drop{DropReason::kStaleView});
-  }
-  decision_.route = route->route.name;
-  TokenFlow* known = flows_.find(fingerprintOf(packet.flow, options_.hashSeed));
-  const bool isRepeat =
-      known != nullptr && known->openedAt != Time{} && now - known->openedAt < kOpeningSpan;
-  if (!isRepeat) {
-    return placeOpening(packet, *route, RouteReason::kPlaced, kNoBackend, now);
-  }
-  if (known->answered) {
-    // The flow is open. A second back end that answered would take its later packets.
-    return Drop{DropReason::kStaleOpening};
-  }
-  if (health_.isSuspected(known->backend, now) || !backends_.takesNewFlows(known->backend)) {
-    const BackendId silent = known->backend;
-    return placeOpening(packet, *route, RouteReason::kReplaced, silent, now);
-  }
-  return repeatOpening(*known, now);
-}
-
-Verdict TokenSteering::repeatOpening(TokenFlow& flow, Time now) {
-  const BackendAddress* backend = backends_.find(flow.backend);
-  decision_.backend = flow.backend;
-  decision_.openFlows = flows_.openOn(flow.backend);
-  flows_.touch(flow, now);
-  return forward(*backend, RouteReason::kRepeated);
-}
-
-Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry& route,
-                                    RouteReason reason, BackendId avoided, Time now) {
-  const Choice choice = chooseForRoute(route, avoided, now);
-  if (choice.id == kNoBackend) {
-    return withoutBackend(route.route, now);
-  }
-  emptySince_.erase(route.route.endpoint);
-  if (choice.busy && packet.openingCopy < kLastOpeningCopy) {
-    return Drop{DropReason::kPaced};
-  }
-  const BackendAddress& backend = *backends_.find(choice.id);
-  TokenFlow flow{fingerprintOf(packet.flow, options_.hashSeed), packet.flow, choice.id};
-  flow.openedAt = now;
-  decision_.backend = choice.id;
-  decision_.openFlows = flows_.openOn(choice.id);
-  flows_.put(flow, now);
-  health_.onOpening(choice.id, now);
-  pacer_.onOpening(choice.id, choice.capacity, now);
-  return forward(backend, reason);
-}
-
-Verdict TokenSteering::withoutBackend(const Route& route, Time now) {
-  if (!viewCurrent_) {
-    return Drop{DropReason::kStaleView};
-  }
-  const Time emptySince = emptySince_.try_emplace(route.endpoint, now).first->second;
-  if (now - emptySince < kEmptyServicePatience) {
-    return Drop{DropReason::kEmptyService};
-  }
-  return refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun);
-}
-
-TokenSteering::Choice TokenSteering::chooseForRoute(RouteEntry& route, BackendId avoided,
-                                                    Time now) {
-  const std::vector<RouteTarget>& targets = route.route.targets;
-  const RouteTarget& first = targets[route.split.next()];
-  std::vector<ServiceId> services{serviceIdOf(first.service)};
-  for (const RouteTarget& target : targets) {
-    if (target.weight > 0 && target.service != first.service) {
-      services.push_back(serviceIdOf(target.service));
-    }
-  }
-  // Another part of the split is allowed to run the flow, and better than refusing it.
-  for (const ServiceId service : services) {
-    const Choice choice = chooseAmong(backends_.candidates(service), avoided, now);
-    if (choice.id != kNoBackend) {
-      return choice;
-    }
-  }
-  for (const ServiceId service : services) {
-    const Choice choice =
-        chooseAmong(backends_.vanishedSince(service, now - kVanishedFallback), avoided, now);
-    if (choice.id != kNoBackend) {
-      return choice;
-    }
-  }
-  return Choice{};
-}
-
-TokenSteering::Choice TokenSteering::chooseAmong(const std::vector<PlacementCandidate>& candidates,
-                                                 BackendId avoided, Time now) {
-  Choice best;
-  if (candidates.empty()) {
-    return best;
-  }
-  decision_.candidates = candidates.size();
-  std::uint64_t ties = 0;
-  const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
-  const std::size_t start = random_.below(candidates.size());
-  const bool withOutliers = outliersCount(candidates);
-  for (std::size_t i = 0; i < looks; ++i) {
-    const Choice choice =
-        assess(candidates[(start + i) % candidates.size()], avoided, withOutliers, now);
-    if (choice.excluded) {
-      continue;
-    }
-    const bool better = best.id == kNoBackend || isBetter(choice, best);
-    const bool worse = !better && isBetter(best, choice);
-    ties = better ? 1 : ties + (worse ? 0U : 1U);
-    if (better || (!worse && random_.below(ties) == 0)) {
-      best = choice;
-    }
-  }
-  return best;
-}
-
-TokenSteering::Choice TokenSteering::assess(const PlacementCandidate& candidate, BackendId avoided,
-                                            bool outliersCount, Time now) const {
-  const double flows = flows_.openOn(candidate.id) + 1.0;
-  const double factor = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
-  Choice choice;
-  choice.id = candidate.id;
-  choice.capacity = candidate.capacity;
-  const bool isOutlier = outliersCount && outliers_->IsOutlier(candidate.id);
-  choice.suspected = candidate.id == avoided || isOutlier || health_.isSuspected(candidate.id, now);
-  choice.busy = pacer_.isBusy(candidate.id, now);
-  choice.excluded = candidate.weight == 0;
-  choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
-  return choice;
-}
-
-bool TokenSteering::isBetter(const Choice& left, const Choice& right) {
-  return std::tie(left.excluded, left.suspected, left.busy, left.load) <
-         std::tie(right.excluded, right.suspected, right.busy, right.load);
-}
-
 Verdict TokenSteering::refuse(RefuseReason reason, RefusalCertainty certainty) const {
   return Refuse{RefusalForm::kReset, certainty, reason, std::chrono::seconds(1)};
 }
 
-Verdict TokenSteering::forward(const BackendAddress& backend, RouteReason reason) const {
-  return ForwardToBackend{backend, routes_.version(), reason, backends_.tokenFor(backend)};
+Verdict TokenSteering::forwardToAddress(const Endpoint& endpoint, RouteReason reason) const {
+  // Without an id any back end at the address takes the packet. One that does not hold the flow
+  // resets it, which is right: the flow's own one has ended then.
+  BackendAddress backend;
+  backend.endpoint = endpoint;
+  const SteeringToken token = reach_->GetCodec().Encode(endpoint).value_or(kNoToken);
+  return ForwardToBackend{backend, routes_.version(), reason, token};
 }
 
-bool TokenSteering::outliersCount(const std::vector<PlacementCandidate>& candidates) const {
-  if (outliers_ == nullptr) {
-    return false;
-  }
-  std::size_t found = 0;
-  for (const BackendId outlier : outliers_->GetOutliers()) {
-    found += std::any_of(candidates.begin(), candidates.end(),
-                         [outlier](const auto& candidate) { return candidate.id == outlier; })
-                 ? 1U
-                 : 0U;
-  }
-  return found != 0 && found * kBackendsPerOutlier <= candidates.size();
+Verdict TokenSteering::forward(const BackendAddress& backend, RouteReason reason) const {
+  return ForwardToBackend{backend, routes_.version(), reason, backends_.tokenFor(backend)};
 }
 
 void TokenSteering::noteLateAnswers(Time now) {
@@ -316,6 +165,14 @@
   }
 }
 
+void TokenSteering::setViewState(bool complete, bool current, Time now) {
+  if (complete && !viewComplete_) {
+    viewSince_ = now;
+  }
+  viewComplete_ = complete;
+  viewCurrent_ = current;
+}
+
 void TokenSteering::onResume() {
   deadlines_.Clear();
   openingsAreStale_ = true;
@@ -371,6 +228,7 @@
   flows_.expire(now, std::max<Duration>(options_.flowIdleTimeout, routes_.idleTimeout()));
   health_.expire(now);
   pacer_.expire(now);
+  answering_.Expire(now);
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/token_daemon.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iterator>
@@ -40,6 +41,7 @@
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
   options.flowEntries = settings.flowTableEntries;
   options.longestFlow = settings.longestFlow;
+  options.openWithoutView = std::min(settings.applyWithin, settings.drainWithin);
   if (settings.tokenForm == TokenForm::kAddress) {
     options.home = settings.dataListen.address;
   }
@@ -100,6 +102,7 @@
             {"data", net::formatEndpoint(settings_.dataListen)},
             {"store", net::formatEndpoint(settings_.platform)}});
   lastActive_ = bootTime();
+  steering_.start(lastActive_);
   peers_.Start(lastActive_);
   connectStore();
   scheduleTick();
@@ -278,7 +281,7 @@
 }
 
 void TokenDaemon::noteViewState(core::Time now) {
-  steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now));
+  steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now), now);
 }
 
 void TokenDaemon::onSignal(int signal) {
