Let few daemons try a store that fails

Change: a daemon that has a view, is no seed and has heard a seed within 1.5 s repeats failed reads after 2.5 to 5 s. Seeds try on, and their views reach it by the questions that it asks them every 0.4 s anyway. Without a view, or without seeds, it tries as before.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -119,6 +119,10 @@
 inline constexpr Duration kReadBackOff = 100ms;
 inline constexpr Duration kReadBackOffLongest = 800ms;
 inline constexpr Duration kReadBackOffAtStart = 100ms;
+/// The same where seeds try as well: they tell the others at once when the store is back.
+inline constexpr Duration kReadBackOffCovered = 5000ms;
+/// A seed that has answered within this time counts as one that tries.
+inline constexpr Duration kSeedHeardWithin = 1500ms;
 /// Changes that follow each other within kBurstGap are a burst; the watch that follows one waits
 /// for kBurstPause, so that a burst costs few reads. A single change is taken at once.
 inline constexpr Duration kBurstGap = 1000ms;
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -132,6 +132,7 @@
   void Push(Time now);
   void ForgetOld(Time now);
   void ReportOutliers(Time now);
+  bool IsOtherSeed(const Endpoint& daemon) const;
   bool IsDecider(const Endpoint& sender) const;
   std::vector<Endpoint> ListFollowers() const;
 
@@ -155,6 +156,7 @@
   std::map<Endpoint, ClockRelation> Clocks;
   std::size_t NextSeed = 0;
   Time NextAskAt{};
+  Time SeedHeardAt{}; ///< When a seed last answered.
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
