Count lapsed registrations beside those that are back

Change: where more than a third of a service's registrations vanished without a word, two at least, they stay candidates for 2 s beside those that are back; a repeated opening stays with such a back end.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/constants.h"
 #include "core/hashing.h"
 
 namespace cobaltgauge::core {
@@ -110,6 +111,7 @@
 void BackendRegistry::depart(Entry& entry, Time now) {
   entry.present = false;
   entry.removedAt = now;
+  lastDeparture_[entry.address.service] = now;
   candidates_.erase(entry.address.service);
 }
 
@@ -224,11 +226,31 @@
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
                                                                Time since) const {
   return collect(service, [since](const std::string&, const Entry& entry) {
-    const bool unannounced = entry.registration.state == BackendState::kActive;
-    return !entry.present && !entry.ended && unannounced && entry.removedAt > since;
+    return hasVanished(entry, since);
   });
 }
 
+bool BackendRegistry::hasVanished(const Entry& entry, Time since) {
+  const bool unannounced = entry.registration.state == BackendState::kActive;
+  return !entry.present && !entry.ended && unannounced && entry.removedAt > since;
+}
+
+bool BackendRegistry::hasVanishedSince(BackendId id, Time since) const {
+  const auto key = keys_.find(id);
+  return key != keys_.end() && hasVanished(entries_.at(key->second), since);
+}
+
+std::vector<PlacementCandidate> BackendRegistry::lapsedSince(ServiceId service, Time since) {
+  const auto last = lastDeparture_.find(service);
+  if (last == lastDeparture_.end() || last->second <= since) {
+    return {};
+  }
+  std::vector<PlacementCandidate> vanished = vanishedSince(service, since);
+  const std::size_t all = vanished.size() + candidates(service).size();
+  const bool isMany = vanished.size() > 1 && vanished.size() * kBackendsPerLapse > all;
+  return isMany ? vanished : std::vector<PlacementCandidate>{};
+}
+
 template <typename Predicate>
 std::vector<PlacementCandidate> BackendRegistry::collect(ServiceId service,
                                                          Predicate belongs) const {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -85,6 +85,12 @@
   /// @return back ends of a service that vanished after `since` without having announced it.
   std::vector<PlacementCandidate> vanishedSince(ServiceId service, Time since) const;
 
+  /// @return the same where they are more than one in kBackendsPerLapse of the service, else none:
+  /// so many do not end together without a word; it is their registrations that lapsed.
+  std::vector<PlacementCandidate> lapsedSince(ServiceId service, Time since);
+  /// @return true where the back end vanished after `since` without having announced it.
+  bool hasVanishedSince(BackendId id, Time since) const;
+
   /// Forgets back ends that have been gone for long enough.
   void forgetDeparted(Time now);
 
@@ -106,6 +112,7 @@
   };
 
   static PlacementCandidate candidateOf(const Entry& entry);
+  static bool hasVanished(const Entry& entry, Time since);
   bool isCandidate(const std::string& key, const Entry& entry) const;
   void markEnded(const Endpoint& endpoint);
   /// @return the token that holds an address, where it fits into one.
@@ -131,6 +138,7 @@
   std::unordered_map<BackendId, std::string> keys_;
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
+  std::unordered_map<ServiceId, Time> lastDeparture_;
   /// Collected when asked for; a change of a service drops its list.
   std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
 };
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -201,6 +201,8 @@
 /// which an address may belong to another back end.
 inline constexpr Duration kAnswerProves = 1500ms;
 inline constexpr std::size_t kMostAnsweringBackends = 1024;
+/// Where more than one registration in so many of a service vanishes without a word, they lapsed.
+inline constexpr std::size_t kBackendsPerLapse = 3;
 /// How long registrations that lapsed while the store was away may take to come back.
 inline constexpr Duration kRegistrationsReturn = 2000ms;
 
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -40,8 +40,9 @@
     // The flow is open. A second back end that answered would take its later packets.
     return Drop{DropReason::kStaleOpening};
   }
-  const bool takesFlows =
-      backends_.takesNewFlows(known->backend) || answering_.FindById(known->backend).has_value();
+  const bool takesFlows = backends_.takesNewFlows(known->backend) ||
+                          backends_.hasVanishedSince(known->backend, now - kVanishedFallback) ||
+                          answering_.FindById(known->backend).has_value();
   if (health_.isSuspected(known->backend, now) || !takesFlows) {
     const BackendId silent = known->backend;
     return placeOpening(packet, route, RouteReason::kReplaced, silent, now);
@@ -133,11 +134,14 @@
       services.push_back(serviceIdOf(target.service));
     }
   }
-  if (!answering.empty()) {
+  std::vector<PlacementCandidate> unregistered =
+      backends_.lapsedSince(services.front(), now - kRegistrationsReturn);
+  unregistered.insert(unregistered.end(), answering.begin(), answering.end());
+  if (!unregistered.empty()) {
     // Registrations are still coming back: those that are there are too few for all openings.
-    std::vector<PlacementCandidate> all = backends_.candidates(services.front());
-    all.insert(all.end(), answering.begin(), answering.end());
-    return chooseAmong(all, avoided, now);
+    const std::vector<PlacementCandidate>& registered = backends_.candidates(services.front());
+    unregistered.insert(unregistered.end(), registered.begin(), registered.end());
+    return chooseAmong(unregistered, avoided, now);
   }
   // Another part of the split is allowed to run the flow, and better than refusing it.
   for (const ServiceId service : services) {
