--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -85,8 +85,8 @@
     this->Reading = true;
     ++this->Counters.ReadingBegan;
   }
-  const bool isSeedHeard = this->SeedHeardAt != Time{} &&
-    now - this->SeedHeardAt < kSeedHeardWithin;
+  const bool isSeedHeard =
+    this->SeedHeardAt != Time{} && now - this->SeedHeardAt < kSeedHeardWithin;
   this->Reader.setCovered(!this->IsSeed && isSeedHeard);
   this->ActivateReader();
   this->ReportOutliers(now);
