Bring no view forward by an answer that lacks the changes

Cause: a daemon that asks a peer which no longer keeps the changes got an answer that claimed to build on the oldest change kept and held none.

Change: such an answer builds on its own revision: it tells a view of that revision how old it is, and is a gap for any other. The new test fails without it.

--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -172,7 +172,8 @@
   update.confirmedUs = static_cast<std::uint64_t>(confirmed);
   update.readerRank = this->ViewRank;
   update.revision = this->Log.GetComplete();
-  update.from = this->Log.GetBase();
+  // Without the changes it only says how old a view of this revision is.
+  update.from = update.revision;
   if (const auto changes = this->Log.Since(have)) {
     update.from = std::min(have, update.revision);
     addToUpdate(*changes, update);
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -160,6 +160,43 @@
   BOOST_TEST(this->CountReading() == 1U);
 }
 
+// A daemon asked a peer that lacked the changes, and had caught up in part by
+// another when the answer came: it took the answer's revision without what lay
+// between, and served an old version for ten seconds (lantern-archive-grown, a
+// drawn day: CONFIG).
+BOOST_AUTO_TEST_CASE(an_answer_without_changes_brings_no_view_forward)
+{
+  this->Run(5s);
+  Node& asked = *this->Readers()[0];
+  Node& asking = this->At(8);
+  const core::Revision before = asking.Reader.revision();
+  asking.PeersCut = true;
+  asking.StoreRefuses = true;
+  for (std::size_t i = 0; i <= core::kHeaviestBatch; ++i) {
+    this->Store.put("servers/" + std::to_string(100 + i),
+                    makeRegistration(100 + i, "web", 2, 1));
+  }
+  this->Run(1s);
+  // By another way it has come to where the changes that are kept begin.
+  const core::Revision base = asked.Log.GetBase();
+  BOOST_REQUIRE(base > before);
+  asking.Reader.adopt(base);
+  this->ChangeRoutes(9);
+  this->Run(200ms);
+  BOOST_REQUIRE(asked.Routes.version() == 9U);
+  const core::Time clock = asked.Clock(this->Now);
+  const auto sentAt = asking.Clock(this->Now).count();
+  asked.Relay.TakeMessages();
+  asked.Relay.OnSubscription(
+    { asking.Address, before, static_cast<std::uint64_t>(sentAt) }, clock);
+  const std::vector<core::OutgoingRelay> answers = asked.Relay.TakeMessages();
+  BOOST_REQUIRE(answers.size() == 1U);
+  const auto outcome = asking.Relay.OnUpdate(
+    std::get<core::ViewUpdate>(answers[0].Message), asking.Clock(this->Now));
+  BOOST_TEST((outcome == core::UpdateOutcome::kGap));
+  BOOST_TEST(asking.Reader.revision() == base);
+}
+
 BOOST_AUTO_TEST_CASE(what_a_listing_found_gone_is_passed_on)
 {
   this->Run(5s);
