--- /dev/null
+++ b/scripts/account.py
@@ -0,0 +1,156 @@
+#!/usr/bin/env python3
+"""Says where a day's worth went: what was lost when no daemon ran, and what while one did.
+
+    scripts/account.py SITE.toml REPORT.json LOG.txt
+
+SITE is a deployment's file, REPORT and LOG what a run of one of its days left (`--report`, and
+`--log all` on standard output). For each stretch of seconds with a loss it prints how much lay in
+the dark, when no daemon had power, how much of that nobody can serve, and which packets were
+dropped. The last line is the figure "reached of possible".
+
+The ceiling is what a fleet would earn that serves at once whatever reaches it: a request that is
+sent in the dark is served by the first of its caller's repetitions after it, and earns what its
+aim and deadline then leave.
+"""
+
+import collections
+import json
+import re
+import sys
+import tomllib
+
+# When a caller sends again, in seconds after the first time.
+DATA_REPEATS = (0.0, 0.2, 0.6, 1.4, 3.0, 4.6, 6.2, 7.8)
+OPENING_REPEATS = (0.0, 0.2, 0.6)
+OPENING_ATTEMPT = 1.4
+STEPS_A_SECOND = 200  # Of the integration over sending times.
+LINE = re.compile(r"\s*(-?[\d.]+) (\S+) time=.*?event=(\S+)")
+REASON = re.compile(r" reason=([a-z_]+)")
+LOG_GAP = 0.3  # Lines wait in a daemon for at most this long; a kill takes them with it.
+LOSS = 0.002  # Share of a window's credit that is worth a row.
+
+
+def read_log(path):
+    """Returns the times of all daemons' lines and starts, and the drops by second and reason."""
+    lines, starts = collections.defaultdict(list), collections.defaultdict(list)
+    drops = collections.defaultdict(collections.Counter)
+    with open(path, errors="replace") as log:
+        for text in log:
+            line = LINE.match(text)
+            if line is None:
+                continue
+            at, node, event = float(line[1]), line[2], line[3]
+            lines[node].append(at)
+            if event == "started":
+                starts[node].append(at)
+            if event in ("packet_dropped", "packet_refused", "flow_reset"):
+                reason = REASON.search(text)
+                drops[int(at)][reason[1] if reason else event] += 1
+    return lines, starts, drops
+
+
+def lives_of(lines, starts):
+    """Returns the lives of one daemon: from a start to its last line before the next."""
+    ends = starts[1:] + [float("inf")]
+    lives = []
+    for begin, limit in zip(starts, ends):
+        within = [at for at in lines if begin <= at < limit]
+        lives.append((begin, within[-1] if limit < float("inf") else float("inf")))
+    return lives
+
+
+def dark_spans(lines, starts):
+    """Returns the spans in which no daemon ran, after the traffic began."""
+    lives = sorted(life for node in starts for life in lives_of(lines[node], starts[node]))
+    spans, lit_until = [], None
+    for begin, end in lives:
+        if lit_until is not None and begin > lit_until + 0.05 and lit_until > 0:
+            spans.append((lit_until, begin))
+        lit_until = end if lit_until is None else max(lit_until, end)
+    return spans
+
+
+def attempts(kind):
+    """Returns the times, after the first sending, at which something of a request is sent."""
+    if kind.get("habit") != "fresh":
+        return DATA_REPEATS
+    tries = 1 + kind.get("retries", 0)
+    return tuple(n * OPENING_ATTEMPT + at for n in range(tries) for at in OPENING_REPEATS)
+
+
+def credit(kind, wait):
+    """Returns the share of a request's worth that is earned if it is first taken after `wait` s."""
+    answered = wait + kind["work_ms"]["mean"] / 1000
+    if answered <= kind["aim_ms"] / 1000:
+        return 1.0
+    if answered <= kind["deadline_ms"] / 1000:
+        return kind.get("late_worth", 0) / kind.get("worth", 1)
+    return 0.0
+
+
+def lost_in_dark(kind, span, window):
+    """Returns the seconds' worth of a kind that nobody can earn, of a window."""
+    begin, end = span
+    low, high = max(begin, window[0]), min(end, window[1])
+    steps = max(0, int((high - low) * STEPS_A_SECOND))
+    lost = 0.0
+    for step in range(steps):
+        sent = low + (step + 0.5) / STEPS_A_SECOND
+        taken = next((at for at in attempts(kind) if sent + at >= end), None)
+        lost += 1.0 - (credit(kind, taken) if taken is not None else 0.0)
+    return lost / STEPS_A_SECOND
+
+
+def moved_to_events(spans, events):
+    """Returns the spans, begun at the event that ended the daemons: their last lines are lost."""
+    moved = []
+    for begin, end in spans:
+        causes = [event["at_s"] for event in events if begin <= event["at_s"] < begin + LOG_GAP]
+        moved.append((min([*causes, end]) if causes else begin, end))
+    return moved
+
+
+def main():
+    if len(sys.argv) != 4:
+        sys.exit(__doc__)
+    with open(sys.argv[1], "rb") as file:
+        site = tomllib.load(file)
+    with open(sys.argv[2]) as file:
+        report = json.load(file)
+    lines, starts, drops = read_log(sys.argv[3])
+    spans = moved_to_events(dark_spans(lines, starts), report["events"])
+    kinds = {kind["name"]: kind for kind in site["classes"]}
+    asked = {row["name"]: row["n"] * kinds[row["name"]].get("worth", 1)
+             for row in report["classes"] if row["name"] in kinds}
+    total = sum(asked.values())
+    windows = [(float(row["name"]), row["n"], row["worth"]) for row in report["windows"]]
+    width = windows[1][0] - windows[0][0]
+    requests = sum(n for _, n, _ in windows)
+    unavoidable_sum = lost_sum = 0.0
+    print("seconds  lost  in the dark, unavoidable  dropped, refused, reset")
+    for begin, n, worth in windows:
+        share = n / requests  # Of the day's credit; kinds mix alike in all windows.
+        lost = (1 - worth) * share
+        window = (begin, begin + width)
+        unavoidable = sum(
+            lost_in_dark(kinds[name], span, window) / width * share * asked[name] / total
+            for name in asked for span in spans)
+        modelled = unavoidable
+        unavoidable = min(unavoidable, lost)  # What was earned was possible.
+        lost_sum, unavoidable_sum = lost_sum + lost, unavoidable_sum + unavoidable
+        if lost < LOSS * share:
+            continue
+        counts = sum((drops[second] for second in range(int(begin), int(begin + width))),
+                     collections.Counter())
+        told = ", ".join(f"{reason} {count}" for reason, count in counts.most_common(4))
+        print(f"{begin:5.0f}-{begin + width:<4.0f} {lost:.4f}  {modelled:.4f}  {told}")
+    for begin, end in spans:
+        print(f"dark from {begin:.2f} to {end:.2f}")
+    prices = sum(price for _, _, price in report["prices"])
+    print(f"credit {1 - lost_sum:.4f}, possible {1 - unavoidable_sum:.4f}, prices {prices:.4f}, "
+          f"worth {report['G']:.4f}; reached of possible "
+          f"{(1 - lost_sum) / (1 - unavoidable_sum):.4f}")
+
+
+if __name__ == "__main__":
+    main()
