Ask for the rule again in the test of lapsed registrations

The test that replaced an earlier one no longer asked by which rule the first opening was placed; it does again. core tests pass; nothing else was run after it.

--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -176,7 +176,9 @@
 BOOST_AUTO_TEST_CASE(registrations_that_lapsed_together_count_beside_those_that_are_back) {
   removeBackends();
   now += 1s;
-  openAndAnswer(1);
+  const core::Verdict first = open(1);
+  BOOST_TEST((ruleOf(first) == RouteReason::kPlaced));
+  send(1, backendOf(first), 1, 0);
   putBackend(4, makeRegistration(4, "web", 1, 4));
   std::map<BackendId, int> flows;
   for (std::uint16_t port = 2; port <= 9; ++port) {
