Give each run of real processes a loopback network and ports of its own

Back end d-1 was given the fabric's port and started first; the fabric ended at once, and every packet of the callers went to the back end. Ruled out: daemon and configuration (version in force, explain answered), load (the callers repeat until they are done).

Change: a run reserves 127.N.0.0/16 by a bound guard and counts its ports below those that the system hands out; the smoke test names processes that ended by themselves. The token fleet, whose network followed the process id modulo 200, takes the same.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -7,26 +7,12 @@
 import os
 import re
 import signal
-import socket
 import subprocess
 import time
 
-HOST = "127.0.0.1"
-CLUSTER_KEY = "a key for the local demo only"
-
+from loopback import LoopbackNetwork
 
-def free_port():
-    """Returns a port that is free for UDP and TCP at this moment."""
-    while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            udp.bind((HOST, 0))
-            port = udp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
-                try:
-                    tcp.bind((HOST, port))
-                except OSError:
-                    continue
-            return port
+CLUSTER_KEY = "a key for the local demo only"
 
 
 class Service:
@@ -62,8 +48,10 @@
         self.daemons = {}
         self.services = {}
         self.version = 0
-        self.fabric_port = free_port()
-        self.platform_port = free_port()
+        self.network = LoopbackNetwork()
+        self.host = self.network.at(0, 1)
+        self.fabric_port = self.network.port()
+        self.platform_port = self.network.port()
         self.history = open(self.path("history-operator.jsonl"), "a", encoding="utf-8")
 
     def path(self, name):
@@ -103,32 +91,32 @@
 
     def write_machines(self):
         machines = [
-            {"name": name, "zone": daemon["zone"], "control": f"{HOST}:{daemon['control']}"}
+            {"name": name, "zone": daemon["zone"], "control": f"{self.host}:{daemon['control']}"}
             for name, daemon in self.daemons.items()
             if daemon["listed"]
         ]
         self.write_atomically("machines.json", json.dumps({"machines": machines}))
-        lines = [f"{HOST}:{d['data']}" for d in self.daemons.values() if d["sprayed"]]
+        lines = [f"{self.host}:{d['data']}" for d in self.daemons.values() if d["sprayed"]]
         self.write_atomically("daemons.txt", "\n".join(lines) + "\n")
 
     def start_platform(self, configuration="configuration.json"):
         self.spawn(
             "platform", "cobaltgauge-standin", "platform",
-            f"--listen={HOST}:{self.platform_port}",
+            f"--listen={self.host}:{self.platform_port}",
             f"--configuration={self.path(configuration)}",
             f"--machines={self.path('machines.json')}")
 
     def start_fabric(self):
         self.spawn(
             "fabric", "cobaltgauge-standin", "fabric",
-            f"--listen={HOST}:{self.fabric_port}", f"--daemons={self.path('daemons.txt')}",
+            f"--listen={self.host}:{self.fabric_port}", f"--daemons={self.path('daemons.txt')}",
             "--jitter-ms=3", "--loss-permille=2", "--duplicate-permille=2", "--seed=7")
 
     # Daemons
 
     def plan_daemon(self, name, zone):
         self.daemons[name] = {
-            "zone": zone, "control": free_port(), "data": free_port(), "admin": free_port(),
+            "zone": zone, "control": self.network.port(), "data": self.network.port(), "admin": self.network.port(),
             "listed": True, "sprayed": True}
 
     def start_daemon(self, name):
@@ -140,20 +128,20 @@
 linger_ms = 1500
 
 [data]
-listen = "{HOST}:{daemon['data']}"
-fabric_return = "{HOST}:{self.fabric_port}"
+listen = "{self.host}:{daemon['data']}"
+fabric_return = "{self.host}:{self.fabric_port}"
 
 [cluster]
 name = "demo"
 key = "{CLUSTER_KEY}"
-listen = "{HOST}:{daemon['control']}"
+listen = "{self.host}:{daemon['control']}"
 
 [platform]
-address = "{HOST}:{self.platform_port}"
+address = "{self.host}:{self.platform_port}"
 poll_interval_ms = 300
 
 [admin]
-listen = "{HOST}:{daemon['admin']}"
+listen = "{self.host}:{daemon['admin']}"
 """
         self.write_atomically(name + ".toml", settings)
         self.spawn(name, "cobaltgauged", f"--settings={self.path(name + '.toml')}")
@@ -164,13 +152,13 @@
     # Back ends
 
     def start_backend(self, service, name, zone, *flags):
-        port = free_port()
+        port = self.network.port()
         self.services[service].backends[name] = {
-            "name": name, "address": HOST, "port": port, "incarnation": 1, "zone": zone,
+            "name": name, "address": self.host, "port": port, "incarnation": 1, "zone": zone,
             "state": "active", "capacity": 2000}
         self.spawn(
             name, "cobaltgauge-standin", "backend", f"--name={name}", f"--service={service}",
-            f"--listen={HOST}:{port}", f"--fabric={HOST}:{self.fabric_port}", "--incarnation=1",
+            f"--listen={self.host}:{port}", f"--fabric={self.host}:{self.fabric_port}", "--incarnation=1",
             f"--history={self.path('history-' + name + '.jsonl')}", *flags)
 
     # Callers
@@ -179,8 +167,8 @@
         target = self.services[service]
         return self.spawn(
             name, "cobaltgauge-standin", "caller", f"--name={name}", f"--service={service}",
-            f"--target={target.address}:{target.port}", f"--fabric={HOST}:{self.fabric_port}",
-            f"--network={network}", f"--sessions={sessions}", f"--seconds={seconds}",
+            f"--target={target.address}:{target.port}", f"--fabric={self.host}:{self.fabric_port}",
+            f"--listen={self.host}:0", f"--network={network}", f"--sessions={sessions}", f"--seconds={seconds}",
             f"--history={self.path('history-' + name + '.jsonl')}", f"--seed={seed}", *flags)
 
     # End
@@ -188,6 +176,10 @@
     def wait(self, name, timeout):
         return self.processes[name].wait(timeout=timeout)
 
+    def failed(self):
+        """Returns the names of processes that have ended by themselves with an error."""
+        return [name for name, process in self.processes.items() if (process.poll() or 0) > 0]
+
     def stop_all(self):
         """Ends every process that this fleet started and that still runs."""
         for process in self.processes.values():
@@ -201,6 +193,7 @@
                 process.kill()
                 process.wait()
         self.history.close()
+        self.network.close()
 
     def collect_versions(self):
         """Turns the daemons' log lines into history events."""
--- /dev/null
+++ b/scripts/loopback.py
@@ -0,0 +1,54 @@
+"""Loopback addresses and ports that belong to one run alone.
+
+A port that was found free may be taken before its process starts: by another process, or by the same
+run, since the system may name it twice. So each run holds a network 127.N.0.0/16 for as long as it
+lives, and counts the ports of it itself, below those that the system hands out.
+"""
+
+import errno
+import itertools
+import socket
+
+NETWORKS = range(20, 250)
+GUARD_HOST = "255.254"  # Bound by the run that holds the network.
+GUARD_PORT = 19999
+FIRST_PORT = 20000  # The system hands out ports from 32768 on.
+LAST_PORT = 32767
+
+
+class LoopbackNetwork:
+    """A network 127.N.0.0/16 that no other run holds. It is free again when `close` is called."""
+
+    def __init__(self):
+        self.guard, self.prefix = reserve()
+        self.ports = itertools.count(FIRST_PORT)
+
+    def at(self, net, host):
+        """Returns an address of this network."""
+        return f"{self.prefix}.{net}.{host}"
+
+    def port(self):
+        """Returns a port that this run has not used yet, on any address of the network."""
+        port = next(self.ports)
+        if port > LAST_PORT:
+            raise OSError(f"no port left in {self.prefix}.0.0/16")
+        return port
+
+    def close(self):
+        self.guard.close()
+
+
+def reserve():
+    """Returns the bound guard and the prefix of the first network that is free."""
+    for number in NETWORKS:
+        prefix = f"127.{number}"
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f"{prefix}.{GUARD_HOST}", GUARD_PORT))
+        except OSError as error:
+            guard.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        return guard, prefix
+    raise OSError("every loopback network is held by another run")
--- a/scripts/smoke.py
+++ b/scripts/smoke.py
@@ -11,7 +11,7 @@
 import sys
 import tempfile
 
-from demo_fleet import HOST, Fleet, Service
+from demo_fleet import Fleet, Service
 
 POLICY = "function place(flow_class, backend) return 100 end"
 LIMITED = POLICY + " function limits() return { new_flows_per_second = 1 } end"
@@ -20,7 +20,7 @@
 def ask(fleet, *arguments):
     daemon = fleet.daemons["lb-1"]
     command = [os.path.join(fleet.build, "cobaltgaugectl"), arguments[0],
-               f"--admin={HOST}:{daemon['admin']}", *arguments[1:]]
+               f"--admin={fleet.host}:{daemon['admin']}", *arguments[1:]]
     return subprocess.run(command, check=True, capture_output=True, text=True).stdout
 
 
@@ -50,6 +50,7 @@
             explanation = json.loads(
                 ask(fleet, "explain", "udp", "10.81.0.1:20000", "10.90.0.1:5683"))
             metrics = ask(fleet, "metrics")
+            failed = fleet.failed()
         finally:
             fleet.stop_all()
         histories = sorted(glob.glob(os.path.join(directory, "history-*.jsonl")))
@@ -59,6 +60,7 @@
         executions = int(report.stdout.split("executions")[1].split()[0])
         cancelled = int(report.stdout.split("refused as not run")[1].split()[0])
         checks = {
+            f"every process started and ran {failed}": not failed,
             "history breaks no rule": report.returncode == 0,
             "requests were executed": executions > 0,
             "submissions were cancelled before they ran": cancelled > 0,
--- a/scripts/throughput.py
+++ b/scripts/throughput.py
@@ -10,16 +10,16 @@
 import sys
 import time
 
-from demo_fleet import HOST, Fleet, Service, free_port
+from demo_fleet import Fleet, Service
 
 ROUNDS = 5
 SERVICE_ADDRESS = "10.90.0.1"
 SERVICE_PORT = 5683
 
 
-def measure(build, target_port, listen_port):
-    command = [os.path.join(build, "cobaltgauge-standin"), "throughput",
-               f"--target={HOST}:{target_port}", f"--listen={HOST}:{listen_port}",
+def measure(fleet, target_port, listen_port):
+    command = [os.path.join(fleet.build, "cobaltgauge-standin"), "throughput",
+               f"--target={fleet.host}:{target_port}", f"--listen={fleet.host}:{listen_port}",
                f"--service={SERVICE_ADDRESS}:{SERVICE_PORT}"]
     output = subprocess.run(command, check=True, capture_output=True, text=True).stdout
     print("   ", output.strip(), flush=True)
@@ -32,10 +32,10 @@
     shutil.rmtree(directory, ignore_errors=True)
     os.makedirs(directory)
     fleet = Fleet(os.path.join(root, "build"), directory)
-    backend_port = free_port()
-    relay_port = free_port()
+    backend_port = fleet.network.port()
+    relay_port = fleet.network.port()
     service = Service("bench", SERVICE_ADDRESS, SERVICE_PORT, "function place() return 1 end")
-    service.backends["b"] = {"name": "b", "address": HOST, "port": backend_port, "incarnation": 1,
+    service.backends["b"] = {"name": "b", "address": fleet.host, "port": backend_port, "incarnation": 1,
                              "zone": "z", "state": "active", "capacity": 1}
     fleet.services["bench"] = service
     fleet.plan_daemon("lb-1", "z")
@@ -43,17 +43,17 @@
     fleet.publish("one service, one back end")
     fleet.start_platform()
     fleet.start_daemon("lb-1")
-    fleet.spawn("relay", "cobaltgauge-standin", "relay", f"--listen={HOST}:{relay_port}",
-                f"--to={HOST}:{backend_port}")
+    fleet.spawn("relay", "cobaltgauge-standin", "relay", f"--listen={fleet.host}:{relay_port}",
+                f"--to={fleet.host}:{backend_port}")
     try:
         time.sleep(6)  # The daemon waits for peers before it serves alone.
         relay = []
         daemon = []
         for _ in range(ROUNDS):
             print("  relay", flush=True)
-            relay.append(measure(fleet.build, relay_port, backend_port))
+            relay.append(measure(fleet, relay_port, backend_port))
             print("  daemon", flush=True)
-            daemon.append(measure(fleet.build, fleet.daemons["lb-1"]["data"], backend_port))
+            daemon.append(measure(fleet, fleet.daemons["lb-1"]["data"], backend_port))
     finally:
         fleet.stop_all()
     ratio = statistics.median(daemon) / statistics.median(relay)
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -19,6 +19,8 @@
 import time
 import urllib.parse
 
+from loopback import LoopbackNetwork
+
 SYN, ACK, FIN, RST = 64, 4, 8, 1
 HEAD = struct.Struct("<IBIHIIIHHI")  # sum, flags, echo, len, seq, ack, src, dport, sport, dst
 BACKEND_PORT = 8080
@@ -38,12 +40,6 @@
     raise AssertionError(f"not within {seconds} s: {what}")
 
 
-def free_port(address="127.0.0.1"):
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
-
-
 class Store:
     """Items with revisions, a history and faults. `mode`: up, busy (503), throttled (429), silent."""
 
@@ -352,10 +348,9 @@
 class TokenFleet:
     def __init__(self, build, directory, policy):
         self.build, self.directory, self.policy = build, directory, policy
-        self.data_port, self.ready_port = free_port(), free_port()
-        self.peer_port, self.admin_port = free_port(), free_port()
-        # A part of loopback for each run, so that two runs do not meet.
-        self.network = f"127.{os.getpid() % 200 + 20}"
+        self.network = LoopbackNetwork()
+        self.data_port, self.ready_port = self.network.port(), self.network.port()
+        self.peer_port, self.admin_port = self.network.port(), self.network.port()
         self.store = Store(self.at(0, 1))
         self.next_id = 0x1000
         self.daemons, self.backends = [], []
@@ -363,7 +358,7 @@
 
     def at(self, net, host):
         """Returns an address of this run."""
-        return f"{self.network}.{net}.{host}"
+        return self.network.at(net, host)
 
     def publish(self, routes):
         """`routes`: (address, port, service) each."""
@@ -388,3 +383,4 @@
             if daemon.process.poll() is None:
                 daemon.send_signal(signal.SIGCONT)
                 daemon.kill()
+        self.network.close()
