Ask every part of a split before lapsed back ends have the last word

Cause (a second read): where registrations of a route's chosen part had lapsed, its candidates were the last word, also where the policy excludes every one of them; the split's other parts were not tried and the opening was dropped.

Change: each part is asked for its registered and lapsed back ends in turn, then for what vanished alone. The two constants of 2 s, which said the same, are one.

Test failed first: where_the_policy_excludes_all_that_lapsed_another_part_of_the_split_serves.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -94,8 +94,10 @@
 inline constexpr std::uint32_t kLastOpeningCopy = 2;
 /// How long a service without back ends is taken for one whose registrations are on their way.
 inline constexpr Duration kEmptyServicePatience = 1500ms;
-/// How long a back end that vanished without a word may stand in where its service has no other.
-/// Below the time for which such a back end serves on.
+/// How long a back end that vanished without a word may still be given flows: where it is all that
+/// its service has, and where many vanished together, which means that their registrations lapsed
+/// while the store was away. The users' page has them back within this time of the store's return;
+/// a back end that left without a word serves on for longer.
 inline constexpr Duration kVanishedFallback = 2000ms;
 
 /// How long the store may hold a watch. Its answer, even without a change, shows that the view is
@@ -195,8 +197,6 @@
 
 /// Where more than one registration in so many of a service vanishes without a word, they lapsed.
 inline constexpr std::size_t kBackendsPerLapse = 3;
-/// How long registrations that lapsed while the store was away may take to come back.
-inline constexpr Duration kRegistrationsReturn = 2000ms;
 
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -97,17 +97,9 @@
       services.push_back(serviceIdOf(target.service));
     }
   }
-  std::vector<PlacementCandidate> lapsed =
-      backends_.lapsedSince(services.front(), now - kRegistrationsReturn);
-  if (!lapsed.empty()) {
-    // Registrations are still coming back: those that are there are too few for all openings.
-    const std::vector<PlacementCandidate>& registered = backends_.candidates(services.front());
-    lapsed.insert(lapsed.end(), registered.begin(), registered.end());
-    return chooseAmong(lapsed, avoided, now);
-  }
   // Another part of the split is allowed to run the flow, and better than refusing it.
   for (const ServiceId service : services) {
-    const Choice choice = chooseAmong(backends_.candidates(service), avoided, now);
+    const Choice choice = chooseOfService(service, avoided, now);
     if (choice.id != kNoBackend) {
       return choice;
     }
@@ -122,6 +114,18 @@
   return Choice{};
 }
 
+TokenSteering::Choice TokenSteering::chooseOfService(ServiceId service, BackendId avoided,
+                                                     Time now) {
+  const std::vector<PlacementCandidate>& registered = backends_.candidates(service);
+  std::vector<PlacementCandidate> all = backends_.lapsedSince(service, now - kVanishedFallback);
+  if (all.empty()) {
+    return chooseAmong(registered, avoided, now);
+  }
+  // Registrations are still coming back: those that are there are too few for all openings.
+  all.insert(all.end(), registered.begin(), registered.end());
+  return chooseAmong(all, avoided, now);
+}
+
 TokenSteering::Choice TokenSteering::chooseAmong(const std::vector<PlacementCandidate>& candidates,
                                                  BackendId avoided, Time now) {
   Choice best;
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -125,6 +125,8 @@
   };
   /// @return the best back end for a route, with kNoBackend where there is none.
   Choice chooseForRoute(RouteEntry& route, BackendId avoided, Time now);
+  /// @return the best of a service's registered back ends and of those whose registrations lapsed.
+  Choice chooseOfService(ServiceId service, BackendId avoided, Time now);
   Choice chooseAmong(const std::vector<PlacementCandidate>& candidates, BackendId avoided,
                      Time now);
   Choice assess(const PlacementCandidate& candidate, BackendId avoided, bool outliersCount,
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -50,6 +50,14 @@
   }
 };
 
+/// Gives back ends of the service "web" nothing.
+class ExcludesWeb : public core::PlacementWeights {
+ public:
+  std::uint32_t weightOf(const core::Registration& registration) override {
+    return registration.service == "web" ? 0 : core::kDefaultPlacementWeight;
+  }
+};
+
 BOOST_AUTO_TEST_CASE(the_policys_weights_share_the_flows) {
   FirstWeighs policy;
   core::TokenSteering weighed(core::TokenSteeringOptions{}, policy, random);
@@ -187,7 +195,7 @@
   }
   BOOST_TEST(flows.size() == 4U);
   // What has not come back by then is gone.
-  now += core::kRegistrationsReturn;
+  now += core::kVanishedFallback;
   for (std::uint16_t port = 20; port <= 29; ++port) {
     now += 100ms;
     BOOST_TEST((openAndAnswer(port) == BackendId{4}));
@@ -202,6 +210,38 @@
   }
 }
 
+// Lapsed back ends were the last word, even where the policy gives all of them nothing.
+BOOST_AUTO_TEST_CASE(where_the_policy_excludes_all_that_lapsed_another_part_of_the_split_serves) {
+  core::RouteSet routes = makeRoutes(2, {{1, "web"}});
+  routes.routes[0].targets = {{"web", 1}, {"api", 1}};
+  ExcludesWeb policy;
+  core::TokenSteering weighed(core::TokenSteeringOptions{}, policy, random);
+  weighed.setViewState(true, true);
+  weighed.routes().offer(routes, now);
+  weighed.backends().put(keyOf(1), makeRegistration(1, "web", 1, 1), 1, now);
+  weighed.backends().put(keyOf(2), makeRegistration(2, "web", 1, 2), 2, now);
+  weighed.backends().put(keyOf(60), makeRegistration(60, "api", 2, 1), 3, now);
+  weighed.backends().remove(keyOf(1), 4, now);
+  weighed.backends().remove(keyOf(2), 5, now);
+  for (std::uint16_t port = 1; port <= 10; ++port) {
+    now += 100ms;
+    const core::Verdict verdict = weighed.onPacket(packet(port, core::PacketKind::kOpening), now);
+    BOOST_TEST((backendOf(verdict) == BackendId{60}));
+  }
+}
+
+// One alone is no lapse, yet it is all that its service has.
+BOOST_AUTO_TEST_CASE(the_only_back_end_stands_in_for_itself_after_it_vanished) {
+  steering.backends().remove(keyOf(1), ++revision, now);
+  steering.backends().remove(keyOf(2), ++revision, now);
+  now += core::kVanishedFallback;
+  steering.backends().remove(keyOf(3), ++revision, now);
+  now += 1s;
+  BOOST_TEST((backendOf(open(1)) == BackendId{3}));
+  now += 1s;
+  BOOST_TEST((dropOf(open(2)) == DropReason::kEmptyService));
+}
+
 BOOST_AUTO_TEST_CASE(a_repeated_opening_stays_where_the_registration_lapsed) {
   const BackendId first = backendOf(open(1));
   removeBackends();
