Hand the two forms of token to an index of their own

Change: core/reach/token_index finds a back end by either form; it asks in one place. Hashes are kept by id, as one id has one key, so a lookup copies no key.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -7,12 +7,6 @@
 #include "core/hashing.h"
 
 namespace cobaltgauge::core {
-namespace {
-
-/// Any constant; keeps tokens apart from other uses of the same hash.
-constexpr std::uint64_t kTokenSalt = 0x746f6b656eULL;
-
-}  // namespace
 
 const char* toString(RegistryEvent event) {
   switch (event) {
@@ -32,11 +26,6 @@
   return "invalid";
 }
 
-SteeringToken tokenOf(BackendId id) {
-  const auto hash = static_cast<std::uint32_t>(mixHash(static_cast<std::uint64_t>(id), kTokenSalt));
-  return SteeringToken{hash == 0 ? 1 : hash};
-}
-
 RegistryEvent BackendRegistry::put(const std::string& key, const Registration& registration,
                                    Revision revision, Time now) {
   const auto known = entries_.find(key);
@@ -57,11 +46,10 @@
     entry.weight = weights_.weightOf(registration);
   }
   keys_[registration.id] = key;
-  // The back end that was known first keeps a token that two share; the other takes no flows.
-  tokens_.try_emplace(tokenOf(registration.id), key);
+  tokens_.AddBackend(registration.id);
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
-  indexAddress(registration.endpoint);
+  tokens_.AddAddress(registration.endpoint);
   markEnded(registration.endpoint);
   candidates_.erase(entry.address.service);
   if (isNew) {
@@ -132,28 +120,6 @@
   return vanished;
 }
 
-std::optional<SteeringToken> BackendRegistry::addressToken(const Endpoint& endpoint) const {
-  return reach_ == nullptr ? std::nullopt : reach_->GetCodec().Encode(endpoint);
-}
-
-void BackendRegistry::indexAddress(const Endpoint& endpoint) {
-  if (const std::optional<SteeringToken> token = addressToken(endpoint)) {
-    addressTokens_[*token].insert(endpoint);
-    reach_->AddPort(endpoint.port);
-  }
-}
-
-void BackendRegistry::forgetAddress(const Endpoint& endpoint) {
-  const std::optional<SteeringToken> token = addressToken(endpoint);
-  if (!token) {
-    return;
-  }
-  addressTokens_[*token].erase(endpoint);
-  if (addressTokens_[*token].empty()) {
-    addressTokens_.erase(*token);
-  }
-}
-
 const BackendAddress* BackendRegistry::findLastAt(const Endpoint& endpoint) const {
   const auto keys = endpoints_.find(endpoint);
   if (keys == endpoints_.end()) {
@@ -170,20 +136,12 @@
 }
 
 const BackendAddress* BackendRegistry::findByToken(SteeringToken token) const {
-  const auto addresses = addressTokens_.find(token);
-  if (addresses != addressTokens_.end()) {
-    const bool isCertain = addresses->second.size() == 1;
-    return isCertain ? findLastAt(*addresses->second.begin()) : nullptr;
+  const std::optional<TokenIndex::Name> name = tokens_.Find(token);
+  if (!name) {
+    return nullptr;
   }
-  const auto key = tokens_.find(token);
-  return key == tokens_.end() ? nullptr : &entries_.at(key->second).address;
-}
-
-SteeringToken BackendRegistry::tokenFor(const BackendAddress& backend) const {
-  const std::optional<SteeringToken> token = addressToken(backend.endpoint);
-  const auto addresses = token ? addressTokens_.find(*token) : addressTokens_.end();
-  const bool isCertain = addresses != addressTokens_.end() && addresses->second.size() == 1;
-  return isCertain ? *token : tokenOf(backend.id);
+  const auto* endpoint = std::get_if<Endpoint>(&*name);
+  return endpoint == nullptr ? find(std::get<BackendId>(*name)) : findLastAt(*endpoint);
 }
 
 const BackendAddress* BackendRegistry::find(BackendId id) const {
@@ -201,24 +159,22 @@
           entry.warmUntil};
 }
 
-bool BackendRegistry::isCandidate(const std::string& key, const Entry& entry) const {
-  const auto owner = tokens_.find(tokenOf(entry.address.id));
-  const bool ownsToken = owner != tokens_.end() && owner->second == key;
-  return ownsToken && entry.present && !entry.ended &&
+bool BackendRegistry::isCandidate(const Entry& entry) const {
+  // Of two back ends with one token only the first takes flows.
+  return tokens_.OwnsHash(entry.address.id) && entry.present && !entry.ended &&
          entry.registration.state == BackendState::kActive;
 }
 
 bool BackendRegistry::takesNewFlows(BackendId id) const {
   const auto key = keys_.find(id);
-  return key != keys_.end() && isCandidate(key->second, entries_.at(key->second));
+  return key != keys_.end() && isCandidate(entries_.at(key->second));
 }
 
 const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
   const auto [list, isNew] = candidates_.try_emplace(service);
   if (isNew) {
-    list->second = collect(service, [this](const std::string& key, const Entry& entry) {
-      return isCandidate(key, entry);
-    });
+    list->second = collect(
+        service, [this](const std::string&, const Entry& entry) { return isCandidate(entry); });
   }
   return list->second;
 }
@@ -276,16 +232,13 @@
 }
 
 void BackendRegistry::forget(const std::string& key, const Entry& entry) {
-  const auto owner = tokens_.find(tokenOf(entry.address.id));
-  if (owner != tokens_.end() && owner->second == key) {
-    tokens_.erase(owner);
-  }
+  tokens_.ForgetBackend(entry.address.id);
   keys_.erase(entry.address.id);
   services_[entry.address.service].erase(key);
   endpoints_[entry.address.endpoint].erase(key);
   if (endpoints_[entry.address.endpoint].empty()) {
     endpoints_.erase(entry.address.endpoint);
-    forgetAddress(entry.address.endpoint);
+    tokens_.ForgetAddress(entry.address.endpoint);
   }
 }
 
@@ -314,7 +267,7 @@
 std::size_t BackendRegistry::activeCount() const {
   std::size_t count = 0;
   for (const auto& [key, entry] : entries_) {
-    count += isCandidate(key, entry) ? 1U : 0U;
+    count += isCandidate(entry) ? 1U : 0U;
   }
   return count;
 }
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "core/placement_weights.h"
-#include "core/reach/token_reach.h"
+#include "core/reach/token_index.h"
 #include "core/registration.h"
 #include "core/types.h"
 
@@ -38,10 +38,6 @@
 
 const char* toString(RegistryEvent event);
 
-/// @return the token of a back end whose address does not fit into one: a hash of its id, equal at
-/// every daemon; never kNoToken.
-SteeringToken tokenOf(BackendId id);
-
 class BackendRegistry {
  public:
   /// @param keepDeparted how long a back end that is gone stays reachable by token.
@@ -49,7 +45,7 @@
   /// @param reach writes addresses into tokens and is told their ports; outlives the registry.
   /// Null: tokens are hashes.
   BackendRegistry(Duration keepDeparted, PlacementWeights& weights, TokenReach* reach = nullptr)
-      : keepDeparted_(keepDeparted), weights_(weights), reach_(reach) {}
+      : keepDeparted_(keepDeparted), weights_(weights), tokens_(reach) {}
 
   /// Weighs every back end again, after the policy changed.
   void reweigh();
@@ -69,7 +65,9 @@
   /// gives the last back end there.
   const BackendAddress* findByToken(SteeringToken token) const;
   /// @return the token to be written into packets of a back end.
-  SteeringToken tokenFor(const BackendAddress& backend) const;
+  SteeringToken tokenFor(const BackendAddress& backend) const {
+    return tokens_.GetToken(backend.id, backend.endpoint);
+  }
   /// @return the back end, gone or not, or null.
   const BackendAddress* find(BackendId id) const;
   /// @return true where another back end was registered later at the same address: it has ended.
@@ -111,12 +109,8 @@
 
   static PlacementCandidate candidateOf(const Entry& entry);
   static bool hasVanished(const Entry& entry, Time since);
-  bool isCandidate(const std::string& key, const Entry& entry) const;
+  bool isCandidate(const Entry& entry) const;
   void markEnded(const Endpoint& endpoint);
-  /// @return the token that holds an address, where it fits into one.
-  std::optional<SteeringToken> addressToken(const Endpoint& endpoint) const;
-  void indexAddress(const Endpoint& endpoint);
-  void forgetAddress(const Endpoint& endpoint);
   /// @return the back end that is at an address, or was there last, or null.
   const BackendAddress* findLastAt(const Endpoint& endpoint) const;
   /// Notes that an item is no longer in the store.
@@ -128,11 +122,8 @@
 
   Duration keepDeparted_;
   PlacementWeights& weights_;
-  TokenReach* reach_;
-  std::map<std::string, Entry> entries_;                   ///< By key.
-  std::unordered_map<SteeringToken, std::string> tokens_;  ///< Keys, by the hash form.
-  /// Addresses by the form that holds one. Where two share a token, neither uses it.
-  std::unordered_map<SteeringToken, std::set<Endpoint>> addressTokens_;
+  std::map<std::string, Entry> entries_;  ///< By key.
+  TokenIndex tokens_;
   std::unordered_map<BackendId, std::string> keys_;
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
