Leave a pause after a read where another daemon may be followed

Cause: a daemon read on until it heard of a reader that ranks before it.

Change: a daemon that hears a seed, or has just started and knows one, reads again 0.3 s after an answer, and its next watch waits so much less. Not where packets wait for a back end or a gap is to be closed.

Test failed first: 93 calls of 30 starting daemons, now 66.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -126,6 +126,9 @@
 /// force on the strictest fleets, so that a store that serves this daemon alone is noticed in time.
 inline constexpr Duration kReadBackOffCovered = 3000ms;
 inline constexpr std::uint32_t kTriesBeforeRare = 2;
+/// Time that a daemon which hears a seed leaves after a read, so that it learns of a daemon to
+/// follow before it reads again; one tick and a round trip. Its next watch waits so much less.
+inline constexpr std::chrono::milliseconds kLetOthersRead = 300ms;
 /// A seed that has answered within this time counts as one that tries.
 inline constexpr Duration kSeedHeardWithin = 1500ms;
 /// Changes that follow each other within kBurstGap are a burst; the watch that follows one begins
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -51,6 +51,7 @@
   this->Seeds = seeds;
   this->IsSeed = std::erase(this->Seeds, this->Self) != 0;
   this->OwnRank = RankOf(this->Self, this->IsSeed);
+  this->Reader.setCovered(!this->IsSeed && !this->Seeds.empty());
   // Each daemon prefers seeds in an order of its own, which spreads followers.
   const std::uint64_t own = EndpointHash{}(this->Self);
   std::sort(this->Seeds.begin(),
@@ -77,9 +78,12 @@
 
 void ViewRelay::CoverReader(Time now)
 {
-  const bool isSeedHeard =
-    this->SeedHeardAt != Time{} && now - this->SeedHeardAt < kSeedHeardWithin;
-  this->Reader.setCovered(!this->IsSeed && isSeedHeard);
+  if (this->SeedHeardAt == Time{}) {
+    this->SeedHeardAt = now; // Taken to be there until silent for long enough.
+  }
+  const bool isSeedHeard = now - this->SeedHeardAt < kSeedHeardWithin;
+  this->Reader.setCovered(!this->IsSeed && !this->Seeds.empty() &&
+                          isSeedHeard);
 }
 
 void ViewRelay::OnTick(const std::vector<Endpoint>& peers, Time now)
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -158,7 +158,7 @@
   std::map<Endpoint, ClockRelation> Clocks;
   std::size_t NextSeed = 0;
   Time NextAskAt{};
-  Time SeedHeardAt{}; ///< When another seed last answered; zero: never.
+  Time SeedHeardAt{}; ///< When another seed last answered.
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -50,6 +50,7 @@
 
 void StoreReader::onReply(const StoreReply& reply, Time now) {
   reading_ = false;
+  pause_ = 0ms;
   nextReadAt_ = now;
   rareReadAt_ = now;
   if (reply.outcome == ReadOutcome::kHistoryGone) {
@@ -99,17 +100,24 @@
     sink_.onChange(change, now);
   }
   revision_ = std::max(revision_, reply.at);
-  inBurst_ = false;
   confirming_ = false;
   complete_ = true;
   confirmedAt_ = now;
-  if (!reply.changes.empty()) {
-    const bool followsAnother = lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
-    lastChangeAt_ = now;
-    const bool isWanted = wantedAt_ != Time{} && now - wantedAt_ < kWantedFor;
-    inBurst_ = followsAnother && !isWanted;
-    nextReadAt_ = inBurst_ ? now + (watchWait_ - waitAfterBurst()) : now;
+  pause_ = pauseAfter(!reply.changes.empty(), now);
+  nextReadAt_ = now + pause_;
+}
+
+std::chrono::milliseconds StoreReader::pauseAfter(bool changed, Time now) {
+  const bool inBurst = changed && lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
+  lastChangeAt_ = changed ? now : lastChangeAt_;
+  const bool isWanted = wantedAt_ != Time{} && now - wantedAt_ < kWantedFor;
+  if (isWanted || urgent_) {
+    return 0ms;
+  }
+  if (inBurst) {
+    return watchWait_ - std::min(kWaitAfterBurst, watchWait_);
   }
+  return covered_ ? std::min(kLetOthersRead, watchWait_) : 0ms;
 }
 
 void StoreReader::onFailure(const StoreReply& reply, Time now) {
@@ -182,14 +190,10 @@
   if (!complete_) {
     return kCatchUpWait;
   }
-  const std::chrono::milliseconds wait = inBurst_ ? waitAfterBurst() : watchWait_;
+  const std::chrono::milliseconds wait = watchWait_ - pause_;
   return confirming_ ? std::min(kConfirmWait, wait) : wait;
 }
 
-std::chrono::milliseconds StoreReader::waitAfterBurst() const {
-  return std::min(kWaitAfterBurst, watchWait_);
-}
-
 Duration StoreReader::timeoutNow() const {
   const std::uint32_t doublings =
       std::min<std::uint32_t>(failuresInRow_ / kReadsPerTimeout, kReadTimeoutDoublings);
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -106,8 +106,8 @@
   void setActive(bool active) { active_ = active; }
   bool isActive() const { return active_; }
 
-  /// Says whether other daemons try to read as well and will tell this one: reads that have failed
-  /// several times are repeated rarely then.
+  /// Says whether other daemons read as well and will tell this one: a read is followed by a pause
+  /// then, and reads that have failed several times are repeated rarely.
   void setCovered(bool covered) { covered_ = covered; }
 
   /// Says whether something is missing that only a read can give: no read is put off then.
@@ -147,7 +147,8 @@
   void beginListing();
   void clearListing();
   std::chrono::milliseconds watchWait() const;
-  std::chrono::milliseconds waitAfterBurst() const;
+  /// @return how long to leave the store alone after an answer.
+  std::chrono::milliseconds pauseAfter(bool changed, Time now);
   Duration timeoutNow() const;
   Duration backOffAfter(ReadOutcome outcome);
   /// @return a random time from half of `span` to all of it.
@@ -164,8 +165,8 @@
   bool listing_ = true;
   bool complete_ = false;
   Time wantedAt_{};
-  bool staleWillDo_ = true;  ///< No listing has been tried but the first.
-  bool inBurst_ = false;     ///< Changes follow each other: the next watch begins after a pause.
+  bool staleWillDo_ = true;             ///< No listing has been tried but the first.
+  std::chrono::milliseconds pause_{0};  ///< Before the next watch, which waits so much less.
   bool confirming_ = false;  ///< The last watch was lost; what it missed is not known yet.
   Time nextReadAt_{};
   Time rareReadAt_{};  ///< Instead, where others read as well and nothing is urgent.
--- a/tests/core/relay/relay_fixture.h
+++ b/tests/core/relay/relay_fixture.h
@@ -100,7 +100,8 @@
   Node& At(std::size_t index) { return *this->Nodes[index]; }
 
   /// The store answers a read at once where it has news, else after its wait.
-  void ServeStore(Node& node)
+  /// \return whether it answered, so that the daemon may read again.
+  bool ServeStore(Node& node)
   {
     const core::Time clock = node.Clock(this->Now);
     if (!node.Pending) {
@@ -109,7 +110,7 @@
       node.Calls += node.Pending ? 1 : 0;
     }
     if (!node.Pending) {
-      return;
+      return false;
     }
     const core::Duration waited = clock - node.AskedAt;
     std::optional<core::StoreReply> reply;
@@ -131,6 +132,7 @@
       node.Reader.onReply(*reply, clock);
       node.Relay.OnStoreAnswer(clock);
     }
+    return reply.has_value();
   }
 
   void Collect(Node& node, std::vector<Message>& messages)
@@ -194,7 +196,9 @@
     for (auto& node : this->Nodes) {
       if (node->Alive) {
         node->Relay.OnTick(peers, node->Clock(this->Now));
-        this->ServeStore(*node);
+        // A daemon goes on reading before it hears its peers.
+        for (int reads = 0; reads < 3 && this->ServeStore(*node); ++reads) {
+        }
       }
     }
     this->Exchange();
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -116,6 +116,17 @@
   }
 }
 
+// Each of 295 daemons that started together began a watch of its own before it
+// had heard of a reader.
+BOOST_AUTO_TEST_CASE(a_starting_fleet_lists_and_catches_up_and_then_follows)
+{
+  this->Grow(30);
+  this->Run(3s);
+  BOOST_TEST(this->CountReading() == 1U);
+  // A listing and a watch each, and what three seeds read until they agree.
+  BOOST_TEST(this->CountCalls() <= 2 * 30U + 10U);
+}
+
 // With 295 daemons an outage cost 5,400 refused calls (cflc-quotes-large
 // trouble-3).
 BOOST_AUTO_TEST_CASE(while_the_store_is_away_few_daemons_try_it)
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -68,6 +68,21 @@
   BOOST_TEST(!reader.nextRead(now + core::kReadBackOffLongest).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_that_may_follow_leaves_a_pause_and_watches_for_less) {
+  begin();
+  reader.setCovered(true);
+  now += 5s;
+  answerNext();
+  BOOST_TEST((reader.nextReadAt() - now == core::kLetOthersRead));
+  BOOST_TEST((nextRead().wait == core::kWatchWait - core::kLetOthersRead));
+  reader.onReply(store.answer({}), now);
+  // Not where packets wait for a back end.
+  reader.onWanted(now);
+  answerNext();
+  BOOST_TEST((reader.nextReadAt() == now));
+  BOOST_TEST((nextRead().wait == core::kWatchWait));
+}
+
 BOOST_AUTO_TEST_CASE(a_rare_read_comes_at_once_where_it_is_urgent_or_nobody_else_reads) {
   begin();
   reader.setCovered(true);
