--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -125,7 +125,7 @@
 /// well and pass on what they read. Half of it random; the time in which a change has to be in
 /// force on the strictest fleets, so that a store that serves this daemon alone is noticed in time.
 inline constexpr Duration kReadBackOffCovered = 3000ms;
-inline constexpr std::uint32_t kTriesBeforeRare = 2;
+inline constexpr std::uint32_t kTriesBeforeRare = 1;
 /// Time that a daemon which hears a seed leaves after a read, so that it learns of a daemon to
 /// follow before it reads again; one tick and a round trip. Its next watch waits so much less.
 inline constexpr std::chrono::milliseconds kLetOthersRead = 300ms;
