--- a/src/core/reach/token_index.cc
+++ b/src/core/reach/token_index.cc
@@ -10,7 +10,7 @@
 
 } // namespace
 
-SteeringToken tokenOf(BackendId id)
+SteeringToken HashTokenOf(BackendId id)
 {
   const auto hash = static_cast<std::uint32_t>(
     mixHash(static_cast<std::uint64_t>(id), kTokenSalt));
@@ -19,19 +19,19 @@
 
 void TokenIndex::AddBackend(BackendId id)
 {
-  this->Ids.try_emplace(tokenOf(id), id);
+  this->Ids.try_emplace(HashTokenOf(id), id);
 }
 
 void TokenIndex::ForgetBackend(BackendId id)
 {
   if (this->OwnsHash(id)) {
-    this->Ids.erase(tokenOf(id));
+    this->Ids.erase(HashTokenOf(id));
   }
 }
 
 bool TokenIndex::OwnsHash(BackendId id) const
 {
-  const auto owner = this->Ids.find(tokenOf(id));
+  const auto owner = this->Ids.find(HashTokenOf(id));
   return owner != this->Ids.end() && owner->second == id;
 }
 
@@ -72,7 +72,7 @@
 {
   const std::optional<SteeringToken> token = this->Encode(endpoint);
   const bool isCertain = token && this->FindOnlyAddress(*token) != nullptr;
-  return isCertain ? *token : tokenOf(id);
+  return isCertain ? *token : HashTokenOf(id);
 }
 
 std::optional<SteeringToken> TokenIndex::Encode(const Endpoint& endpoint) const
--- a/src/core/reach/token_index.h
+++ b/src/core/reach/token_index.h
@@ -15,7 +15,7 @@
 
 /// Get the token of a back end whose address does not fit into one: a hash of
 /// its id, equal at every daemon; never kNoToken.
-SteeringToken tokenOf(BackendId id);
+SteeringToken HashTokenOf(BackendId id);
 
 /** \class TokenIndex
  * \brief Find registered back ends by either form of their token.
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -57,15 +57,15 @@
   // Ids whose tokens collide are found by search, as the token has 32 bits.
   std::unordered_map<core::SteeringToken, std::uint64_t> seen;
   std::uint64_t id = 1;
-  while (seen.try_emplace(core::tokenOf(BackendId{id}), id).second) {
+  while (seen.try_emplace(core::HashTokenOf(BackendId{id}), id).second) {
     ++id;
   }
-  const std::uint64_t other = seen.at(core::tokenOf(BackendId{id}));
+  const std::uint64_t other = seen.at(core::HashTokenOf(BackendId{id}));
   registry.put("servers/a", makeRegistration(other, "web", 1, 1), 1, now);
   registry.put("servers/b", makeRegistration(id, "web", 1, 2), 2, now);
   BOOST_TEST(registry.takesNewFlows(BackendId{other}));
   BOOST_TEST(!registry.takesNewFlows(BackendId{id}));
-  BOOST_TEST((registry.findByToken(core::tokenOf(BackendId{id}))->id == BackendId{other}));
+  BOOST_TEST((registry.findByToken(core::HashTokenOf(BackendId{id}))->id == BackendId{other}));
 }
 
 // A listing gives items by key; the later back end may come before the one that it replaced.
--- a/tests/core/reach/reach_steering_test.cc
+++ b/tests/core/reach/reach_steering_test.cc
@@ -144,7 +144,7 @@
   const core::Verdict byAddress =
     this->Send(this->Steering, 1, this->TokenOfHost(3));
   const core::Verdict byHash =
-    this->Send(this->Steering, 2, core::tokenOf(third));
+    this->Send(this->Steering, 2, core::HashTokenOf(third));
   const core::Endpoint expected = endpoint(1, 3, 8000);
   for (const core::Verdict& verdict : { byAddress, byHash }) {
     const auto& forward = std::get<core::ForwardToBackend>(verdict);
@@ -162,9 +162,9 @@
   this->Put(this->Steering, far);
   const auto* backend = this->Steering.backends().find(BackendId{ 70 });
   BOOST_TEST((this->Steering.backends().tokenFor(*backend) ==
-              core::tokenOf(BackendId{ 70 })));
+              core::HashTokenOf(BackendId{ 70 })));
   const core::Verdict verdict =
-    this->Send(this->Steering, 1, core::tokenOf(BackendId{ 70 }));
+    this->Send(this->Steering, 1, core::HashTokenOf(BackendId{ 70 }));
   BOOST_TEST((TokenFixture::backendOf(verdict) == BackendId{ 70 }));
 }
 
@@ -199,7 +199,7 @@
   for (const BackendId id : { BackendId{ 1 }, BackendId{ 80 } }) {
     const auto* backend = this->Steering.backends().find(id);
     BOOST_TEST(
-      (this->Steering.backends().tokenFor(*backend) == core::tokenOf(id)));
+      (this->Steering.backends().tokenFor(*backend) == core::HashTokenOf(id)));
     BOOST_TEST(this->Steering.backends().takesNewFlows(id));
   }
   const core::Verdict verdict = this->Send(this->Steering, 1, shared);
--- a/tests/core/reach/token_reach_test.cc
+++ b/tests/core/reach/token_reach_test.cc
@@ -21,7 +21,7 @@
 
 core::SteeringToken HashToken(std::uint64_t id)
 {
-  return core::tokenOf(core::BackendId{ id });
+  return core::HashTokenOf(core::BackendId{ id });
 }
 
 BOOST_AUTO_TEST_SUITE(TokenReachTest)
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -20,7 +20,7 @@
   const core::Verdict verdict = open(1);
   const auto* forward = std::get_if<core::ForwardToBackend>(&verdict);
   BOOST_REQUIRE(forward != nullptr);
-  BOOST_TEST((forward->token == core::tokenOf(forward->backend.id)));
+  BOOST_TEST((forward->token == core::HashTokenOf(forward->backend.id)));
   BOOST_TEST((ruleOf(verdict) == RouteReason::kPlaced));
 }
 
@@ -87,7 +87,7 @@
 BOOST_AUTO_TEST_CASE(a_closed_flow_does_not_count_as_open_again) {
   const BackendId backend = openAndAnswer(1);
   core::PacketSummary close = packet(1, core::PacketKind::kClosing);
-  close.token = core::tokenOf(backend);
+  close.token = core::HashTokenOf(backend);
   BOOST_TEST((backendOf(steering.onPacket(close, now)) == backend));
   BOOST_TEST(steering.flows().openOn(backend) == 0U);
   BOOST_TEST((backendOf(send(1, backend, 9, 0)) == backend));
--- a/tests/support/token_fixtures.h
+++ b/tests/support/token_fixtures.h
@@ -69,7 +69,7 @@
   core::Verdict send(std::uint16_t port, core::BackendId backend, std::uint32_t acknowledgement,
                      std::uint32_t dataLength, std::uint32_t sequence = 1000) {
     core::PacketSummary summary = packet(port, core::PacketKind::kContinuing);
-    summary.token = core::tokenOf(backend);
+    summary.token = core::HashTokenOf(backend);
     summary.acknowledgement = acknowledgement;
     summary.sequence = sequence;
     summary.dataLength = dataLength;
