--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -270,32 +270,10 @@
     (this->IsOtherSeed(sender) || this->Upstream == sender);
 }
 
-void ViewRelay::NoteClock(const ViewUpdate& update, Time now)
-{
-  const auto echo = Time(static_cast<Time::rep>(update.echoUs));
-  if (update.echoUs == 0 || echo > now || now - echo > kSubscriptionLease) {
-    return;
-  }
-  const std::int64_t offset = static_cast<std::int64_t>(update.echoUs) -
-    static_cast<std::int64_t>(update.clockUs);
-  this->Clocks[update.sender] = { offset, now };
-}
-
-std::optional<Time> ViewRelay::ConfirmationTime(const ViewUpdate& update,
-                                                Time now) const
-{
-  const auto clock = this->Clocks.find(update.sender);
-  if (clock == this->Clocks.end()) {
-    return std::nullopt;
-  }
-  const auto confirmed = static_cast<std::int64_t>(update.confirmedUs);
-  return std::min(now, Time(confirmed + clock->second.OffsetUs));
-}
-
 UpdateOutcome ViewRelay::OnUpdate(const ViewUpdate& update, Time now)
 {
   if (update.leaving) {
-    this->Clocks.erase(update.sender);
+    this->Clocks.Forget(update.sender);
     if (this->Upstream == update.sender) {
       this->StopFollowing();
     }
@@ -310,8 +288,9 @@
   if (this->IsDecider(update.sender)) {
     this->Outliers.Adopt(update.outliers, now);
   }
-  this->NoteClock(update, now);
-  const std::optional<Time> confirmed = this->ConfirmationTime(update, now);
+  this->Clocks.Note(update, now);
+  const std::optional<Time> confirmed =
+    this->Clocks.GetConfirmation(update, now);
   if (!confirmed || update.revision == 0) {
     return UpdateOutcome::kUnusable;
   }
@@ -410,9 +389,7 @@
 {
   std::erase_if(this->Followers,
                 [now](const auto& item) { return item.second <= now; });
-  std::erase_if(this->Clocks, [now](const auto& item) {
-    return now - item.second.LearnedAt > kClockMemory;
-  });
+  this->Clocks.Expire(now);
 }
 
 std::vector<OutgoingRelay> ViewRelay::TakeMessages()
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -19,6 +19,7 @@
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
+#include "core/relay/peer_clocks.h"
 #include "core/relay/relay_timing.h"
 #include "core/store_reader.h"
 #include "core/view_messages.h"
@@ -109,16 +110,6 @@
   const ViewRelayCounters& GetCounters() const { return this->Counters; }
 
 private:
-  /// How a peer's clock relates to this daemon's.
-  struct ClockRelation
-  {
-    std::int64_t OffsetUs = 0; ///< Added to the peer's time: not later here.
-    Time LearnedAt{};
-  };
-
-  void NoteClock(const ViewUpdate& update, Time now);
-  std::optional<Time> ConfirmationTime(const ViewUpdate& update,
-                                       Time now) const;
   bool Apply(const ViewUpdate& update, Time now);
   void Follow(const ViewUpdate& update, Time now);
   void StopFollowing();
@@ -155,7 +146,7 @@
   bool Leaving = false;
   std::optional<Endpoint> Upstream;
   std::map<Endpoint, Time> Followers; ///< With the end of their lease.
-  std::map<Endpoint, ClockRelation> Clocks;
+  PeerClocks Clocks;
   std::size_t NextSeed = 0;
   Time NextAskAt{};
   Time SeedHeardAt{}; ///< When another seed last answered.
