--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -133,6 +133,7 @@
     return best;
   }
   decision_.candidates = candidates.size();
+  decision_.slowCandidates = 0;
   std::uint64_t ties = 0;
   const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
   const std::size_t start = random_.below(candidates.size());
@@ -143,6 +144,7 @@
     if (choice.excluded) {
       continue;
     }
+    decision_.slowCandidates += choice.slow ? 1U : 0U;
     const bool better = best.id == kNoBackend || isBetter(choice, best);
     const bool worse = !better && isBetter(best, choice);
     ties = better ? 1 : ties + (worse ? 0U : 1U);
@@ -157,13 +159,15 @@
                                             bool outliersCount, Time now) const {
   const double flows = flows_.openOn(candidate.id) + 1.0;
   const double warmUp = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
-  const double factor = std::max(warmUp, slownessOf(candidate.id, now));
+  const double slowness = slownessOf(candidate.id, now);
+  const double factor = std::max(warmUp, slowness);
   Choice choice;
   choice.id = candidate.id;
   choice.capacity = candidate.capacity;
   const bool isOutlier = outliersCount && outliers_->IsOutlier(candidate.id);
   choice.suspected = candidate.id == avoided || isOutlier || health_.isSuspected(candidate.id, now);
   choice.busy = pacer_.isBusy(candidate.id, now);
+  choice.slow = slowness > 1.0;
   choice.excluded = candidate.weight == 0;
   choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
   return choice;
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -43,8 +43,9 @@
 struct OpeningDecision {
   std::string route;
   BackendId backend = kNoBackend;
-  std::uint32_t openFlows = 0;       ///< On the back end, as far as seen here.
-  std::size_t candidates = 0;        ///< Back ends that could have been chosen.
+  std::uint32_t openFlows = 0;     ///< On the back end, as far as seen here.
+  std::size_t candidates = 0;      ///< Back ends that could have been chosen.
+  std::size_t slowCandidates = 0;  ///< Of those that were compared: passed over for their answers.
   ConfigurationVersion version = 0;  ///< Of the routes that decided.
 };
 
@@ -122,6 +123,7 @@
     bool excluded = true;  ///< The policy gives it no new flow.
     bool suspected = true;
     bool busy = true;
+    bool slow = false;  ///< Its answers take longer than usual.
     double load = 0;
   };
   /// @return the best back end for a route, with kNoBackend where there is none.
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -49,6 +49,7 @@
             {"route", decision.route},
             {"open_flows", std::to_string(decision.openFlows)},
             {"candidates", std::to_string(decision.candidates)},
+            {"slow", std::to_string(decision.slowCandidates)},
             {"version", std::to_string(decision.version)},
             {"revision", std::to_string(viewRevision)}});
 }
--- a/tests/core/token_openings_test.cc
+++ b/tests/core/token_openings_test.cc
@@ -317,6 +317,7 @@
     ++flows[openAndAnswer(port)];
   }
   BOOST_TEST(flows[BackendId{1}] < 4);
+  BOOST_TEST(steering.lastDecision().slowCandidates == 1U);
   BOOST_TEST((backendOf(send(501, BackendId{1}, data, 10, data)) == BackendId{1}));
 }
 
