--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -66,6 +66,10 @@
   BOOST_TEST((reader.nextReadAt() - now >= core::kReadBackOffCovered / 2));
   BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffCovered));
   BOOST_TEST(!reader.nextRead(now + core::kReadBackOffLongest).has_value());
+  // Sooner where changes have to be in force sooner.
+  reader.setPace(core::kWatchWait / 2, core::kViewCurrentFor);
+  failNext(ReadOutcome::kUnavailable);
+  BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffCovered / 2));
 }
 
 BOOST_AUTO_TEST_CASE(a_reader_that_may_follow_leaves_a_pause_and_watches_for_less) {
