--- /dev/null
+++ b/tests/core/reach/token_index_test.cc
@@ -0,0 +1,87 @@
+#include "core/reach/token_index.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "support/core_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::BackendId;
+
+struct TokenIndexFixture
+{
+  core::TokenReach Reach{ core::AddressTokenCodec(endpoint(1, 1, 1).address,
+                                                  7) };
+  core::TokenIndex Index{ &this->Reach };
+
+  core::SteeringToken AddressToken(const core::Endpoint& address) const
+  {
+    return *this->Reach.GetCodec().Encode(address);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(TokenIndexTest, TokenIndexFixture)
+
+BOOST_AUTO_TEST_CASE(both_forms_find_a_back_end)
+{
+  const core::Endpoint address = endpoint(2, 3, 8080);
+  this->Index.AddBackend(BackendId{ 5 });
+  this->Index.AddAddress(address);
+  const core::SteeringToken written =
+    this->Index.GetToken(BackendId{ 5 }, address);
+  BOOST_TEST((written == this->AddressToken(address)));
+  BOOST_TEST(
+    (std::get<core::Endpoint>(*this->Index.Find(written)) == address));
+  const auto byHash = this->Index.Find(core::HashTokenOf(BackendId{ 5 }));
+  BOOST_TEST((std::get<BackendId>(*byHash) == BackendId{ 5 }));
+}
+
+BOOST_AUTO_TEST_CASE(without_addresses_tokens_are_hashes)
+{
+  core::TokenIndex hashes(nullptr);
+  const core::Endpoint address = endpoint(2, 3, 8080);
+  hashes.AddAddress(address);
+  BOOST_TEST((hashes.GetToken(BackendId{ 5 }, address) ==
+              core::HashTokenOf(BackendId{ 5 })));
+  BOOST_TEST(!hashes.Find(this->AddressToken(address)).has_value());
+}
+
+// Of the ports of one host about one pair in 256 shares a token.
+BOOST_AUTO_TEST_CASE(two_addresses_with_one_token_use_hashes_until_one_goes)
+{
+  std::map<core::SteeringToken, core::Endpoint> seen;
+  core::Endpoint first;
+  core::Endpoint second = endpoint(2, 3, 1);
+  while (seen.try_emplace(this->AddressToken(second), second).second) {
+    ++second.port;
+  }
+  first = seen.at(this->AddressToken(second));
+  const core::SteeringToken shared = this->AddressToken(first);
+  this->Index.AddAddress(first);
+  this->Index.AddAddress(second);
+  BOOST_TEST(!this->Index.Find(shared).has_value());
+  BOOST_TEST((this->Index.GetToken(BackendId{ 5 }, first) ==
+              core::HashTokenOf(BackendId{ 5 })));
+  this->Index.ForgetAddress(second);
+  BOOST_TEST((std::get<core::Endpoint>(*this->Index.Find(shared)) == first));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_forgotten_is_not_found)
+{
+  const core::Endpoint address = endpoint(2, 3, 8080);
+  this->Index.AddBackend(BackendId{ 5 });
+  this->Index.AddAddress(address);
+  BOOST_TEST(this->Index.OwnsHash(BackendId{ 5 }));
+  this->Index.ForgetBackend(BackendId{ 5 });
+  this->Index.ForgetAddress(address);
+  BOOST_TEST(!this->Index.OwnsHash(BackendId{ 5 }));
+  BOOST_TEST(!this->Index.Find(this->AddressToken(address)).has_value());
+  BOOST_TEST(!this->Index.Find(core::HashTokenOf(BackendId{ 5 })).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
