Take the service of a back end from where it is known

Placement looked every compared back end up in the registry, by id and by key, only to learn its service: up to 32 times an opening. Each answer did so once more, though its caller holds the back end's address. A candidate names its service now, and the address is handed on.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -155,8 +155,8 @@
 }
 
 PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) {
-  return {entry.address.id, std::max(entry.registration.capacity, 1U), entry.weight,
-          entry.warmUntil};
+  return {entry.address.id, entry.address.service, std::max(entry.registration.capacity, 1U),
+          entry.weight, entry.warmUntil};
 }
 
 bool BackendRegistry::isCandidate(const Entry& entry) const {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -21,6 +21,7 @@
 /// A back end that may be given new flows.
 struct PlacementCandidate {
   BackendId id = kNoBackend;
+  ServiceId service{0};
   std::uint32_t capacity = 1;
   std::uint32_t weight = kDefaultPlacementWeight;
   Time warmUntil{};  ///< Slow until this time.
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -159,7 +159,7 @@
                                             bool outliersCount, Time now) const {
   const double flows = flows_.openOn(candidate.id) + 1.0;
   const double warmUp = now < candidate.warmUntil ? kWarmUpFactor : 1.0;
-  const double slowness = slownessOf(candidate.id, now);
+  const double slowness = answerTimes_.GetSlowness(candidate.id, candidate.service, now);
   const double factor = std::max(warmUp, slowness);
   Choice choice;
   choice.id = candidate.id;
@@ -173,11 +173,6 @@
   return choice;
 }
 
-double TokenSteering::slownessOf(BackendId id, Time now) const {
-  const BackendAddress* backend = backends_.find(id);
-  return backend == nullptr ? 1.0 : answerTimes_.GetSlowness(id, backend->service, now);
-}
-
 bool TokenSteering::isBetter(const Choice& left, const Choice& right) {
   return std::tie(left.excluded, left.suspected, left.busy, left.load) <
          std::tie(right.excluded, right.suspected, right.busy, right.load);
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -94,14 +94,14 @@
   }
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
   if (newBytes || !flow->answered) {
-    noteAnswer(*flow, now);
+    noteAnswer(*flow, backend, now);
     flow->acknowledgement = packet.acknowledgement;
   }
   noteData(packet, *flow, now);
   flows_.touch(*flow, now);
 }
 
-void TokenSteering::noteAnswer(TokenFlow& flow, Time now) {
+void TokenSteering::noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now) {
   health_.onAnswer(flow.backend, now);
   if (outliers_ != nullptr && !flow.dataAnswered) {
     outliers_->OnAnswered();
@@ -111,18 +111,13 @@
   } else if (latencies_ != nullptr && !flow.dataAnswered) {
     latencies_->onDataAnswered(now - flow.dataSentAt);
   }
-  noteAnswerTime(flow, now);
+  if (!flow.dataAnswered) {
+    answerTimes_.OnAnswer(backend.id, backend.service, now - flow.dataSentAt, now);
+  }
   flow.answered = true;
   flow.dataAnswered = true;
 }
 
-void TokenSteering::noteAnswerTime(const TokenFlow& flow, Time now) {
-  const BackendAddress* backend = backends_.find(flow.backend);
-  if (!flow.dataAnswered && backend != nullptr) {
-    answerTimes_.OnAnswer(flow.backend, backend->service, now - flow.dataSentAt, now);
-  }
-}
-
 void TokenSteering::noteData(const PacketSummary& packet, TokenFlow& flow, Time now) {
   if (packet.dataLength == 0) {
     return;
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -134,14 +134,12 @@
                      Time now);
   Choice assess(const PlacementCandidate& candidate, BackendId avoided, bool outliersCount,
                 Time now) const;
-  /// @return how many times longer than usual the back end's answers take; at least 1.
-  double slownessOf(BackendId id, Time now) const;
   static bool isBetter(const Choice& left, const Choice& right);
   /// @return what an opening gets where no back end of its route takes flows.
   Verdict withoutBackend(const Route& route, Time now);
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
-  void noteAnswer(TokenFlow& flow, Time now);
-  void noteAnswerTime(const TokenFlow& flow, Time now);
+  /// Notes that the back end of a flow answered. @param backend that of the flow.
+  void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
