Let RelayTiming hold the time of rare tries like all other limits

The reader scaled it itself by the ratio of another constant; RelayTiming is where limits follow from the time in which changes have to be in force.

--- a/src/core/relay/relay_timing.h
+++ b/src/core/relay/relay_timing.h
@@ -20,6 +20,7 @@
   Duration AskPeersAfter = kAskPeersAfter;
   Duration SeedReadsAfter = kSeedReadsAfter;
   Duration FollowerReadsAfter = kFollowerReadsAfter;
+  Duration RareTryAfter = kReadBackOffCovered;
 
   /// Get the limits for changes that have to be in force within `bound`.
   static RelayTiming Within(Duration bound)
@@ -28,11 +29,9 @@
     const auto scaled = [shorter](Duration duration) {
       return duration * shorter.count() / kChangesInForce.count();
     };
-    return { scaled(kWatchWait),
-             scaled(kViewCurrentFor),
-             scaled(kAskPeersAfter),
-             scaled(kSeedReadsAfter),
-             scaled(kFollowerReadsAfter) };
+    return { scaled(kWatchWait),          scaled(kViewCurrentFor),
+             scaled(kAskPeersAfter),      scaled(kSeedReadsAfter),
+             scaled(kFollowerReadsAfter), scaled(kReadBackOffCovered) };
   }
 };
 
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -43,7 +43,8 @@
   this->Timing = timing;
   this->Reader.setPace(
     std::chrono::duration_cast<std::chrono::milliseconds>(timing.WatchWait),
-    timing.CurrentFor);
+    timing.CurrentFor,
+    timing.RareTryAfter);
 }
 
 void ViewRelay::SetSeeds(const std::vector<Endpoint>& seeds)
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -129,8 +129,7 @@
   // Waiting watches are cut now and then; the first retry need not wait.
   nextReadAt_ = watchEnded ? now : now + backOffAfter(reply.outcome);
   if (complete_ && failuresInRow_ > kTriesBeforeRare) {
-    // Follows the pace, which is quicker where changes have to be in force sooner.
-    rareReadAt_ = now + upTo(kReadBackOffCovered * watchWait_.count() / kWatchWait.count());
+    rareReadAt_ = now + upTo(rareTryAfter_);
   }
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -96,10 +96,12 @@
   /// Notes that a peer knew, at this time, that nothing newer than this view was in the store.
   void confirm(Time at);
 
-  /// Sets how long a watch may wait, and for how long a confirmed view counts as current.
-  void setPace(std::chrono::milliseconds watchWait, Duration currentFor) {
+  /// Sets how long a watch may wait, for how long a confirmed view counts as current, and after how
+  /// long at most a read is repeated that others make as well.
+  void setPace(std::chrono::milliseconds watchWait, Duration currentFor, Duration rareTryAfter) {
     watchWait_ = watchWait;
     currentFor_ = currentFor;
+    rareTryAfter_ = rareTryAfter;
   }
 
   /// Lets nextRead() give reads, or not: a daemon that follows a peer has no need of them.
@@ -158,6 +160,7 @@
   Random& random_;
   std::chrono::milliseconds watchWait_ = kWatchWait;
   Duration currentFor_ = kViewCurrentFor;
+  Duration rareTryAfter_ = kReadBackOffCovered;
   bool active_ = true;
   bool covered_ = false;
   bool urgent_ = false;
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -67,7 +67,7 @@
   BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffCovered));
   BOOST_TEST(!reader.nextRead(now + core::kReadBackOffLongest).has_value());
   // Sooner where changes have to be in force sooner.
-  reader.setPace(core::kWatchWait / 2, core::kViewCurrentFor);
+  reader.setPace(core::kWatchWait / 2, core::kViewCurrentFor, core::kReadBackOffCovered / 2);
   failNext(ReadOutcome::kUnavailable);
   BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffCovered / 2));
 }
