Ask in a test that a loopback network is held and given back

The test only asked that an address begins with 127. It now holds a network that no run takes, sees it refused to a second one, and free again after each end. Three long lines of the demo's fleet are wrapped.

--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -116,8 +116,8 @@
 
     def plan_daemon(self, name, zone):
         self.daemons[name] = {
-            "zone": zone, "control": self.network.port(), "data": self.network.port(), "admin": self.network.port(),
-            "listed": True, "sprayed": True}
+            "zone": zone, "control": self.network.port(), "data": self.network.port(),
+            "admin": self.network.port(), "listed": True, "sprayed": True}
 
     def start_daemon(self, name):
         daemon = self.daemons[name]
@@ -158,8 +158,8 @@
             "state": "active", "capacity": 2000}
         self.spawn(
             name, "cobaltgauge-standin", "backend", f"--name={name}", f"--service={service}",
-            f"--listen={self.host}:{port}", f"--fabric={self.host}:{self.fabric_port}", "--incarnation=1",
-            f"--history={self.path('history-' + name + '.jsonl')}", *flags)
+            f"--listen={self.host}:{port}", f"--fabric={self.host}:{self.fabric_port}",
+            "--incarnation=1", f"--history={self.path('history-' + name + '.jsonl')}", *flags)
 
     # Callers
 
@@ -168,7 +168,8 @@
         return self.spawn(
             name, "cobaltgauge-standin", "caller", f"--name={name}", f"--service={service}",
             f"--target={target.address}:{target.port}", f"--fabric={self.host}:{self.fabric_port}",
-            f"--listen={self.host}:0", f"--network={network}", f"--sessions={sessions}", f"--seconds={seconds}",
+            f"--listen={self.host}:0", f"--network={network}", f"--sessions={sessions}",
+            f"--seconds={seconds}",
             f"--history={self.path('history-' + name + '.jsonl')}", f"--seed={seed}", *flags)
 
     # End
--- a/scripts/loopback.py
+++ b/scripts/loopback.py
@@ -19,8 +19,8 @@
 class LoopbackNetwork:
     """A network 127.N.0.0/16 that no other run holds. It is free again when `close` is called."""
 
-    def __init__(self):
-        self.guard, self.prefix = reserve()
+    def __init__(self, numbers=NETWORKS):
+        self.guard, self.prefix = reserve(numbers)
         self.ports = itertools.count(FIRST_PORT)
 
     def at(self, net, host):
@@ -38,9 +38,9 @@
         self.guard.close()
 
 
-def reserve():
-    """Returns the bound guard and the prefix of the first network that is free."""
-    for number in NETWORKS:
+def reserve(numbers):
+    """Returns the bound guard and the prefix of the first network of `numbers` that is free."""
+    for number in numbers:
         prefix = f"127.{number}"
         guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
--- a/tests/scripts/loopback_test.py
+++ b/tests/scripts/loopback_test.py
@@ -39,12 +39,18 @@
         self.assertNotEqual(first.at(0, 1), second.at(0, 1))
         first.close()
 
-    def test_a_run_that_has_ended_gives_its_network_back(self):
-        command = [sys.executable, "-c",
-                   "from loopback import LoopbackNetwork; print(LoopbackNetwork().at(0, 1))"]
-        asked = [subprocess.run(command, cwd=SCRIPTS, capture_output=True, text=True, check=True)
-                 for _ in range(2)]
-        self.assertTrue(all(answer.stdout.startswith("127.") for answer in asked))
+    def test_a_network_is_held_until_its_run_ends(self):
+        only = range(251, 252)  # Outside of what other runs take.
+        command = [sys.executable, "-c", "from loopback import LoopbackNetwork; "
+                   "print(LoopbackNetwork(range(251, 252)).at(0, 1))"]
+        for _ in range(2):
+            asked = subprocess.run(command, cwd=SCRIPTS, capture_output=True, text=True, check=True)
+            self.assertEqual(asked.stdout, "127.251.0.1\n")
+        network = LoopbackNetwork(only)
+        with self.assertRaises(OSError):
+            LoopbackNetwork(only)
+        network.close()
+        LoopbackNetwork(only).close()
 
     def test_a_process_that_could_not_start_is_named(self):
         with tempfile.TemporaryDirectory() as directory:
