--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -371,6 +371,14 @@
   const core::RelayTiming timing = core::RelayTiming::Within(30s);
   BOOST_TEST((timing.WatchWait == core::kWatchWait));
   BOOST_TEST((timing.FollowerReadsAfter == core::kFollowerReadsAfter));
+  BOOST_TEST((timing.RareTryAfter == core::kReadBackOffCovered));
+}
+
+BOOST_AUTO_TEST_CASE(rare_tries_follow_a_shorter_bound)
+{
+  const core::RelayTiming timing =
+    core::RelayTiming::Within(core::kChangesInForce / 2);
+  BOOST_TEST((timing.RareTryAfter == core::kReadBackOffCovered / 2));
 }
 
 BOOST_AUTO_TEST_CASE(an_update_of_unknown_age_says_nothing)
