Let followers of seeds that read in vain try the store one after the other

Daemons that were added meanwhile tried it ten times a second for want of a view, and asked peers after 250 ms only. After a loss of power a daemon read once more at once, since packets had waited for its first view. Ruled out: trying less at the seeds, which everyone learns the store's return from.

Change: a seed that answers with a view older than its own read limit reads in vain; who hears one makes its first try at a random time and repeats it rarely, both by the number of daemons that it knows. Without a seed that answers nothing is put off. A first read that fails lets a daemon ask peers at once. What waited for the first view makes no change urgent. A daemon asks a seed as soon as it has a view, and leaves 0.5 s after a read (0.3 s before). Followers read by themselves from 1.75 s on (1.6 s), when they have asked a seed twice.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -127,8 +127,16 @@
 inline constexpr Duration kReadBackOffCovered = 3000ms;
 inline constexpr std::uint32_t kTriesBeforeRare = 1;
 /// Time that a daemon which hears a seed leaves after a read, so that it learns of a daemon to
-/// follow before it reads again; one tick and a round trip. Its next watch waits so much less.
-inline constexpr std::chrono::milliseconds kLetOthersRead = 300ms;
+/// follow before it reads again: two questions kAskPeersEvery apart and a busy seed's answer. Its
+/// next watch waits so much less.
+inline constexpr std::chrono::milliseconds kLetOthersRead = 500ms;
+/// A daemon whose seeds read in vain makes its own first try at a random time within this for each
+/// daemon that it knows, kReadBackOffCovered at most: ten tries a second over a small fleet.
+inline constexpr Duration kFirstTryForEachPeer = 100ms;
+/// The same for its later tries: two or three a second over the fleet. A daemon knows no more than
+/// kMostViewPeers others, so the span is bounded; larger fleets try more often, not less.
+inline constexpr Duration kTryForEachPeer = 400ms;
+inline constexpr Duration kLongestTrySpan = 12s;
 /// A seed that has answered within this time counts as one that tries.
 inline constexpr Duration kSeedHeardWithin = 1500ms;
 /// Changes that follow each other within kBurstGap are a burst; the watch that follows one begins
@@ -165,9 +173,13 @@
 /// A follower whose view may be this old asks other peers; a sign of life comes each kWatchWait.
 inline constexpr Duration kAskPeersAfter = 1150ms;
 /// A view that may be this old is read from the store. Seeds, which others follow, are earlier, so
-/// that one of them is there before the rest read as well. Changes must be in force within 3 s.
+/// that one of them is there before the rest read as well; followers have asked a seed twice by
+/// then. Changes must be in force within 3 s.
 inline constexpr Duration kSeedReadsAfter = 1200ms;
-inline constexpr Duration kFollowerReadsAfter = 1600ms;
+inline constexpr Duration kFollowerReadsAfter = 1750ms;
+/// A seed that answers with a view older than kSeedReadsAfter and this has tried the store and has
+/// not been served: a tick and a short read.
+inline constexpr Duration kSeedTriesWithin = 250ms;
 /// A follower renews its subscription this often, and is forgotten after the lease.
 inline constexpr Duration kRenewEvery = 1500ms;
 inline constexpr Duration kSubscriptionLease = 4000ms;
@@ -227,8 +239,8 @@
 /// never sends all of its followers more than this at once. An item has about 100 bytes. A single
 /// change with more, or a listing's, is left out of the log: followers read it from the store.
 inline constexpr std::size_t kHeaviestBatch = 128;
-/// Items that a log keeps: every registration of the largest fleet that is planned for (5,600), which
-/// all come anew after an outage in which they lapsed. About 300 bytes each.
+/// Items that a log keeps: every registration of the largest fleet that is planned for (5,600),
+/// which all come anew after an outage in which they lapsed. About 300 bytes each.
 inline constexpr std::size_t kHeaviestLog = 6144;
 inline constexpr std::size_t kMostBatches = 256;
 
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -77,14 +77,53 @@
   this->Reader.setUrgent(this->CatchingUp);
 }
 
-void ViewRelay::CoverReader(Time now)
+void ViewRelay::CoverReader(std::size_t peers, Time now)
 {
   if (this->SeedHeardAt == Time{}) {
     this->SeedHeardAt = now; // Taken to be there until silent for long enough.
   }
   const bool isSeedHeard = now - this->SeedHeardAt < kSeedHeardWithin;
-  this->Reader.setCovered(!this->IsSeed && !this->Seeds.empty() &&
-                          isSeedHeard);
+  const bool isCovered = !this->IsSeed && !this->Seeds.empty() && isSeedHeard;
+  const bool hasSeedFailed = this->SeedFailedAt != Time{} &&
+    now - this->SeedFailedAt < kSeedHeardWithin;
+  this->Reader.setCovered(isCovered);
+  this->Reader.setOthersFail(isCovered && hasSeedFailed
+                               ? std::optional(this->GetTrySpan(peers))
+                               : std::nullopt);
+}
+
+Duration ViewRelay::GetTrySpan(std::size_t peers) const
+{
+  return std::clamp<Duration>(
+    kTryForEachPeer * peers, this->Timing.RareTryAfter, kLongestTrySpan);
+}
+
+void ViewRelay::NoteSeed(const ViewUpdate& update, Time now)
+{
+  this->SeedHeardAt = now;
+  // Parts and daemons without a view say nothing about the store, and what
+  // is no answer may have waited.
+  if (update.echoUs == 0 || update.confirmedUs == 0) {
+    return;
+  }
+  const Duration age(static_cast<Duration::rep>(update.clockUs) -
+                     static_cast<Duration::rep>(update.confirmedUs));
+  const bool isFailing = age >= this->Timing.SeedReadsAfter + kSeedTriesWithin;
+  this->SeedFailedAt = isFailing ? now : Time{};
+}
+
+void ViewRelay::BeginReading(std::size_t peers, Time now)
+{
+  this->Reading = true;
+  ++this->Counters.ReadingBegan;
+  if (!this->Reader.areOthersFailing()) {
+    return;
+  }
+  const Duration span = std::min<Duration>(kFirstTryForEachPeer * peers,
+                                           this->Timing.RareTryAfter);
+  const auto wait =
+    this->RandomSource.below(static_cast<std::uint64_t>(span.count()) + 1);
+  this->Reader.putOff(now + Duration(static_cast<Duration::rep>(wait)));
 }
 
 void ViewRelay::OnTick(const std::vector<Endpoint>& peers, Time now)
@@ -94,12 +133,11 @@
   if (this->Upstream && age >= this->Timing.AskPeersAfter) {
     this->StopFollowing();
   }
+  this->CoverReader(peers.size(), now);
   if (!this->Reading && age >= this->GetReadLimit()) {
-    this->Reading = true;
-    ++this->Counters.ReadingBegan;
+    this->BeginReading(peers.size(), now);
   }
   this->ActivateReader();
-  this->CoverReader(now);
   this->ReportOutliers(now);
   if (now < this->NextAskAt || this->Leaving) {
     return;
@@ -116,9 +154,7 @@
 
 void ViewRelay::Ask(const std::vector<Endpoint>& peers, Time now)
 {
-  if (!this->Seeds.empty()) {
-    this->Subscribe(this->Seeds[this->NextSeed++ % this->Seeds.size()], now);
-  }
+  this->AskSeed(now);
   const std::vector<Endpoint>& others =
     this->Referred.empty() ? peers : this->Referred;
   if (!others.empty()) {
@@ -129,6 +165,13 @@
   }
 }
 
+void ViewRelay::AskSeed(Time now)
+{
+  if (!this->Seeds.empty()) {
+    this->Subscribe(this->Seeds[this->NextSeed++ % this->Seeds.size()], now);
+  }
+}
+
 void ViewRelay::Subscribe(const Endpoint& destination, Time now)
 {
   ++this->Counters.SubscriptionsSent;
@@ -141,7 +184,11 @@
 void ViewRelay::OnStoreAnswer(Time now)
 {
   if (this->Reader.isComplete()) {
+    const bool isFirst = this->Log.GetComplete() == 0;
     this->Log.Close(this->Reader.revision());
+    if (isFirst && !this->Upstream) {
+      this->AskSeed(now);
+    }
   }
   if (this->Reader.confirmedAt() > this->LastConfirmed) {
     this->LastConfirmed = this->Reader.confirmedAt();
@@ -288,7 +335,7 @@
     this->Referred = update.peers;
   }
   if (this->IsOtherSeed(update.sender)) {
-    this->SeedHeardAt = now;
+    this->NoteSeed(update, now);
   }
   if (this->IsDecider(update.sender)) {
     this->Outliers.Adopt(update.outliers, now);
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -115,9 +115,16 @@
   void StopFollowing();
   void ActivateReader();
   /// Let the reader rest while seeds try a store that fails.
-  void CoverReader(Time now);
+  void CoverReader(std::size_t peers, Time now);
+  /// Get how long to leave between tries while seeds read in vain.
+  Duration GetTrySpan(std::size_t peers) const;
   Duration GetReadLimit() const;
+  /// Read the store from now on, since no peer's view is fresh.
+  void BeginReading(std::size_t peers, Time now);
+  /// Note from another seed's answer whether the store serves it.
+  void NoteSeed(const ViewUpdate& update, Time now);
   void Ask(const std::vector<Endpoint>& peers, Time now);
+  void AskSeed(Time now);
   void Subscribe(const Endpoint& destination, Time now);
   ViewUpdate Describe(Revision have, Time now) const;
   /// Tell the followers, where there is something to tell.
@@ -149,7 +156,8 @@
   PeerClocks Clocks;
   std::size_t NextSeed = 0;
   Time NextAskAt{};
-  Time SeedHeardAt{}; ///< When another seed last answered.
+  Time SeedHeardAt{};  ///< When another seed last answered.
+  Time SeedFailedAt{}; ///< When one last answered that it reads in vain.
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -169,8 +169,8 @@
       !listing_ && failuresInRow_ == 1 && reply.outcome == ReadOutcome::kConnectionLost;
   // Waiting watches are cut now and then; the first retry need not wait.
   nextReadAt_ = watchEnded ? now : now + backOffAfter(reply.outcome);
-  if (complete_ && failuresInRow_ > kTriesBeforeRare) {
-    rareReadAt_ = now + upTo(rareTryAfter_);
+  if (complete_ && (othersFail_ || failuresInRow_ > kTriesBeforeRare)) {
+    rareReadAt_ = now + upTo(othersFail_.value_or(rareTryAfter_));
   }
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -12,6 +12,7 @@
 /// ever after, listings are current.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -125,14 +126,23 @@
   /// then, and reads that have failed several times are repeated rarely.
   void setCovered(bool covered) { covered_ = covered; }
 
+  /// Says that those others read in vain, or with nothing that they do not. A read of this daemon's
+  /// that fails as well is repeated after at most `tryAfter`, half of it random.
+  void setOthersFail(std::optional<Duration> tryAfter) { othersFail_ = tryAfter; }
+  bool areOthersFailing() const { return othersFail_.has_value(); }
+
+  /// Lets the next read wait until then where others read as well and nothing is urgent.
+  void putOff(Time until) { rareReadAt_ = std::max(rareReadAt_, until); }
+
   /// Says whether something is missing that only a read can give: no read is put off then.
   void setUrgent(bool urgent) { urgent_ = urgent; }
 
   /// Notes that a part of an answer arrived.
   void onProgress(Time now) { lastAnswerAt_ = now; }
 
-  /// Notes that a packet could not be decided for want of a back end: changes are urgent.
-  void onWanted(Time now) { wantedAt_ = now; }
+  /// Notes that a packet could not be decided for want of a back end: changes are urgent. What a
+  /// daemon without a whole view lacks tells nothing about changes.
+  void onWanted(Time now) { wantedAt_ = complete_ ? now : wantedAt_; }
 
   /// @return when nextRead() may give a read, where none is under way.
   Time nextReadAt() const;
@@ -177,6 +187,7 @@
   Duration rareTryAfter_ = kReadBackOffCovered;
   bool active_ = true;
   bool covered_ = false;
+  std::optional<Duration> othersFail_;
   bool urgent_ = false;
   bool reading_ = false;
   bool listing_ = true;
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -45,6 +45,9 @@
 }
 
 bool ViewExchange::needsPeers(Time now) const {
+  if (!reader_.isComplete() && reader_.isFailing()) {
+    return true;
+  }
   if (!reader_.isComplete()) {
     return now - std::max(startedAt_, reader_.lastAnswerAt()) >= kStoreFirstTry;
   }
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -72,6 +72,7 @@
 
 void PeerLink::OnStoreAnswer(core::Time now)
 {
+  this->Exchange.onTick(now); // A first read that fails lets it ask peers.
   this->Relay.OnStoreAnswer(now);
   this->Send();
 }
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -144,6 +144,44 @@
   BOOST_TEST((this->TimeUntilInForce(9) < kInForceWithin));
 }
 
+// 284 followers tried the store twice within a second of its failure
+// (cflc-quotes-large trouble-2 and trouble-3).
+BOOST_AUTO_TEST_CASE(followers_of_seeds_that_fail_try_one_after_the_other)
+{
+  this->Grow(40);
+  this->Run(5s);
+  this->RefuseAll(true);
+  std::uint64_t before = this->CountCalls();
+  this->Run(core::kFollowerReadsAfter + 500ms);
+  // Three seeds try twice a second; 37 others in three seconds.
+  BOOST_TEST(this->CountCalls() - before < 25U);
+  before = this->CountCalls();
+  this->Run(2500ms);
+  BOOST_TEST(this->CountCalls() - before < 55U);
+  before = this->CountCalls();
+  this->Run(6s);
+  // The others once in nine seconds.
+  BOOST_TEST(this->CountCalls() - before < 75U);
+  this->RefuseAll(false);
+  this->ChangeRoutes(9);
+  BOOST_TEST((this->TimeUntilInForce(9) < 1500ms));
+}
+
+// The store turns the seeds away and serves the others: they find out in time.
+BOOST_AUTO_TEST_CASE(seeds_that_fail_alone_delay_no_change)
+{
+  for (const std::size_t daemons : { 7U, 12U, 40U }) {
+    RelayFixture fleet;
+    fleet.Grow(daemons);
+    fleet.Run(5s);
+    for (std::size_t i = 0; i < kSeeds; ++i) {
+      fleet.At(i).StoreRefuses = true;
+    }
+    fleet.ChangeRoutes(9);
+    BOOST_TEST((fleet.TimeUntilInForce(9) < kInForceWithin));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(without_seeds_each_daemon_tries_the_store_itself)
 {
   this->Run(5s);
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -87,6 +87,15 @@
   BOOST_TEST((nextRead().wait == core::kWatchWait));
 }
 
+// After a loss of power 170 of 295 daemons read once more at once, since packets had waited for
+// their first view (cflc-quotes-large trouble-2).
+BOOST_AUTO_TEST_CASE(what_waited_for_the_first_view_makes_no_change_urgent) {
+  reader.setCovered(true);
+  reader.onWanted(now);
+  begin();
+  BOOST_TEST((reader.nextReadAt() - now == core::kLetOthersRead));
+}
+
 BOOST_AUTO_TEST_CASE(a_rare_read_comes_at_once_where_it_is_urgent_or_nobody_else_reads) {
   begin();
   reader.setCovered(true);
@@ -101,6 +110,56 @@
   BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffLongest));
 }
 
+BOOST_AUTO_TEST_CASE(a_read_that_fails_as_those_of_others_is_rare_at_once) {
+  begin();
+  reader.setCovered(true);
+  reader.setOthersFail(8s);
+  failNext(ReadOutcome::kUnavailable);
+  BOOST_TEST((reader.nextReadAt() - now >= 4s));
+  BOOST_TEST((reader.nextReadAt() - now <= 8s));
+  // None of it where nobody else reads any more.
+  reader.setCovered(false);
+  BOOST_TEST((reader.nextReadAt() - now <= core::kReadBackOffLongest));
+}
+
+BOOST_AUTO_TEST_CASE(a_read_is_put_off_unless_it_is_urgent_or_nobody_else_reads) {
+  begin();
+  now = reader.nextReadAt();
+  reader.putOff(now + 2s);
+  BOOST_TEST(reader.nextRead(now).has_value());
+  reader.onReply(store.answer({}), now);
+  reader.setCovered(true);
+  reader.putOff(now + 2s);
+  BOOST_TEST(!reader.nextRead(now + 1s).has_value());
+  reader.setUrgent(true);
+  BOOST_TEST(reader.nextRead(now + 1s).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(each_read_tells_its_cause) {
+  using Cause = StoreRead::Cause;
+  store.put("op/config", makeRoutes(7, {{1, "web"}}));
+  StoreRead last;
+  const auto causeOfNext = [this, &last] {
+    last = nextRead();
+    return last.cause;
+  };
+  BOOST_TEST((causeOfNext() == Cause::kFirstListing));
+  reader.onReply(store.answer(last), now);
+  BOOST_TEST((causeOfNext() == Cause::kCatchUp));
+  reader.onReply(store.answer(last), now);
+  BOOST_TEST((causeOfNext() == Cause::kFollowStore));
+  reader.onReply(failedRead(ReadOutcome::kUnavailable), now);
+  BOOST_TEST((causeOfNext() == Cause::kRetry));
+  reader.onReply(store.answer(last), now);
+  reader.setUrgent(true);
+  BOOST_TEST((causeOfNext() == Cause::kGap));
+  reader.setUrgent(false);
+  reader.onResume(now);
+  BOOST_TEST((causeOfNext() == Cause::kConfirm));
+  reader.onReply(failedRead(ReadOutcome::kHistoryGone), now);
+  BOOST_TEST((causeOfNext() == Cause::kListAgain));
+}
+
 BOOST_AUTO_TEST_CASE(lists_then_watches_from_the_listing) {
   begin();
   BOOST_TEST(reader.isComplete());
--- a/tests/core/view_exchange_test.cc
+++ b/tests/core/view_exchange_test.cc
@@ -121,6 +121,16 @@
   BOOST_TEST(!third.reader.isCurrent(now + core::kViewCurrentFor));
 }
 
+// 56 daemons that were added while the store reset every connection tried it 313 times and served
+// nobody for 0.6 s (cflc-quotes-large trouble-3).
+BOOST_AUTO_TEST_CASE(a_first_read_that_fails_lets_a_daemon_ask_peers_at_once) {
+  tick();
+  fail(third);
+  tick();
+  BOOST_TEST(third.backends() == 2U);
+  BOOST_TEST(third.reader.isComplete());
+}
+
 BOOST_AUTO_TEST_CASE(the_next_read_goes_on_from_the_peers_view) {
   now += core::kStoreFirstTry;
   tick();
