Compare back ends drawn at random for an opening, not neighbours by key

Cause: an opening compared 32 back ends that follow each other by key. With five zones about six of them are of the own zone, which wins by its weight; one whose neighbours are of other zones wins far more often than its share. Ruled out as the main cause: unequal zones (busiest hall 1.1 times the mean), new back ends (openings by route and back end over time are even), the weight itself (unchanged here).

Change: 32 random draws.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -83,7 +83,8 @@
 inline constexpr Duration kProbeAgainAfter = 1000ms;
 /// How long signs of a back end are remembered.
 inline constexpr Duration kSignsMemory = 15s;
-/// Back ends of one service that are compared for one opening; bounds its cost in large services.
+/// Back ends of one service that are compared for one opening, drawn at random where there are more;
+/// bounds its cost in large services.
 inline constexpr std::size_t kPlacementLooks = 32;
 
 /// Time between two openings that one daemon gives a back end with one slot; with more slots it is
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -135,12 +135,14 @@
   decision_.candidates = candidates.size();
   decision_.slowCandidates = 0;
   std::uint64_t ties = 0;
-  const std::size_t looks = std::min(candidates.size(), kPlacementLooks);
-  const std::size_t start = random_.below(candidates.size());
+  const bool looksAtAll = candidates.size() <= kPlacementLooks;
+  const std::size_t looks = looksAtAll ? candidates.size() : kPlacementLooks;
   const bool withOutliers = outliersCount(candidates);
   for (std::size_t i = 0; i < looks; ++i) {
-    const Choice choice =
-        assess(candidates[(start + i) % candidates.size()], avoided, withOutliers, now);
+    // Neighbours in the list would not do: one among back ends of other zones would be compared
+    // with few of its own and get several times its share.
+    const std::size_t index = looksAtAll ? i : random_.below(candidates.size());
+    const Choice choice = assess(candidates[index], avoided, withOutliers, now);
     if (choice.excluded) {
       continue;
     }
