Split the view relay: seeds and followers are kept by classes of their own

SeedGroup says which seed to ask next and whether seeds try the store, FollowerLeases keeps the followers, view_relay_outliers.cc carries observations.

--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -34,6 +34,7 @@
   , Log(log)
   , Outliers(outliers)
   , RandomSource(random)
+  , Seeds(self)
   , OwnRank(RankOf(self, false))
 {
 }
@@ -49,24 +50,16 @@
 
 void ViewRelay::SetSeeds(const std::vector<Endpoint>& seeds)
 {
-  this->Seeds = seeds;
-  this->IsSeed = std::erase(this->Seeds, this->Self) != 0;
-  this->OwnRank = RankOf(this->Self, this->IsSeed);
-  this->Reader.setCovered(!this->IsSeed && !this->Seeds.empty());
-  // Each daemon prefers seeds in an order of its own, which spreads followers.
-  const std::uint64_t own = EndpointHash{}(this->Self);
-  std::sort(this->Seeds.begin(),
-            this->Seeds.end(),
-            [own](const Endpoint& left, const Endpoint& right) {
-              return mixHash(own, EndpointHash{}(left)) <
-                mixHash(own, EndpointHash{}(right));
-            });
+  this->Seeds.Set(seeds);
+  this->OwnRank = RankOf(this->Self, this->Seeds.IsSelfSeed());
+  this->Reader.setCovered(!this->Seeds.IsSelfSeed() &&
+                          this->Seeds.HasOthers());
 }
 
 Duration ViewRelay::GetReadLimit() const
 {
-  return this->IsSeed ? this->Timing.SeedReadsAfter
-                      : this->Timing.FollowerReadsAfter;
+  return this->Seeds.IsSelfSeed() ? this->Timing.SeedReadsAfter
+                                  : this->Timing.FollowerReadsAfter;
 }
 
 void ViewRelay::ActivateReader()
@@ -79,15 +72,10 @@
 
 void ViewRelay::CoverReader(std::size_t peers, Time now)
 {
-  if (this->SeedHeardAt == Time{}) {
-    this->SeedHeardAt = now; // Taken to be there until silent for long enough.
-  }
-  const bool isSeedHeard = now - this->SeedHeardAt < kSeedHeardWithin;
-  const bool isCovered = !this->IsSeed && !this->Seeds.empty() && isSeedHeard;
-  const bool hasSeedFailed = this->SeedFailedAt != Time{} &&
-    now - this->SeedFailedAt < kSeedHeardWithin;
+  this->Seeds.OnTick(now);
+  const bool isCovered = this->Seeds.IsCovered(now);
   this->Reader.setCovered(isCovered);
-  this->Reader.setOthersFail(isCovered && hasSeedFailed
+  this->Reader.setOthersFail(isCovered && this->Seeds.HasFailed(now)
                                ? std::optional(this->GetTrySpan(peers))
                                : std::nullopt);
 }
@@ -98,20 +86,6 @@
     kTryForEachPeer * peers, this->Timing.RareTryAfter, kLongestTrySpan);
 }
 
-void ViewRelay::NoteSeed(const ViewUpdate& update, Time now)
-{
-  this->SeedHeardAt = now;
-  // Parts and daemons without a view say nothing about the store, and what
-  // is no answer may have waited.
-  if (update.echoUs == 0 || update.confirmedUs == 0) {
-    return;
-  }
-  const Duration age(static_cast<Duration::rep>(update.clockUs) -
-                     static_cast<Duration::rep>(update.confirmedUs));
-  const bool isFailing = age >= this->Timing.SeedReadsAfter + kSeedTriesWithin;
-  this->SeedFailedAt = isFailing ? now : Time{};
-}
-
 void ViewRelay::BeginReading(std::size_t peers, Time now)
 {
   this->Reading = true;
@@ -147,7 +121,8 @@
     this->Subscribe(*this->Upstream, now);
     return;
   }
-  const bool isContent = this->IsSeed && this->Reader.isCurrent(now);
+  const bool isContent =
+    this->Seeds.IsSelfSeed() && this->Reader.isCurrent(now);
   if (!this->MayCatchUpByPeers()) {
     this->NextAskAt = now + (isContent ? kSeedAsksEvery : kAskPeersEvery);
   }
@@ -169,8 +144,8 @@
 
 void ViewRelay::AskSeed(Time now)
 {
-  if (!this->Seeds.empty()) {
-    this->Subscribe(this->Seeds[this->NextSeed++ % this->Seeds.size()], now);
+  if (this->Seeds.HasOthers()) {
+    this->Subscribe(this->Seeds.GetNext(), now);
   }
 }
 
@@ -217,17 +192,9 @@
 {
   ViewUpdate reply = this->Describe(subscription.have, now);
   reply.echoUs = subscription.sentAtUs;
-  const bool isKnown = this->Followers.count(subscription.replyTo) != 0;
-  const bool isFull = this->Followers.size() >= kMostFollowers;
-  for (const auto& [follower, expires] : this->Followers) {
-    if (follower != subscription.replyTo && reply.peers.size() < kPeersNamed) {
-      reply.peers.push_back(follower);
-    }
-  }
-  if (!isKnown && isFull) {
-    reply.full = true;
-  } else if (!this->Leaving) {
-    this->Followers[subscription.replyTo] = now + kSubscriptionLease;
+  reply.peers = this->Followers.NameSome(subscription.replyTo);
+  if (!this->Leaving) {
+    reply.full = !this->Followers.Grant(subscription.replyTo, now);
   }
   ++this->Counters.UpdatesSent;
   this->Outgoing.push_back({ { subscription.replyTo }, std::move(reply) });
@@ -274,7 +241,7 @@
   if (!this->Reader.isComplete() || this->Leaving) {
     return;
   }
-  std::vector<Endpoint> destinations = this->ListFollowers();
+  std::vector<Endpoint> destinations = this->Followers.List();
   if (!destinations.empty()) {
     this->Counters.UpdatesSent += destinations.size();
     this->Outgoing.push_back(
@@ -284,58 +251,6 @@
   this->LastPushConfirmed = this->Reader.confirmedAt();
 }
 
-std::vector<Endpoint> ViewRelay::ListFollowers() const
-{
-  std::vector<Endpoint> list;
-  for (const auto& [follower, expires] : this->Followers) {
-    list.push_back(follower);
-  }
-  return list;
-}
-
-void ViewRelay::ReportOutliers(Time now)
-{
-  this->Outliers.Expire(now);
-  const OutlierReport report = this->Outliers.TakeReport();
-  if (report.observations.empty()) {
-    return;
-  }
-  if (!this->Seeds.empty()) {
-    this->Outgoing.push_back({ this->Seeds, report });
-  }
-  this->OnReport(report, now);
-}
-
-void ViewRelay::OnReport(const OutlierReport& report, Time now)
-{
-  if (!this->IsSeed) {
-    return;
-  }
-  const std::vector<BackendId> found = this->Outliers.Decide(report, now);
-  this->FoundOutliers.insert(
-    this->FoundOutliers.end(), found.begin(), found.end());
-  if (!found.empty()) {
-    this->Push(now);
-  }
-}
-
-std::vector<BackendId> ViewRelay::TakeFoundOutliers()
-{
-  return std::exchange(this->FoundOutliers, {});
-}
-
-bool ViewRelay::IsOtherSeed(const Endpoint& daemon) const
-{
-  return std::find(this->Seeds.begin(), this->Seeds.end(), daemon) !=
-    this->Seeds.end();
-}
-
-bool ViewRelay::IsDecider(const Endpoint& sender) const
-{
-  return !this->IsSeed &&
-    (this->IsOtherSeed(sender) || this->Upstream == sender);
-}
-
 UpdateOutcome ViewRelay::OnUpdate(const ViewUpdate& update, Time now)
 {
   if (update.leaving) {
@@ -348,9 +263,7 @@
   if (update.full) {
     this->Referred = update.peers;
   }
-  if (this->IsOtherSeed(update.sender)) {
-    this->NoteSeed(update, now);
-  }
+  this->Seeds.OnUpdate(update, this->Timing, now);
   if (this->IsDecider(update.sender)) {
     this->Outliers.Adopt(update.outliers, now);
   }
@@ -447,8 +360,8 @@
   ViewUpdate farewell;
   farewell.sender = this->Self;
   farewell.leaving = true;
-  std::vector<Endpoint> destinations = this->ListFollowers();
-  this->Followers.clear();
+  std::vector<Endpoint> destinations = this->Followers.List();
+  this->Followers.Clear();
   if (!destinations.empty()) {
     this->Outgoing.push_back({ std::move(destinations), farewell });
   }
@@ -456,8 +369,7 @@
 
 void ViewRelay::ForgetOld(Time now)
 {
-  std::erase_if(this->Followers,
-                [now](const auto& item) { return item.second <= now; });
+  this->Followers.Expire(now);
   this->Clocks.Expire(now);
 }
 
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -11,7 +11,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -19,8 +18,10 @@
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
+#include "core/relay/follower_leases.h"
 #include "core/relay/peer_clocks.h"
 #include "core/relay/relay_timing.h"
+#include "core/relay/seed_group.h"
 #include "core/store_reader.h"
 #include "core/view_messages.h"
 
@@ -106,7 +107,7 @@
   bool IsReading() const { return this->Reading; }
   /// Get the daemon that is followed, if any.
   const std::optional<Endpoint>& GetUpstream() const { return this->Upstream; }
-  std::size_t CountFollowers() const { return this->Followers.size(); }
+  std::size_t CountFollowers() const { return this->Followers.Count(); }
   const ViewRelayCounters& GetCounters() const { return this->Counters; }
 
 private:
@@ -123,8 +124,6 @@
   void BeginReading(std::size_t peers, Time now);
   /// Tell whether a stale first listing can wait for a seed.
   bool MayCatchUpByPeers() const;
-  /// Note from another seed's answer whether the store serves it.
-  void NoteSeed(const ViewUpdate& update, Time now);
   void Ask(const std::vector<Endpoint>& peers, Time now);
   void AskSeed(Time now);
   void Subscribe(const Endpoint& destination, Time now);
@@ -134,9 +133,7 @@
   void Push(Time now);
   void ForgetOld(Time now);
   void ReportOutliers(Time now);
-  bool IsOtherSeed(const Endpoint& daemon) const;
   bool IsDecider(const Endpoint& sender) const;
-  std::vector<Endpoint> ListFollowers() const;
 
   Endpoint Self;
   StoreReader& Reader;
@@ -144,22 +141,18 @@
   ChangeLog& Log;
   OutlierDetector& Outliers;
   Random& RandomSource;
-  std::vector<Endpoint> Seeds; ///< Without this daemon; preferred first.
+  SeedGroup Seeds;
   std::vector<Endpoint> Referred;
   RelayTiming Timing;
-  bool IsSeed = false;
   std::uint64_t OwnRank = 0;
   std::uint64_t ViewRank = 0; ///< Of the reader that confirmed the view last.
   bool Reading = true;
   bool CatchingUp = false; ///< One read is wanted though a peer is followed.
   bool Leaving = false;
   std::optional<Endpoint> Upstream;
-  std::map<Endpoint, Time> Followers; ///< With the end of their lease.
+  FollowerLeases Followers;
   PeerClocks Clocks;
-  std::size_t NextSeed = 0;
   Time NextAskAt{};
-  Time SeedHeardAt{};  ///< When another seed last answered.
-  Time SeedFailedAt{}; ///< When one last answered that it reads in vain.
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
--- /dev/null
+++ b/tests/core/relay/follower_leases_test.cc
@@ -0,0 +1,57 @@
+#include "core/relay/follower_leases.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "core/constants.h"
+#include "support/core_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+core::Endpoint Follower(std::size_t number)
+{
+  return endpoint(9, static_cast<std::uint8_t>(number), 7720);
+}
+
+BOOST_AUTO_TEST_SUITE(FollowerLeasesTest)
+
+BOOST_AUTO_TEST_CASE(a_lease_ends_unless_it_is_renewed)
+{
+  core::FollowerLeases leases;
+  BOOST_TEST(leases.Grant(Follower(1), 100s));
+  BOOST_TEST(leases.Grant(Follower(2), 100s));
+  BOOST_TEST(leases.Grant(Follower(2), 102s));
+  leases.Expire(100s + core::kSubscriptionLease);
+  BOOST_TEST((leases.List() == std::vector{ Follower(2) }));
+}
+
+BOOST_AUTO_TEST_CASE(a_full_list_takes_only_those_it_has)
+{
+  core::FollowerLeases leases;
+  for (std::size_t i = 1; i <= core::kMostFollowers; ++i) {
+    BOOST_TEST(leases.Grant(Follower(i), 100s));
+  }
+  BOOST_TEST(!leases.Grant(Follower(200), 100s));
+  BOOST_TEST(leases.Grant(Follower(1), 100s));
+  BOOST_TEST(leases.Count() == core::kMostFollowers);
+}
+
+BOOST_AUTO_TEST_CASE(some_others_are_named)
+{
+  core::FollowerLeases leases;
+  for (std::size_t i = 1; i <= 2 * core::kPeersNamed; ++i) {
+    leases.Grant(Follower(i), 100s);
+  }
+  const std::vector<core::Endpoint> named = leases.NameSome(Follower(1));
+  BOOST_TEST(named.size() == core::kPeersNamed);
+  BOOST_TEST(
+    (std::find(named.begin(), named.end(), Follower(1)) == named.end()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
