Let a large fleet without views leave the tries of a failing store to its seeds

Change: beyond a small fleet the longest wait grows with the daemons that are known, up to 0.8 s; seeds try as before, and who hears that a peer's view was confirmed just now tries at once.

The new test counts 2,400 reads without the change where 560 are allowed.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -122,6 +122,11 @@
 inline constexpr Duration kReadBackOff = 100ms;
 inline constexpr Duration kReadBackOffLongest = 800ms;
 inline constexpr Duration kReadBackOffAtStart = 100ms;
+/// What a daemon that hears seeds adds to it for each daemon that it knows beyond a small fleet's:
+/// seeds try as before and tell it when the store serves them. kMostViewPeers are known of a large
+/// fleet, which gives kReadBackOffLongest.
+inline constexpr std::size_t kSmallFleetPeers = 8;
+inline constexpr Duration kStartTryForEachPeer = 30ms;
 /// The same after kTriesBeforeRare failures in a row, on a daemon that hears a seed: seeds try as
 /// well and pass on what they read. Half of it random; the time in which a change has to be in
 /// force on the strictest fleets, so that a store that serves this daemon alone is noticed in time.
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -78,6 +78,12 @@
   this->Reader.setOthersFail(isCovered && this->Seeds.HasFailed(now)
                                ? std::optional(this->GetTrySpan(peers))
                                : std::nullopt);
+  const std::size_t beyondSmall =
+    isCovered && peers > kSmallFleetPeers ? peers - kSmallFleetPeers : 0;
+  const Duration startBackOff = std::min<Duration>(
+    kReadBackOffAtStart + kStartTryForEachPeer * beyondSmall,
+    kReadBackOffLongest);
+  this->Reader.setStartBackOff(startBackOff);
 }
 
 Duration ViewRelay::GetTrySpan(std::size_t peers) const
@@ -275,6 +281,10 @@
   }
   const Revision before = this->Reader.revision();
   if (before == 0) {
+    // Who has a fresh view has been served just now.
+    if (now - *confirmed < this->Timing.AskPeersAfter) {
+      this->Reader.hurry(now);
+    }
     return UpdateOutcome::kUnusable;
   }
   if (!this->Apply(update, now)) {
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -252,7 +252,7 @@
 
 Duration StoreReader::backOffAfter(ReadOutcome outcome) {
   const bool patient = complete_ || outcome == ReadOutcome::kThrottled;
-  const Duration longest = patient ? kReadBackOffLongest : kReadBackOffAtStart;
+  const Duration longest = patient ? kReadBackOffLongest : startBackOff_;
   const std::uint32_t doublings = std::min<std::uint32_t>(failuresInRow_, kReadTimeoutDoublings);
   return upTo(std::min<Duration>(kReadBackOff * (1U << doublings), longest));
 }
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -134,6 +134,12 @@
   /// Lets the next read wait until then where others read as well and nothing is urgent.
   void putOff(Time until) { rareReadAt_ = std::max(rareReadAt_, until); }
 
+  /// Sets how long a daemon without a view waits at most before it tries a store again that fails.
+  void setStartBackOff(Duration longest) { startBackOff_ = longest; }
+
+  /// Notes that the store serves others: a try that waits is made now.
+  void hurry(Time now) { nextReadAt_ = std::min(nextReadAt_, now); }
+
   /// Says whether something is missing that only a read can give: no read is put off then.
   void setUrgent(bool urgent) { urgent_ = urgent; }
 
@@ -192,6 +198,7 @@
   bool active_ = true;
   bool covered_ = false;
   std::optional<Duration> othersFail_;
+  Duration startBackOff_ = kReadBackOffAtStart;
   bool urgent_ = false;
   bool reading_ = false;
   bool listing_ = true;
--- a/tests/core/relay/relay_fixture.h
+++ b/tests/core/relay/relay_fixture.h
@@ -71,6 +71,8 @@
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Message> Waiting; ///< For a daemon that is frozen.
   core::Time Now = 100s;
+  /// What a read gives where the store refuses.
+  core::ReadOutcome Refusal = core::ReadOutcome::kThrottled;
   std::uint64_t Lost = 0; ///< Every so many messages one is lost; 0: none.
   std::uint64_t Sent = 0;
 
@@ -115,7 +117,7 @@
     const core::Duration waited = clock - node.AskedAt;
     std::optional<core::StoreReply> reply;
     if (node.StoreRefuses) {
-      reply = failedRead(core::ReadOutcome::kThrottled);
+      reply = failedRead(this->Refusal);
     } else if (node.StoreSilent) {
       if (waited >= node.Pending->timeout) {
         reply = failedRead(core::ReadOutcome::kTimedOut);
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -130,6 +130,25 @@
   }
 }
 
+// 295 daemons that were all killed while the store was away tried it 3,600
+// times a second (lapse_and_total_restart on cflc-quotes-large).
+BOOST_AUTO_TEST_CASE(a_fleet_without_views_leaves_the_tries_to_its_seeds)
+{
+  this->Grow(40);
+  this->Refusal = core::ReadOutcome::kUnavailable;
+  this->RefuseAll(true);
+  this->Run(1s);
+  const std::uint64_t before = this->CountCalls();
+  this->Run(5s);
+  // Three seeds try every 75 ms, 37 others every 600 ms.
+  BOOST_TEST(this->CountCalls() - before < 560U);
+  this->RefuseAll(false);
+  this->Run(700ms);
+  for (auto& node : this->Nodes) {
+    BOOST_TEST(node->Reader.isComplete());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(without_seeds_a_starting_fleet_catches_up_by_the_store)
 {
   this->Grow(30);
