Take no view for whole by a part of what it lacked

Cause: a daemon that catches up from a stale listing took the first part of a seed's answer as bringing it up to date, and would have placed openings by a view seconds old until the next part came. Change: a part moves the revision on and neither completes nor confirms a view. The test fails without the change. The relay's flag for one wanted read no longer shares its name with the reader's catching up.

--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -14,6 +14,12 @@
 /// Ranks of daemons that are no seeds lie behind those of all seeds.
 constexpr std::uint64_t kRankOfOthers = std::uint64_t{ 1 } << 32U;
 
+/// Tell whether an update holds only some of what its receiver lacks.
+bool IsPart(const ViewUpdate& update)
+{
+  return update.revision != 0 && update.confirmedUs == 0;
+}
+
 std::uint64_t RankOf(const Endpoint& endpoint, bool isSeed)
 {
   const std::uint64_t rank = EndpointHash{}(endpoint) & (kRankOfOthers - 1);
@@ -65,9 +71,9 @@
 void ViewRelay::ActivateReader()
 {
   const bool active =
-    this->Reading || this->CatchingUp || this->Reader.isListing();
+    this->Reading || this->ReadWanted || this->Reader.isListing();
   this->Reader.setActive(active);
-  this->Reader.setUrgent(this->CatchingUp);
+  this->Reader.setUrgent(this->ReadWanted);
 }
 
 void ViewRelay::CoverReader(std::size_t peers, Time now)
@@ -108,7 +114,8 @@
 
 void ViewRelay::OnTick(const std::vector<Endpoint>& peers, Time now)
 {
-  this->ForgetOld(now);
+  this->Followers.Expire(now);
+  this->Clocks.Expire(now);
   const Duration age = now - this->Reader.confirmedAt();
   if (this->Upstream && age >= this->Timing.AskPeersAfter) {
     this->StopFollowing();
@@ -179,7 +186,7 @@
     const bool isFirst = this->LastConfirmed == Time{};
     this->LastConfirmed = this->Reader.confirmedAt();
     this->ViewRank = this->OwnRank;
-    this->CatchingUp = false;
+    this->ReadWanted = false;
     if (isFirst) {
       this->AskSeed(now);
     }
@@ -293,12 +300,14 @@
     if (update.echoUs == 0) {
       this->Subscribe(update.sender, now);
     } else {
-      this->CatchingUp = true;
+      this->ReadWanted = true;
       this->ActivateReader();
     }
     return UpdateOutcome::kGap;
   }
-  this->Reader.confirm(*confirmed);
+  if (!IsPart(update)) {
+    this->Reader.confirm(*confirmed);
+  }
   if (this->Reader.confirmedAt() > this->LastConfirmed) {
     this->LastConfirmed = this->Reader.confirmedAt();
     this->ViewRank = update.readerRank;
@@ -309,7 +318,7 @@
     return UpdateOutcome::kConfirmed;
   }
   ++this->Counters.UpdatesTaken;
-  if (update.confirmedUs == 0) {
+  if (IsPart(update)) {
     this->Subscribe(update.sender, now);
   }
   return UpdateOutcome::kTaken;
@@ -329,7 +338,11 @@
       return false;
     }
   }
-  this->Reader.adopt(update.revision);
+  if (IsPart(update)) {
+    this->Reader.advance(update.revision);
+  } else {
+    this->Reader.adopt(update.revision);
+  }
   this->Log.Close(update.revision);
   return true;
 }
@@ -359,7 +372,7 @@
 
 void ViewRelay::OnResume()
 {
-  this->CatchingUp = true;
+  this->ReadWanted = true;
   this->StopFollowing();
   this->ActivateReader();
 }
@@ -377,12 +390,6 @@
   }
 }
 
-void ViewRelay::ForgetOld(Time now)
-{
-  this->Followers.Expire(now);
-  this->Clocks.Expire(now);
-}
-
 std::vector<OutgoingRelay> ViewRelay::TakeMessages()
 {
   return std::exchange(this->Outgoing, {});
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -131,7 +131,6 @@
   /// Tell the followers, where there is something to tell.
   void PushNews(Time now);
   void Push(Time now);
-  void ForgetOld(Time now);
   void ReportOutliers(Time now);
   bool IsDecider(const Endpoint& sender) const;
 
@@ -147,7 +146,7 @@
   std::uint64_t OwnRank = 0;
   std::uint64_t ViewRank = 0; ///< Of the reader that confirmed the view last.
   bool Reading = true;
-  bool CatchingUp = false; ///< One read is wanted though a peer is followed.
+  bool ReadWanted = false; ///< Once, though a peer is followed.
   bool Leaving = false;
   std::optional<Endpoint> Upstream;
   FollowerLeases Followers;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -207,13 +207,19 @@
   rareReadAt_ = now;
 }
 
+void StoreReader::advance(Revision revision) {
+  if (revision > revision_) {
+    revision_ = revision;
+    confirming_ = true;
+  }
+}
+
 void StoreReader::adopt(Revision revision) {
   if (revision <= revision_) {
     return;
   }
-  revision_ = revision;
+  advance(revision);
   complete_ = true;
-  confirming_ = true;
   if (!reading_) {
     listing_ = false;
     clearListing();
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -107,6 +107,10 @@
   /// Takes over a view that is complete up to a revision and came from elsewhere.
   void adopt(Revision revision);
 
+  /// Notes that a part of what the view lacked was taken, up to a revision. It leaves open whether
+  /// the view is whole: a stale listing with a part is as old as the part.
+  void advance(Revision revision);
+
   /// Notes that a peer knew, at this time, that nothing newer than this view was in the store.
   void confirm(Time at);
 
--- a/tests/core/relay/view_relay_test.cc
+++ b/tests/core/relay/view_relay_test.cc
@@ -434,6 +434,42 @@
   BOOST_TEST(asking.Reader.revision() == base);
 }
 
+// A stale listing and some of what changed since may be seconds old: nothing
+// is placed by it.
+BOOST_AUTO_TEST_CASE(a_part_makes_no_stale_listing_whole)
+{
+  this->Run(5s);
+  this->Store.freezeStale();
+  const core::Revision listed = this->Store.revision();
+  this->AddBackends(2 * core::kHeaviestBatch);
+  this->Run(1s);
+  this->Grow(13);
+  Node& starting = this->At(12);
+  const core::Time clock = starting.Clock(this->Now);
+  const auto listing = starting.Reader.nextRead(clock);
+  BOOST_REQUIRE(listing.has_value());
+  starting.Reader.onReply(this->Store.answer(*listing), clock);
+  starting.Relay.OnStoreAnswer(clock);
+  BOOST_REQUIRE(starting.Reader.isCatchingUp());
+  Node& seed = *this->Readers()[0];
+  const auto ask = [&] {
+    seed.Relay.OnSubscription({ starting.Address,
+                                starting.Reader.revision(),
+                                static_cast<std::uint64_t>(clock.count()) },
+                              seed.Clock(this->Now));
+    for (const core::OutgoingRelay& answer : seed.Relay.TakeMessages()) {
+      starting.Relay.OnUpdate(std::get<core::ViewUpdate>(answer.Message),
+                              clock);
+    }
+  };
+  ask();
+  BOOST_TEST(starting.Reader.revision() > listed);
+  BOOST_TEST(!starting.Reader.isComplete());
+  ask();
+  BOOST_TEST(starting.Reader.isComplete());
+  BOOST_TEST(starting.Reader.isCurrent(clock));
+}
+
 BOOST_AUTO_TEST_CASE(what_a_listing_found_gone_is_passed_on)
 {
   this->Run(5s);
