--- a/scripts/account.py
+++ b/scripts/account.py
@@ -24,7 +24,8 @@
 OPENING_REPEATS = (0.0, 0.2, 0.6)
 OPENING_ATTEMPT = 1.4
 STEPS_A_SECOND = 200  # Of the integration over sending times.
-LINE = re.compile(r"\s*(-?[\d.]+) (\S+) time=.*?event=(\S+)")
+# A kill cuts a daemon's last line short, and the next daemon's follows on the same line.
+LINE = re.compile(r"(-?\d+\.\d+) (\S+) time=(?:(?! time=).)*?event=(\S+)((?:(?!-?\d+\.\d+ \S+ time=).)*)")
 REASON = re.compile(r" reason=([a-z_]+)")
 LOG_GAP = 0.3  # Lines wait in a daemon for at most this long; a kill takes them with it.
 LOSS = 0.002  # Share of a window's credit that is worth a row.
@@ -35,16 +36,13 @@
     lines, starts = collections.defaultdict(list), collections.defaultdict(list)
     drops = collections.defaultdict(collections.Counter)
     with open(path, errors="replace") as log:
-        for text in log:
-            line = LINE.match(text)
-            if line is None:
-                continue
+        for line in (record for text in log for record in LINE.finditer(text)):
             at, node, event = float(line[1]), line[2], line[3]
             lines[node].append(at)
             if event == "started":
                 starts[node].append(at)
             if event in ("packet_dropped", "packet_refused", "flow_reset"):
-                reason = REASON.search(text)
+                reason = REASON.search(line[4])
                 drops[int(at)][reason[1] if reason else event] += 1
     return lines, starts, drops
 
@@ -55,7 +53,9 @@
     lives = []
     for begin, limit in zip(starts, ends):
         within = [at for at in lines if begin <= at < limit]
-        lives.append((begin, within[-1] if limit < float("inf") else float("inf")))
+        # Two starts may show the same time: the first life then left no line of its own.
+        end = (within or [begin])[-1]
+        lives.append((begin, end if limit < float("inf") else float("inf")))
     return lives
 
 
--- /dev/null
+++ b/tests/scripts/account_test.py
@@ -0,0 +1,52 @@
+"""Tests of how the account of a day reads a fleet's log."""
+
+import importlib.util
+import pathlib
+import tempfile
+import unittest
+
+SCRIPT = pathlib.Path(__file__).resolve().parents[2] / "scripts" / "account.py"
+SPEC = importlib.util.spec_from_file_location("account", SCRIPT)
+account = importlib.util.module_from_spec(SPEC)
+SPEC.loader.exec_module(account)
+
+
+def read(text):
+    with tempfile.NamedTemporaryFile("w", suffix=".log") as log:
+        log.write(text)
+        log.flush()
+        return account.read_log(log.name)
+
+
+class ReadLog(unittest.TestCase):
+    def test_events_starts_and_drops(self):
+        lines, starts, drops = read(
+            " -1.5000 lb-1 time=T level=info daemon=lb-1 event=started zone=a\n"
+            "  3.2000 lb-1 time=T level=warning daemon=lb-1 event=packet_dropped reason=paced copy=0\n")
+        self.assertEqual(lines["lb-1"], [-1.5, 3.2])
+        self.assertEqual(starts["lb-1"], [-1.5])
+        self.assertEqual(drops[3]["paced"], 1)
+
+    def test_a_line_that_a_kill_cut_short_hides_no_start(self):
+        lines, starts, drops = read(
+            "  3.2000 lb-1 time=T daemon=lb-1 event=packet_dropped reason=no_conf"
+            "  5.0000 lb-2 time=T daemon=lb-2 event=started zone=a\n")
+        self.assertEqual(starts["lb-2"], [5.0])
+        self.assertEqual(lines["lb-1"], [3.2])
+        self.assertEqual(sum(drops[3].values()), 1)
+
+
+class Lives(unittest.TestCase):
+    def test_two_starts_at_one_time(self):
+        lives = account.lives_of([1.0, 2.0, 2.0, 4.0], [1.0, 2.0, 2.0])
+        self.assertEqual(lives[1], (2.0, 2.0))
+        self.assertEqual(lives[2], (2.0, float("inf")))
+
+    def test_the_dark_lies_between_the_last_line_and_the_first_start(self):
+        lines = {"lb-1": [1.0, 4.0, 6.0], "lb-2": [1.0, 4.5, 6.5]}
+        starts = {"lb-1": [1.0, 6.0], "lb-2": [1.0, 6.5]}
+        self.assertEqual(account.dark_spans(lines, starts), [(4.5, 6.0)])
+
+
+if __name__ == "__main__":
+    unittest.main()
