Ask for what is missing once, and read it where no whole view is there yet

Cause: each update that lacked its base led to another question and each question to the same part once more; a daemon that starts asked three seeds for most of the store. A store that is slow with the listings of a whole fleet counted as one that turns daemons away, so that they asked peers for whole views.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -249,9 +249,10 @@
 /// never sends all of its followers more than this at once. An item has about 100 bytes. A single
 /// change with more, or a listing's, is left out of the log: followers read it from the store.
 inline constexpr std::size_t kHeaviestBatch = 128;
-/// Items that a log keeps: every registration of the largest fleet that is planned for (5,600),
-/// which all come anew after an outage in which they lapsed. About 300 bytes each.
-inline constexpr std::size_t kHeaviestLog = 6144;
+/// Items that a log keeps, about 300 bytes each, and that are passed on at most: 100 KB to each of
+/// kMostFollowers are over a second of a small machine's link, and bytes between zones cost more
+/// than reads from there on.
+inline constexpr std::size_t kHeaviestLog = 1024;
 inline constexpr std::size_t kMostBatches = 256;
 
 }  // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -162,6 +162,24 @@
   }
 }
 
+void ViewRelay::AskForMissing(const Endpoint& sender, Time now)
+{
+  // A fleet that starts would get most of the store's items from three seeds.
+  if (!this->Reader.isComplete()) {
+    this->ReadWanted = true;
+    this->ActivateReader();
+    return;
+  }
+  const Revision have = this->Reader.revision();
+  const bool isAsked = have == this->MissingAskedFrom &&
+    now - this->MissingAskedAt < kAskPeersEvery;
+  if (!isAsked) {
+    this->MissingAskedFrom = have;
+    this->MissingAskedAt = now;
+    this->Subscribe(sender, now);
+  }
+}
+
 void ViewRelay::Subscribe(const Endpoint& destination, Time now)
 {
   ++this->Counters.SubscriptionsSent;
@@ -298,7 +316,7 @@
     ++this->Counters.Gaps;
     // A lost update is asked for; what the peer lacks too, the store has.
     if (update.echoUs == 0) {
-      this->Subscribe(update.sender, now);
+      this->AskForMissing(update.sender, now);
     } else {
       this->ReadWanted = true;
       this->ActivateReader();
@@ -319,7 +337,7 @@
   }
   ++this->Counters.UpdatesTaken;
   if (IsPart(update)) {
-    this->Subscribe(update.sender, now);
+    this->AskForMissing(update.sender, now);
   }
   return UpdateOutcome::kTaken;
 }
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -126,6 +126,9 @@
   bool MayCatchUpByPeers() const;
   void Ask(const std::vector<Endpoint>& peers, Time now);
   void AskSeed(Time now);
+  /// Ask for what an update left out, once for each revision; a daemon that
+  /// has no whole view yet reads it from the store.
+  void AskForMissing(const Endpoint& sender, Time now);
   void Subscribe(const Endpoint& destination, Time now);
   ViewUpdate Describe(Revision have, Time now) const;
   /// Tell the followers, where there is something to tell.
@@ -152,6 +155,8 @@
   FollowerLeases Followers;
   PeerClocks Clocks;
   Time NextAskAt{};
+  Time MissingAskedAt{};
+  Revision MissingAskedFrom = 0;
   Time LastConfirmed{};
   Time LastPushConfirmed{};
   Revision LastPushed = 0;
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -165,6 +165,9 @@
   ++counters_.failures;
   ++failuresInRow_;
   confirming_ = true;
+  if (reply.outcome != ReadOutcome::kTimedOut) {
+    turnedAwayAt_ = now;
+  }
   const bool watchEnded =
       !listing_ && failuresInRow_ == 1 && reply.outcome == ReadOutcome::kConnectionLost;
   // Waiting watches are cut now and then; the first retry need not wait.
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -161,6 +161,9 @@
   bool isListing() const { return listing_; }
   /// @return true where the last read failed.
   bool isFailing() const { return failuresInRow_ > 0; }
+  /// @return true where the store turned the last read away, and nothing has come from it since.
+  /// One that is slow, or busy with the listings of others, is not meant.
+  bool isTurnedAway() const { return turnedAwayAt_ > lastAnswerAt_; }
   /// @return when the view was last known to be the store's; zero where it never was.
   Time confirmedAt() const { return confirmedAt_; }
 
@@ -215,6 +218,7 @@
   Time nextReadAt_{};
   Time rareReadAt_{};  ///< Instead, where others read as well and nothing is urgent.
   Time lastAnswerAt_{};
+  Time turnedAwayAt_{};
   Time confirmedAt_{};
   Time lastChangeAt_{};
   Revision revision_ = 0;  ///< Changes up to this one are known; base of the next watch.
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -45,7 +45,7 @@
 }
 
 bool ViewExchange::needsPeers(Time now) const {
-  if (!reader_.isComplete() && reader_.isFailing()) {
+  if (!reader_.isComplete() && reader_.isTurnedAway()) {
     return true;
   }
   if (!reader_.isComplete()) {
--- a/tests/core/view_exchange_test.cc
+++ b/tests/core/view_exchange_test.cc
@@ -131,6 +131,23 @@
   BOOST_TEST(third.reader.isComplete());
 }
 
+// 300 daemons that list 3,000 back ends at once wait for the store's link: each asked for whole
+// views of its peers as well, 130 MB between zones.
+BOOST_AUTO_TEST_CASE(a_store_that_is_slow_lets_no_daemon_ask_peers_at_once) {
+  tick();
+  third.reader.nextRead(now);
+  third.reader.onReply(failedRead(ReadOutcome::kTimedOut), now);
+  tick();
+  BOOST_TEST(!third.reader.isComplete());
+  // Nor one that was turned away, once an answer arrives.
+  now += 50ms;
+  fail(third);
+  third.reader.onProgress(now + 1ms);
+  now += 2ms;
+  tick();
+  BOOST_TEST(!third.reader.isComplete());
+}
+
 BOOST_AUTO_TEST_CASE(the_next_read_goes_on_from_the_peers_view) {
   now += core::kStoreFirstTry;
   tick();
