Let few daemons follow from another network, and the others there follow those

Cause: who follows whom was drawn without regard to zones, so each change crossed between them for four daemons of five.

Change: a daemon takes two followers from a network that is not its own and refers others to them; a daemon asks the nearest of eight drawn peers. Nearness is the number of leading address bytes that two daemons share: zones have networks of their own, and where they do not, the tree is as before. No change of the messages.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -243,6 +243,10 @@
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
 inline constexpr std::size_t kMostFollowers = 32;
+/// Of those, daemons of one network that is not the followed one's own. Two, so that one may die.
+inline constexpr std::size_t kFollowersFromAfar = 2;
+/// Peers that are drawn at random to ask the nearest of them.
+inline constexpr std::size_t kPeersCompared = 8;
 /// Followers that an answer names, so that daemons know of others than the seeds.
 inline constexpr std::size_t kPeersNamed = 4;
 /// Items that one update carries; who lacks more asks for the rest part by part, so that a daemon
--- a/src/core/relay/follower_leases.h
+++ b/src/core/relay/follower_leases.h
@@ -11,12 +11,22 @@
 
 /** \class FollowerLeases
  * \brief Keep a bounded number of followers until their leases end.
+ *
+ * Of a network that is not this daemon's own it takes few: the others there
+ * follow those, so that a change crosses between zones a few times and not
+ * once for each daemon.
  */
 class FollowerLeases
 {
 public:
+  explicit FollowerLeases(const Endpoint& self)
+    : Self(self)
+  {
+  }
+
   /// Begin or renew a lease.
-  /// \return false where there is no room for another follower.
+  /// \return false where there is no room, or where enough followers are
+  /// nearer to the asking one.
   bool Grant(const Endpoint& follower, Time now);
 
   /// End the leases that were not renewed.
@@ -26,10 +36,14 @@
   std::size_t Count() const { return this->Ends.size(); }
   std::vector<Endpoint> List() const;
 
-  /// Get some followers whom a daemon may ask instead of this one.
+  /// Get some followers whom a daemon may ask instead of this one, those near
+  /// it first.
   std::vector<Endpoint> NameSome(const Endpoint& asking) const;
 
 private:
+  std::size_t CountNearer(const Endpoint& asking) const;
+
+  Endpoint Self;
   std::map<Endpoint, Time> Ends;
 };
 
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -5,6 +5,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/relay/nearness.h"
 #include "core/route_table.h"
 #include "core/view_conversion.h"
 
@@ -42,6 +43,7 @@
   , RandomSource(random)
   , Seeds(self)
   , OwnRank(RankOf(self, false))
+  , Followers(self)
 {
 }
 
@@ -148,13 +150,28 @@
   const std::vector<Endpoint>& others =
     this->Referred.empty() ? peers : this->Referred;
   if (!others.empty()) {
-    const Endpoint& other = others[this->RandomSource.below(others.size())];
+    const Endpoint& other = this->DrawNear(others);
     if (other != this->Self) {
       this->Subscribe(other, now);
     }
   }
 }
 
+const Endpoint& ViewRelay::DrawNear(const std::vector<Endpoint>& daemons)
+{
+  const auto draw = [this, &daemons]() -> const Endpoint& {
+    return daemons[this->RandomSource.below(daemons.size())];
+  };
+  const Endpoint* nearest = &draw();
+  for (std::size_t i = 1; i < kPeersCompared; ++i) {
+    const Endpoint& other = draw();
+    const bool isNearer = CountSharedBytes(other, this->Self) >
+      CountSharedBytes(*nearest, this->Self);
+    nearest = isNearer && other != this->Self ? &other : nearest;
+  }
+  return *nearest;
+}
+
 void ViewRelay::AskSeed(Time now)
 {
   if (this->Seeds.HasOthers()) {
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -126,6 +126,8 @@
   bool MayCatchUpByPeers() const;
   void Ask(const std::vector<Endpoint>& peers, Time now);
   void AskSeed(Time now);
+  /// Draw a daemon that is near, as far as a few draws give one.
+  const Endpoint& DrawNear(const std::vector<Endpoint>& daemons);
   /// Ask for what an update left out, once for each revision; a daemon that
   /// has no whole view yet reads it from the store.
   void AskForMissing(const Endpoint& sender, Time now);
--- a/tests/core/relay/follower_leases_test.cc
+++ b/tests/core/relay/follower_leases_test.cc
@@ -20,7 +20,7 @@
 
 BOOST_AUTO_TEST_CASE(a_lease_ends_unless_it_is_renewed)
 {
-  core::FollowerLeases leases;
+  core::FollowerLeases leases(endpoint(9, 250, 7720));
   BOOST_TEST(leases.Grant(Follower(1), 100s));
   BOOST_TEST(leases.Grant(Follower(2), 100s));
   BOOST_TEST(leases.Grant(Follower(2), 102s));
@@ -30,7 +30,7 @@
 
 BOOST_AUTO_TEST_CASE(a_full_list_takes_only_those_it_has)
 {
-  core::FollowerLeases leases;
+  core::FollowerLeases leases(endpoint(9, 250, 7720));
   for (std::size_t i = 1; i <= core::kMostFollowers; ++i) {
     BOOST_TEST(leases.Grant(Follower(i), 100s));
   }
@@ -41,7 +41,7 @@
 
 BOOST_AUTO_TEST_CASE(some_others_are_named)
 {
-  core::FollowerLeases leases;
+  core::FollowerLeases leases(endpoint(9, 250, 7720));
   for (std::size_t i = 1; i <= 2 * core::kPeersNamed; ++i) {
     leases.Grant(Follower(i), 100s);
   }
@@ -51,6 +51,31 @@
     (std::find(named.begin(), named.end(), Follower(1)) == named.end()));
 }
 
+// 295 daemons in five zones followed three seeds and each other at random:
+// each change crossed between zones 240 times.
+BOOST_AUTO_TEST_CASE(few_follow_from_another_network_and_the_rest_follow_those)
+{
+  core::FollowerLeases leases(endpoint(9, 250, 7720));
+  const auto far = [](std::size_t number) {
+    return endpoint(7, static_cast<std::uint8_t>(number), 7720);
+  };
+  for (std::size_t i = 1; i <= core::kFollowersFromAfar; ++i) {
+    BOOST_TEST(leases.Grant(far(i), 100s));
+  }
+  BOOST_TEST(!leases.Grant(far(100), 100s));
+  // A renewal, its own network and yet another one are not concerned.
+  BOOST_TEST(leases.Grant(far(1), 100s));
+  BOOST_TEST(leases.Grant(Follower(1), 100s));
+  BOOST_TEST(leases.Grant(endpoint(5, 1, 7720), 100s));
+  const std::vector<core::Endpoint> named = leases.NameSome(far(100));
+  BOOST_REQUIRE(named.size() >= core::kFollowersFromAfar);
+  for (std::size_t i = 0; i < core::kFollowersFromAfar; ++i) {
+    BOOST_TEST((named[i] == far(i + 1)));
+  }
+  leases.Expire(100s + core::kSubscriptionLease);
+  BOOST_TEST(leases.Grant(far(100), 105s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
