--- /dev/null
+++ b/src/core/relay/view_relay_followers.cc
@@ -0,0 +1,74 @@
+/// @file
+/// The part of ViewRelay that tells other daemons what this one knows.
+#include <algorithm>
+#include <utility>
+
+#include "core/relay/view_relay.h"
+#include "core/view_conversion.h"
+
+namespace cobaltgauge::core {
+
+void ViewRelay::OnSubscription(const ViewSubscription& subscription, Time now)
+{
+  ViewUpdate reply = this->Describe(subscription.have, now);
+  reply.echoUs = subscription.sentAtUs;
+  reply.peers = this->Followers.NameSome(subscription.replyTo);
+  if (!this->Leaving) {
+    reply.full = !this->Followers.Grant(subscription.replyTo, now);
+  }
+  ++this->Counters.UpdatesSent;
+  this->Outgoing.push_back({ { subscription.replyTo }, std::move(reply) });
+}
+
+ViewUpdate ViewRelay::Describe(Revision have, Time now) const
+{
+  ViewUpdate update;
+  update.sender = this->Self;
+  update.clockUs = static_cast<std::uint64_t>(now.count());
+  update.leaving = this->Leaving;
+  update.outliers = this->Outliers.GetOutliers();
+  if (!this->Reader.isComplete()) {
+    return update;
+  }
+  const auto confirmed = this->Reader.confirmedAt().count();
+  update.confirmedUs = static_cast<std::uint64_t>(confirmed);
+  update.readerRank = this->ViewRank;
+  update.revision = this->Log.GetComplete();
+  // Without the changes it only says how old a view of this revision is.
+  update.from = update.revision;
+  if (const auto excerpt = this->Log.Since(have)) {
+    update.from = std::min(have, update.revision);
+    addToUpdate(excerpt->Changes, update);
+    if (excerpt->Reached < update.revision) {
+      update.revision = excerpt->Reached;
+      update.confirmedUs = 0;
+    }
+  }
+  return update;
+}
+
+void ViewRelay::PushNews(Time now)
+{
+  const bool isNews = this->Log.GetComplete() > this->LastPushed ||
+    this->Reader.confirmedAt() - this->LastPushConfirmed >= kLeastPushGap;
+  if (isNews) {
+    this->Push(now);
+  }
+}
+
+void ViewRelay::Push(Time now)
+{
+  if (!this->Reader.isComplete() || this->Leaving) {
+    return;
+  }
+  std::vector<Endpoint> destinations = this->Followers.List();
+  if (!destinations.empty()) {
+    this->Counters.UpdatesSent += destinations.size();
+    this->Outgoing.push_back(
+      { std::move(destinations), this->Describe(this->LastPushed, now) });
+  }
+  this->LastPushed = this->Log.GetComplete();
+  this->LastPushConfirmed = this->Reader.confirmedAt();
+}
+
+} // namespace cobaltgauge::core
