--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -90,15 +90,16 @@
 /// What changed in a daemon's view, and how old the view can be. Times are the sender's.
 struct ViewUpdate {
   Endpoint sender;
-  std::uint64_t echoUs = 0;       ///< Of the subscription that this answers; zero: of none.
-  std::uint64_t clockUs = 0;      ///< When this was sent.
-  std::uint64_t confirmedUs = 0;  ///< When the view was known to be the store's. Zero: these are
-                                  ///< the first of the changes; the rest is to be asked for.
-  std::uint64_t readerRank = 0;   ///< Of the daemon whose reading showed that.
-  Revision from = 0;              ///< A view complete up to here is brought up to `revision`.
-  Revision revision = 0;          ///< Zero: the sender has no view.
-  bool leaving = false;           ///< The sender stops; look for another daemon.
-  bool full = false;              ///< Not subscribed; one of `peers` may have room.
+  std::uint64_t echoUs = 0;   ///< Of the subscription that this answers; zero: of none.
+  std::uint64_t clockUs = 0;  ///< When this was sent.
+  std::uint64_t confirmedUs =
+      0;                         ///< When the view was known to be the store's. Zero: it never was,
+                                 ///< or some changes are left out; the rest is to be asked for.
+  std::uint64_t readerRank = 0;  ///< Of the daemon whose reading showed that.
+  Revision from = 0;             ///< A view complete up to here is brought up to `revision`.
+  Revision revision = 0;         ///< Zero: the sender has no view.
+  bool leaving = false;          ///< The sender stops; look for another daemon.
+  bool full = false;             ///< Not subscribed; one of `peers` may have room.
   std::vector<ViewBackend> backends;
   std::vector<ViewRemoval> removals;
   std::vector<ViewRouteDelta> routes;
