Read fleet logs in one place

Cause: the account had been mended to read lines that a kill cut short, and store_calls.py kept the pattern that was not; its page named a column that does not exist. Both take their records from fleet_log now, and the test loads the account like any module, with the same assertions. The declaration that the formatter had broken over two lines carries its comment above it.

No product code changes but a comment.

--- a/scripts/account.py
+++ b/scripts/account.py
@@ -19,13 +19,13 @@
 import sys
 import tomllib
 
+import fleet_log
+
 # When a caller sends again, in seconds after the first time.
 DATA_REPEATS = (0.0, 0.2, 0.6, 1.4, 3.0, 4.6, 6.2, 7.8)
 OPENING_REPEATS = (0.0, 0.2, 0.6)
 OPENING_ATTEMPT = 1.4
 STEPS_A_SECOND = 200  # Of the integration over sending times.
-# A kill cuts a daemon's last line short, and the next daemon's follows on the same line.
-LINE = re.compile(r"(-?\d+\.\d+) (\S+) time=(?:(?! time=).)*?event=(\S+)((?:(?!-?\d+\.\d+ \S+ time=).)*)")
 REASON = re.compile(r" reason=([a-z_]+)")
 LOG_GAP = 0.3  # Lines wait in a daemon for at most this long; a kill takes them with it.
 LOSS = 0.002  # Share of a window's credit that is worth a row.
@@ -35,15 +35,13 @@
     """Returns the times of all daemons' lines and starts, and the drops by second and reason."""
     lines, starts = collections.defaultdict(list), collections.defaultdict(list)
     drops = collections.defaultdict(collections.Counter)
-    with open(path, errors="replace") as log:
-        for line in (record for text in log for record in LINE.finditer(text)):
-            at, node, event = float(line[1]), line[2], line[3]
-            lines[node].append(at)
-            if event == "started":
-                starts[node].append(at)
-            if event in ("packet_dropped", "packet_refused", "flow_reset"):
-                reason = REASON.search(line[4])
-                drops[int(at)][reason[1] if reason else event] += 1
+    for at, node, event, fields in fleet_log.records(path):
+        lines[node].append(at)
+        if event == "started":
+            starts[node].append(at)
+        if event in ("packet_dropped", "packet_refused", "flow_reset"):
+            reason = REASON.search(fields)
+            drops[int(at)][reason[1] if reason else event] += 1
     return lines, starts, drops
 
 
--- a/scripts/store_calls.py
+++ b/scripts/store_calls.py
@@ -4,14 +4,15 @@
     scripts/store_calls.py LOG.txt
 
 LOG is what a run of a day printed with `--log all`. Reads are counted when they end: one that a
-kill interrupted is not seen. `many` marks how many daemons made the second's reads.
+kill interrupted is not seen. `daemons` says how many made the second's reads.
 """
 
 import collections
 import re
 import sys
 
-LINE = re.compile(r"\s*(-?[\d.]+) (\S+) time=.*?event=store_read (.*)")
+import fleet_log
+
 FIELD = re.compile(r"(\w+)=(\S+)")
 FEWEST = 5  # Reads in a second that are worth a row.
 
@@ -20,16 +21,14 @@
     """Returns, by second, the reads by cause and outcome, and the daemons that made them."""
     reads = collections.defaultdict(collections.Counter)
     daemons = collections.defaultdict(set)
-    with open(path, errors="replace") as log:
-        for text in log:
-            line = LINE.match(text)
-            if line is None:
-                continue
-            second = int(float(line[1]) // 1)
-            fields = dict(FIELD.findall(line[3]))
-            failed = "" if fields["outcome"] == "answered" else f" ({fields['outcome']})"
-            reads[second][fields["cause"] + failed] += 1
-            daemons[second].add(line[2])
+    for at, node, event, text in fleet_log.records(path):
+        fields = dict(FIELD.findall(text))
+        if event != "store_read" or "outcome" not in fields:  # Cut short by a kill.
+            continue
+        second = int(at // 1)
+        failed = "" if fields["outcome"] == "answered" else f" ({fields['outcome']})"
+        reads[second][fields["cause"] + failed] += 1
+        daemons[second].add(node)
     return reads, daemons
 
 
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -92,9 +92,9 @@
   Endpoint sender;
   std::uint64_t echoUs = 0;   ///< Of the subscription that this answers; zero: of none.
   std::uint64_t clockUs = 0;  ///< When this was sent.
-  std::uint64_t confirmedUs =
-      0;                         ///< When the view was known to be the store's. Zero: it never was,
-                                 ///< or some changes are left out; the rest is to be asked for.
+  /// When the view was known to be the store's. Zero: it never was, or some changes are left out
+  /// and the rest is to be asked for.
+  std::uint64_t confirmedUs = 0;
   std::uint64_t readerRank = 0;  ///< Of the daemon whose reading showed that.
   Revision from = 0;             ///< A view complete up to here is brought up to `revision`.
   Revision revision = 0;         ///< Zero: the sender has no view.
--- a/tests/scripts/account_test.py
+++ b/tests/scripts/account_test.py
@@ -1,14 +1,13 @@
 """Tests of how the account of a day reads a fleet's log."""
 
-import importlib.util
 import pathlib
+import sys
 import tempfile
 import unittest
 
-SCRIPT = pathlib.Path(__file__).resolve().parents[2] / "scripts" / "account.py"
-SPEC = importlib.util.spec_from_file_location("account", SCRIPT)
-account = importlib.util.module_from_spec(SPEC)
-SPEC.loader.exec_module(account)
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+
+import account  # noqa: E402 (found by the line above)
 
 
 def read(text):
