Take operators' evacuations of zones into the view, and place nothing there

Change: an evacuation is a typed item through the adapter, reader, change log, relay and whole views; the registry leaves the zone's back ends out of every list of candidates: placement, repetition, lapsed and vanished registrations, other parts of a split. Open flows stay. With all zones of a route out a first opening is refused at once (evacuated, not run); a repeated one waits, since its first copy may have been answered elsewhere. A log line at begin and end, a metric, an admin page and a command show it.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -159,12 +159,42 @@
           entry.weight, entry.warmUntil};
 }
 
-bool BackendRegistry::isCandidate(const Entry& entry) const {
+bool BackendRegistry::isServing(const Entry& entry) const {
   // Of two back ends with one token only the first takes flows.
   return tokens_.OwnsHash(entry.address.id) && entry.present && !entry.ended &&
          entry.registration.state == BackendState::kActive;
 }
 
+bool BackendRegistry::isCandidate(const Entry& entry) const {
+  return isServing(entry) && !evacuations_.IsEvacuated(entry.registration.zone);
+}
+
+bool BackendRegistry::putEvacuation(const std::string& key, const std::string& zone,
+                                    Revision revision) {
+  candidates_.clear();
+  return evacuations_.Put(key, zone, revision);
+}
+
+bool BackendRegistry::removeEvacuation(const std::string& key, Revision revision) {
+  candidates_.clear();
+  return evacuations_.Remove(key, revision);
+}
+
+std::vector<std::string> BackendRegistry::retainEvacuations(const std::set<std::string>& keys,
+                                                            Revision listedAt) {
+  candidates_.clear();
+  return evacuations_.RetainOnly(keys, listedAt);
+}
+
+bool BackendRegistry::isEvacuated(ServiceId service) const {
+  const auto keys = services_.find(service);
+  return keys != services_.end() &&
+         std::any_of(keys->second.begin(), keys->second.end(), [this](const std::string& key) {
+           const Entry& entry = entries_.at(key);
+           return isServing(entry) && !isCandidate(entry);
+         });
+}
+
 bool BackendRegistry::takesNewFlows(BackendId id) const {
   const auto key = keys_.find(id);
   return key != keys_.end() && isCandidate(entries_.at(key->second));
@@ -181,14 +211,15 @@
 
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
                                                                Time since) const {
-  return collect(service, [since](const std::string&, const Entry& entry) {
+  return collect(service, [this, since](const std::string&, const Entry& entry) {
     return hasVanished(entry, since);
   });
 }
 
-bool BackendRegistry::hasVanished(const Entry& entry, Time since) {
+bool BackendRegistry::hasVanished(const Entry& entry, Time since) const {
   const bool unannounced = entry.registration.state == BackendState::kActive;
-  return !entry.present && !entry.ended && unannounced && entry.removedAt > since;
+  return !entry.present && !entry.ended && unannounced && entry.removedAt > since &&
+         !evacuations_.IsEvacuated(entry.registration.zone);
 }
 
 bool BackendRegistry::hasVanishedSince(BackendId id, Time since) const {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -15,6 +15,7 @@
 #include "core/reach/token_index.h"
 #include "core/registration.h"
 #include "core/types.h"
+#include "core/zones/zone_evacuations.h"
 
 namespace cobaltgauge::core {
 
@@ -62,6 +63,16 @@
   std::vector<std::string> retainOnly(const std::set<std::string>& keys, Revision listedAt,
                                       Time now);
 
+  /// Takes an evacuation of a zone. @return true where it is newer than what was known of its key.
+  bool putEvacuation(const std::string& key, const std::string& zone, Revision revision);
+  /// Notes that an evacuation's item was removed. @return true where that is newer likewise.
+  bool removeEvacuation(const std::string& key, Revision revision);
+  /// Takes a whole listing, as retainOnly() does. @return keys of the evacuations that ended.
+  std::vector<std::string> retainEvacuations(const std::set<std::string>& keys, Revision listedAt);
+  const ZoneEvacuations& evacuations() const { return evacuations_; }
+  /// @return true where the service has a back end that only an evacuation keeps from new flows.
+  bool isEvacuated(ServiceId service) const;
+
   /// @return the back end with this token, in either form, or null. A token that holds an address
   /// gives the last back end there.
   const BackendAddress* findByToken(SteeringToken token) const;
@@ -111,7 +122,9 @@
   };
 
   static PlacementCandidate candidateOf(const Entry& entry);
-  static bool hasVanished(const Entry& entry, Time since);
+  bool hasVanished(const Entry& entry, Time since) const;
+  /// @return true where the back end would take new flows but for an evacuation of its zone.
+  bool isServing(const Entry& entry) const;
   bool isCandidate(const Entry& entry) const;
   void markEnded(const Endpoint& endpoint);
   /// @return the back end that is at an address, or was there last, or null.
@@ -131,6 +144,7 @@
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
   std::unordered_map<ServiceId, Time> lastDeparture_;
+  ZoneEvacuations evacuations_;
   /// Collected when asked for; a change of a service drops its list.
   std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
 };
--- a/src/core/registration.h
+++ b/src/core/registration.h
@@ -64,6 +64,13 @@
   std::vector<Endpoint> dropped;
 };
 
+/// Operators want a zone's back ends to get no new flow until the item is removed.
+struct ZoneEvacuation {
+  std::string zone;
+
+  bool operator==(const ZoneEvacuation&) const = default;
+};
+
 /// An item that was removed from the store.
 struct RemovedItem {};
 
@@ -76,7 +83,8 @@
 struct StoreChange {
   std::string key;
   Revision revision = 0;
-  std::variant<RemovedItem, Registration, RouteSet, UnreadableItem, RouteDelta> item;
+  std::variant<RemovedItem, Registration, RouteSet, UnreadableItem, RouteDelta, ZoneEvacuation>
+      item;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -60,7 +60,7 @@
                                     RouteReason reason, BackendId avoided, Time now) {
   const Choice choice = chooseForRoute(route, avoided, now);
   if (choice.id == kNoBackend) {
-    return withoutBackend(route.route, now);
+    return withoutBackend(packet, route.route, now);
   }
   emptySince_.erase(route.route.endpoint);
   if (choice.busy && packet.openingCopy < kLastOpeningCopy) {
@@ -76,10 +76,14 @@
   return forward(*backends_.find(choice.id), reason);
 }
 
-Verdict TokenSteering::withoutBackend(const Route& route, Time now) {
+Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route, Time now) {
   if (!viewCurrent_) {
     return Drop{DropReason::kStaleView};
   }
+  // A repeated opening may have been answered through another daemon before the zones were out.
+  if (packet.openingCopy == 0 && isEvacuated(route)) {
+    return refuse(RefuseReason::kEvacuated, RefusalCertainty::kNotRun);
+  }
   const Time emptySince = emptySince_.try_emplace(route.endpoint, now).first->second;
   if (now - emptySince < kEmptyServicePatience) {
     return Drop{DropReason::kEmptyService};
@@ -87,6 +91,12 @@
   return refuse(RefuseReason::kNoBackend, RefusalCertainty::kNotRun);
 }
 
+bool TokenSteering::isEvacuated(const Route& route) const {
+  return std::any_of(route.targets.begin(), route.targets.end(), [this](const RouteTarget& target) {
+    return target.weight > 0 && backends_.isEvacuated(serviceIdOf(target.service));
+  });
+}
+
 TokenSteering::Choice TokenSteering::chooseForRoute(RouteEntry& route, BackendId avoided,
                                                     Time now) {
   const std::vector<RouteTarget>& targets = route.route.targets;
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -136,7 +136,9 @@
                 Time now) const;
   static bool isBetter(const Choice& left, const Choice& right);
   /// @return what an opening gets where no back end of its route takes flows.
-  Verdict withoutBackend(const Route& route, Time now);
+  Verdict withoutBackend(const PacketSummary& packet, const Route& route, Time now);
+  /// @return true where operators have taken out zones of the route's back ends.
+  bool isEvacuated(const Route& route) const;
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   /// Notes that the back end of a flow answered. @param backend that of the flow.
   void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -94,6 +94,8 @@
       return "route_dropped";
     case RefuseReason::kBackendEnded:
       return "backend_ended";
+    case RefuseReason::kEvacuated:
+      return "evacuated";
     case RefuseReason::kBackendDead:
       return "backend_dead";
   }
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -52,8 +52,9 @@
   kRouteDropped,  ///< A configuration dropped the flow's route.
   kBackendEnded,  ///< The flow's back end has ended; another one uses its address.
   kBackendDead,   ///< The flow's back end was silent and failed a probe.
+  kEvacuated,     ///< Every back end's zone was taken out by operators.
 };
-inline constexpr std::size_t kRefuseReasons = 8;
+inline constexpr std::size_t kRefuseReasons = 9;
 
 /// Whether a refused request can have been executed.
 enum class RefusalCertainty : std::uint8_t {
--- a/src/core/view_conversion.cc
+++ b/src/core/view_conversion.cc
@@ -35,6 +35,14 @@
   return {backend.key, backend.revision, registration};
 }
 
+ViewEvacuation toMessage(const StoreChange& change, const ZoneEvacuation& evacuation) {
+  return {change.key, change.revision, evacuation.zone};
+}
+
+StoreChange toChange(const ViewEvacuation& evacuation) {
+  return {evacuation.key, evacuation.revision, ZoneEvacuation{evacuation.zone}};
+}
+
 ViewRoute toMessage(const Route& route) {
   ViewRoute message{route.name, route.endpoint, {}, {}};
   for (const RouteTarget& target : route.targets) {
@@ -92,6 +100,8 @@
       update.removals.push_back({change.key, change.revision});
     } else if (const auto* delta = std::get_if<RouteDelta>(&change.item)) {
       update.routes.push_back(toMessage(change, *delta));
+    } else if (const auto* evacuation = std::get_if<ZoneEvacuation>(&change.item)) {
+      update.evacuations.push_back(toMessage(change, *evacuation));
     }
   }
 }
@@ -101,6 +111,10 @@
   for (const ViewBackend& backend : update.backends) {
     changes.push_back(toChange(backend));
   }
+  // A removal of what was never seen leaves no trace: whatever it removes comes before it.
+  for (const ViewEvacuation& evacuation : update.evacuations) {
+    changes.push_back(toChange(evacuation));
+  }
   for (const ViewRemoval& removal : update.removals) {
     changes.push_back({removal.key, removal.revision, RemovedItem{}});
   }
--- a/src/core/view_conversion.h
+++ b/src/core/view_conversion.h
@@ -15,6 +15,9 @@
 ViewBackend toMessage(const StoreChange& change, const Registration& registration);
 StoreChange toChange(const ViewBackend& backend);
 
+ViewEvacuation toMessage(const StoreChange& change, const ZoneEvacuation& evacuation);
+StoreChange toChange(const ViewEvacuation& evacuation);
+
 ViewRoute toMessage(const Route& route);
 /// @return the route, or nothing where it has no targets.
 std::optional<Route> toRoute(const ViewRoute& message);
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -118,6 +118,9 @@
   for (const StoreChange& change : steering_.backends().contents()) {
     view.backends.push_back(toMessage(change, std::get<Registration>(change.item)));
   }
+  for (const StoreChange& change : steering_.backends().evacuations().GetContents()) {
+    view.evacuations.push_back(toMessage(change, std::get<ZoneEvacuation>(change.item)));
+  }
   const std::size_t units = (view.routes.size() + view.backends.size()) / kItemsPerViewUnit;
   views_.charge(static_cast<std::uint32_t>(units));
   return view;
@@ -149,6 +152,10 @@
     keys.insert(backend.key);
     sink_.onChange(toChange(backend), now);
   }
+  for (const ViewEvacuation& evacuation : transfer.evacuations) {
+    keys.insert(evacuation.key);
+    sink_.onChange(toChange(evacuation), now);
+  }
   sink_.onListed(keys, transfer.revision, now);
   reader_.adopt(transfer.revision);
   return true;
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -40,6 +40,13 @@
   std::vector<std::uint32_t> weights;
 };
 
+/// A zone that operators have taken out.
+struct ViewEvacuation {
+  std::string key;
+  Revision revision = 0;
+  std::string zone;
+};
+
 /// A daemon's whole view, complete up to a revision, and the daemons that it knows.
 struct ViewTransfer {
   Revision revision = 0;    ///< Zero: no newer view than the requester has.
@@ -49,6 +56,7 @@
   std::vector<ViewRoute> routes;
   std::vector<ViewBackend> backends;
   std::vector<Endpoint> peers;
+  std::vector<ViewEvacuation> evacuations;
 };
 
 /// An item that is no longer in the store.
@@ -105,6 +113,7 @@
   std::vector<ViewRouteDelta> routes;
   std::vector<Endpoint> peers;      ///< Some that follow the sender.
   std::vector<BackendId> outliers;  ///< Back ends that leave callers without answers.
+  std::vector<ViewEvacuation> evacuations;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -46,6 +46,16 @@
 
 bool ViewUpdater::take(const StoreChange& change, const RemovedItem&, Time now) {
   // Routes are never removed as a whole: a version replaces them.
+  if (backends_.evacuations().Knows(change.key)) {
+    const bool wasEvacuated = isEvacuated(change.key);
+    if (backends_.removeEvacuation(change.key, change.revision)) {
+      record(change);
+    }
+    if (wasEvacuated && !isEvacuated(change.key)) {
+      reportEvacuation(change.key, change.revision, ViewChange::Kind::kEvacuationEnded);
+    }
+    return true;
+  }
   const bool isKnown = backends_.knows(change.key);
   const RegistryEvent event = backends_.remove(change.key, change.revision, now);
   // A peer may know an item from a listing's later page that this daemon never saw.
@@ -66,6 +76,32 @@
   return true;
 }
 
+bool ViewUpdater::take(const StoreChange& change, const ZoneEvacuation& evacuation, Time) {
+  const bool wasEvacuated = backends_.evacuations().IsEvacuated(evacuation.zone);
+  if (backends_.putEvacuation(change.key, evacuation.zone, change.revision)) {
+    record(change);
+  }
+  if (!wasEvacuated && isEvacuated(change.key)) {
+    reportEvacuation(change.key, change.revision, ViewChange::Kind::kEvacuationBegan);
+  }
+  return true;
+}
+
+bool ViewUpdater::isEvacuated(const std::string& key) const {
+  const ZoneEvacuations& evacuations = backends_.evacuations();
+  return evacuations.IsEvacuated(evacuations.GetZone(key));
+}
+
+void ViewUpdater::reportEvacuation(const std::string& key, Revision revision,
+                                   ViewChange::Kind kind) {
+  ViewChange report;
+  report.kind = kind;
+  report.key = key;
+  report.revision = revision;
+  report.zone = backends_.evacuations().GetZone(key);
+  listener_(report);
+}
+
 void ViewUpdater::record(StoreChange change) {
   if (log_ != nullptr) {
     log_->Append(std::move(change));
@@ -80,6 +116,10 @@
     record({key, listedAt, RemovedItem{}});
     reportBackend(key, listedAt, RegistryEvent::kVanished, "");
   }
+  for (const std::string& key : backends_.retainEvacuations(keys, listedAt)) {
+    record({key, listedAt, RemovedItem{}});
+    reportEvacuation(key, listedAt, ViewChange::Kind::kEvacuationEnded);
+  }
   if (!std::exchange(listed_, true)) {
     ViewChange report;
     report.kind = ViewChange::Kind::kFirstListing;
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -14,12 +14,21 @@
 
 /// One change of the view, or the refusal of one; for logs.
 struct ViewChange {
-  enum class Kind : std::uint8_t { kBackend, kRoutes, kUnreadable, kOlderRoutes, kFirstListing };
+  enum class Kind : std::uint8_t {
+    kBackend,
+    kRoutes,
+    kUnreadable,
+    kOlderRoutes,
+    kFirstListing,
+    kEvacuationBegan,
+    kEvacuationEnded,
+  };
   Kind kind = Kind::kBackend;
   std::string key;
   Revision revision = 0;
   RegistryEvent backendEvent = RegistryEvent::kNone;
   std::string service;
+  std::string zone;                  ///< Of an evacuation.
   ConfigurationVersion version = 0;  ///< Of the route set.
   std::string reason;                ///< Why an item cannot be read.
   std::size_t backends = 0;          ///< Back ends of the first listing, which are not told apart.
@@ -43,7 +52,11 @@
   bool take(const StoreChange& change, const RouteDelta& delta, Time now);
   bool take(const StoreChange& change, const RemovedItem& removed, Time now);
   bool take(const StoreChange& change, const UnreadableItem& unreadable, Time now);
+  bool take(const StoreChange& change, const ZoneEvacuation& evacuation, Time now);
   void record(StoreChange change);
+  /// @return true where the zone of an evacuation's item is out.
+  bool isEvacuated(const std::string& key) const;
+  void reportEvacuation(const std::string& key, Revision revision, ViewChange::Kind kind);
   void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                      const std::string& service);
 
--- /dev/null
+++ b/src/core/zones/zone_evacuations.cc
@@ -0,0 +1,74 @@
+#include "core/zones/zone_evacuations.h"
+
+namespace cobaltgauge::core {
+
+bool ZoneEvacuations::Put(const std::string& key,
+                          const std::string& zone,
+                          Revision revision)
+{
+  const auto known = this->Entries.find(key);
+  if (known != this->Entries.end() && known->second.At >= revision) {
+    return false;
+  }
+  this->Entries[key] = { zone, revision, true };
+  this->CollectZones();
+  return true;
+}
+
+bool ZoneEvacuations::Remove(const std::string& key, Revision revision)
+{
+  const auto known = this->Entries.find(key);
+  if (known == this->Entries.end() || known->second.At >= revision) {
+    return false;
+  }
+  known->second.At = revision;
+  known->second.InForce = false;
+  this->CollectZones();
+  return true;
+}
+
+std::vector<std::string> ZoneEvacuations::RetainOnly(
+  const std::set<std::string>& keys,
+  Revision listedAt)
+{
+  std::vector<std::string> ended;
+  for (auto& [key, entry] : this->Entries) {
+    if (entry.InForce && entry.At <= listedAt && keys.count(key) == 0) {
+      // The removal's own revision is unknown; it is the listing's at most.
+      entry.At = listedAt;
+      entry.InForce = false;
+      ended.push_back(key);
+    }
+  }
+  this->CollectZones();
+  return ended;
+}
+
+std::string ZoneEvacuations::GetZone(const std::string& key) const
+{
+  const auto known = this->Entries.find(key);
+  return known == this->Entries.end() ? std::string() : known->second.Zone;
+}
+
+std::vector<StoreChange> ZoneEvacuations::GetContents() const
+{
+  std::vector<StoreChange> changes;
+  for (const auto& [key, entry] : this->Entries) {
+    if (entry.InForce) {
+      changes.push_back({ key, entry.At, ZoneEvacuation{ entry.Zone } });
+    }
+  }
+  return changes;
+}
+
+void ZoneEvacuations::CollectZones()
+{
+  this->Zones.clear();
+  for (const auto& [key, entry] : this->Entries) {
+    if (entry.InForce) {
+      this->Zones.insert(entry.Zone);
+    }
+  }
+}
+
+} // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/zones/zone_evacuations.h
@@ -0,0 +1,74 @@
+/// @file
+/// Zones that operators have taken out: their back ends get no new flow until
+/// the zone is taken back.  Open flows stay.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/registration.h"
+
+namespace cobaltgauge::core {
+
+/** \class ZoneEvacuations
+ * \brief The evacuations in force, by the key of their item in the store.
+ *
+ * Items are ordered by revision: an older one never replaces a newer one, and
+ * an evacuation that has ended is remembered for that.  There are as many
+ * keys as zones, so nothing is ever forgotten.
+ */
+class ZoneEvacuations
+{
+public:
+  /// Take an evacuation.
+  /// \return whether it is newer than what was known of its key.
+  bool Put(const std::string& key, const std::string& zone, Revision revision);
+
+  /// Note that an item was removed.
+  /// \return whether that is newer than what was known of its key.
+  bool Remove(const std::string& key, Revision revision);
+
+  /// Take a whole listing: evacuations that are older than it and not part of
+  /// it have ended.
+  /// \return the keys of those.
+  std::vector<std::string> RetainOnly(const std::set<std::string>& keys,
+                                      Revision listedAt);
+
+  bool IsEvacuated(const std::string& zone) const
+  {
+    return this->Zones.count(zone) != 0;
+  }
+
+  /// Tell whether an item of this key was ever taken.
+  bool Knows(const std::string& key) const
+  {
+    return this->Entries.count(key) != 0;
+  }
+
+  /// Get the zone of an item that was ever taken; empty for others.
+  std::string GetZone(const std::string& key) const;
+
+  /// Get the zones that are out.
+  const std::set<std::string>& GetZones() const { return this->Zones; }
+
+  /// Get every evacuation in force, as an item.
+  std::vector<StoreChange> GetContents() const;
+
+private:
+  struct Entry
+  {
+    std::string Zone;
+    Revision At = 0;
+    bool InForce = true;
+  };
+
+  /// Collect the zones anew; several keys may name one.
+  void CollectZones();
+
+  std::map<std::string, Entry> Entries;
+  std::set<std::string> Zones;
+};
+
+} // namespace cobaltgauge::core
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -29,6 +29,7 @@
     "  explain PROTOCOL SOURCE DESTINATION  where a flow goes, since when, by which rule\n"
     "  drain-status BACKEND                 whether a back end still gets new flows\n"
     "  metrics                              all counters\n"
+    "  zones                                zones taken out of service (token steering)\n"
     "Settings of a daemon are checked by: cobaltgauged --settings FILE --check\n";
 
 std::optional<std::string> readFile(const std::string& path) {
@@ -134,8 +135,8 @@
 
 int main(int argc, char** argv) {
   const std::vector<std::string> words(argv + 1, argv + argc);
-  const std::vector<std::string> remote{"status",  "members",      "services",
-                                        "explain", "drain-status", "metrics"};
+  const std::vector<std::string> remote{"status",       "members", "services", "explain",
+                                        "drain-status", "metrics", "zones"};
   for (const std::string& command : remote) {
     if (!words.empty() && words[0] == command) {
       return askDaemon(argc - 1, argv + 1);
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -9,6 +9,7 @@
 #include "daemon/clock.h"
 #include "daemon/log.h"
 #include "daemon/token_log.h"
+#include "daemon/zone_page.h"
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
@@ -54,7 +55,12 @@
       formats_(net::makeEdgeFormats()),
       weights_(settings_.zone),
       steering_(steeringOptions(settings_), weights_, random_),
-      updater_(steering_.backends(), steering_.routes(), logViewChange, &changes_),
+      updater_(
+          steering_.backends(), steering_.routes(),
+          [this](const core::ViewChange& change) {
+            logViewChange(change, bootTime() - reader_.confirmedAt());
+          },
+          &changes_),
       reader_(updater_, random_),
       peers_(context_, settings_, {steering_, updater_, reader_, changes_}, random_,
              [this](core::Time now, bool changed) { onPeers(now, changed); }),
@@ -157,8 +163,12 @@
 }
 
 net::HttpResponse TokenDaemon::answerAdmin(const std::string& path) const {
+  if (path == "/zones") {
+    return {200, "application/json",
+            zonePage(steering_.backends().evacuations(), reader_.revision())};
+  }
   if (path != "/metrics") {
-    return {kNotFound, "text/plain", "only /metrics is here\n"};
+    return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
   }
   const TokenMetricSources sources{steering_, reader_, peers_, packets_, latencies_, isReady()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -54,6 +54,15 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logEvacuation(const core::ViewChange& change, core::Duration viewAge) {
+  const bool began = change.kind == core::ViewChange::Kind::kEvacuationBegan;
+  logEvent(LogLevel::kWarning, began ? "zone_evacuated" : "zone_returned",
+           {{"zone", change.zone},
+            {"key", change.key},
+            {"revision", std::to_string(change.revision)},
+            {"view_age_ms", std::to_string(viewAge / std::chrono::milliseconds(1))}});
+}
+
 }  // namespace
 
 void logVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
@@ -91,8 +100,12 @@
             {"result", toString(result)}});
 }
 
-void logViewChange(const core::ViewChange& change) {
+void logViewChange(const core::ViewChange& change, core::Duration viewAge) {
   switch (change.kind) {
+    case core::ViewChange::Kind::kEvacuationBegan:
+    case core::ViewChange::Kind::kEvacuationEnded:
+      logEvacuation(change, viewAge);
+      return;
     case core::ViewChange::Kind::kBackend:
       logEvent(LogLevel::kInfo, "backend_changed",
                {{"key", change.key},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -19,8 +19,9 @@
 /// Logs the result of a probe.
 void logProbe(const core::BackendAddress& backend, core::ProbeResult result);
 
-/// Logs a change of the view.
-void logViewChange(const core::ViewChange& change);
+/// Logs a change of the view. @param viewAge since the view was last known to be the store's: the
+/// change cannot have been made longer ago.
+void logViewChange(const core::ViewChange& change, core::Duration viewAge);
 
 /// Logs one read of the store, its cause and what it gave.
 void logStoreRead(const core::StoreRead& read, const core::StoreReply& reply,
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -116,6 +116,11 @@
       {"cobaltgauge_outliers_found_total", "Outliers found by this daemon", nullptr,
        MetricType::Counter,
        [](const Sources& s) { return single(s.peers.GetOutliers().GetCounters().Found); }},
+      {"cobaltgauge_zones_evacuated", "Zones whose back ends get no new flow", nullptr,
+       MetricType::Gauge,
+       [](const Sources& s) {
+         return single(s.steering.backends().evacuations().GetZones().size());
+       }},
       {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
        nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
       {"cobaltgauge_ready", "1 while this daemon asks for packets", nullptr, MetricType::Gauge,
--- /dev/null
+++ b/src/daemon/zone_page.cc
@@ -0,0 +1,18 @@
+#include "daemon/zone_page.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cobaltgauge::daemon {
+
+std::string zonePage(const core::ZoneEvacuations& evacuations, core::Revision viewRevision) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const core::StoreChange& change : evacuations.GetContents()) {
+    list.push_back({{"zone", std::get<core::ZoneEvacuation>(change.item).zone},
+                    {"key", change.key},
+                    {"revision", change.revision}});
+  }
+  const nlohmann::json page{{"revision", viewRevision}, {"evacuated", std::move(list)}};
+  return page.dump(2) + "\n";
+}
+
+}  // namespace cobaltgauge::daemon
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -86,9 +86,13 @@
   return std::tie(m.name, m.endpoint, m.services, m.weights);
 }
 auto fieldsOf(IsMessage<core::ViewTransfer> auto& m) {
-  return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers);
+  return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers,
+                  m.evacuations);
 }
 auto fieldsOf(IsMessage<core::ViewRemoval> auto& m) { return std::tie(m.key, m.revision); }
+auto fieldsOf(IsMessage<core::ViewEvacuation> auto& m) {
+  return std::tie(m.key, m.revision, m.zone);
+}
 auto fieldsOf(IsMessage<core::ViewRouteDelta> auto& m) {
   return std::tie(m.key, m.revision, m.from, m.version, m.idleTimeoutMs, m.changed, m.dropped);
 }
@@ -97,7 +101,8 @@
 }
 auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
   return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
-                  m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers);
+                  m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers,
+                  m.evacuations);
 }
 auto fieldsOf(IsMessage<core::OutlierObservation> auto& m) {
   return std::tie(m.backend, m.reporter);
--- a/tests/core/view_exchange_test.cc
+++ b/tests/core/view_exchange_test.cc
@@ -108,6 +108,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(ViewExchangeTest, ExchangeFixture)
 
+BOOST_AUTO_TEST_CASE(a_whole_view_tells_which_zones_are_out) {
+  store.put("op/evacuate/a", core::ZoneEvacuation{"a"});
+  now += 2s;
+  read(first);
+  fail(third);
+  now += core::kStoreFirstTry;
+  tick();
+  BOOST_TEST(third.reader.isComplete());
+  BOOST_TEST(third.steering.backends().evacuations().IsEvacuated("a"));
+  BOOST_TEST(third.backends() == 0U);
+}
+
 // A daemon that started while the store was down, or refused it, served nobody until it answered.
 BOOST_AUTO_TEST_CASE(a_starting_daemon_gets_its_view_from_a_peer) {
   tick();
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -81,6 +81,7 @@
   update.revision = 6;
   update.full = true;
   update.removals.push_back({"servers/1", 6});
+  update.evacuations.push_back({"op/evacuate/a", 6, "a"});
   update.routes.push_back({"op/config", 6, 7, 8, 9, {{"r", {{}, 443}, {"web"}, {1}}}, {{{}, 80}}});
   const auto received = codec().decode(codec().encode(update));
   BOOST_TEST_REQUIRE(received.has_value());
@@ -94,6 +95,8 @@
   BOOST_TEST(message.full);
   BOOST_TEST(!message.leaving);
   BOOST_TEST(message.removals.at(0).key == "servers/1");
+  BOOST_TEST(message.evacuations.at(0).zone == "a");
+  BOOST_TEST(message.evacuations.at(0).revision == 6U);
   BOOST_TEST(message.routes.at(0).changed.at(0).services.at(0) == "web");
   BOOST_TEST(message.routes.at(0).dropped.at(0).port == 80);
 }
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -76,6 +76,15 @@
   BOOST_TEST((registration.state == core::BackendState::kActive));
 }
 
+BOOST_AUTO_TEST_CASE(an_evacuation_names_its_zone_in_its_key) {
+  // {} as base64.
+  const core::StoreReply reply = parseItems(item("op/evacuate/hall-c", "e30="));
+  BOOST_REQUIRE(reply.changes.size() == 1U);
+  BOOST_TEST(reply.changes[0].key == "op/evacuate/hall-c");
+  BOOST_TEST(std::get<core::ZoneEvacuation>(reply.changes[0].item).zone == "hall-c");
+  BOOST_TEST(unreadableReason("op/evacuate/", "e30=") == "an evacuation names no zone");
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_becomes_routes) {
   const core::StoreReply reply = parseItems(item("op/config", kConfig));
   const auto& routes = std::get<core::RouteSet>(reply.changes.at(0).item);
