Pass on registrations that came back as they were

Cause: an update may hold a lapsed registration's removal and its return together. A view that had missed both took the return for nothing new and left it out of its change log; a follower that had heard of the removal from another daemon then kept the back end out of placement until it changed again. Found by reading, while evacuations that end and begin at once were tested.

Change: an item that is newer and says what was known is an event of its own (refreshed), which is passed on and not logged.

Result: a test of the change log, seen to fail before.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -20,6 +20,8 @@
       return "vanished";
     case RegistryEvent::kChanged:
       return "changed";
+    case RegistryEvent::kRefreshed:
+      return "refreshed";
     case RegistryEvent::kNone:
       return "none";
   }
@@ -61,7 +63,7 @@
   if (!tookFlows && !leaving) {
     return RegistryEvent::kReturned;
   }
-  return sameContent ? RegistryEvent::kNone : RegistryEvent::kChanged;
+  return sameContent ? RegistryEvent::kRefreshed : RegistryEvent::kChanged;
 }
 
 void BackendRegistry::markEnded(const Endpoint& endpoint) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -35,6 +35,7 @@
   kReturned,  ///< Active again after it was leaving or had vanished.
   kVanished,  ///< Its item was removed.
   kChanged,   ///< Another field changed.
+  kRefreshed, ///< Taken, though it says what was known.
   kNone,      ///< Older than what is known, or without effect.
 };
 
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -131,7 +131,7 @@
 
 void ViewUpdater::reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                                 const std::string& service) {
-  if (event == RegistryEvent::kNone) {
+  if (event == RegistryEvent::kNone || event == RegistryEvent::kRefreshed) {
     return;
   }
   ViewChange report;
--- /dev/null
+++ b/tests/core/relay/logged_changes_test.cc
@@ -0,0 +1,68 @@
+/// What a view's change log must hold so that any follower ends up with the
+/// same view, whatever it had heard before.
+#include <boost/test/unit_test.hpp>
+
+#include "core/relay/change_log.h"
+#include "core/view_updater.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A view that is complete up to revision 10 and holds one back end.
+struct LoggedChangesFixture
+{
+  core::EqualWeights Weights;
+  core::BackendRegistry Backends{ 60s, this->Weights };
+  core::RouteTable Routes{ 0 };
+  core::ChangeLog Log;
+  core::ViewUpdater Updater{ this->Backends,
+                             this->Routes,
+                             [](const core::ViewChange&) {},
+                             &this->Log };
+  core::Registration Registered = makeRegistration(1, "web", 1, 1);
+
+  LoggedChangesFixture()
+  {
+    this->Take(10, this->Registered);
+    this->Log.Close(10);
+  }
+
+  void Take(core::Revision revision, decltype(core::StoreChange::item) item)
+  {
+    this->Updater.onChange({ "servers/1", revision, std::move(item) }, 100s);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(LoggedChangesTest, LoggedChangesFixture)
+
+// An update brings a lapsed registration's removal and its return together.
+// To this view nothing happened; a follower that had heard of the removal
+// from another daemon kept the back end out until it changed again.
+BOOST_AUTO_TEST_CASE(a_registration_that_is_back_as_it_was_is_passed_on)
+{
+  this->Take(12, this->Registered);
+  this->Take(11, core::RemovedItem{});
+  this->Log.Close(12);
+  const auto excerpt = this->Log.Since(11);
+  BOOST_TEST_REQUIRE(excerpt.has_value());
+  BOOST_TEST_REQUIRE(excerpt->Changes.size() == 1U);
+  BOOST_TEST(excerpt->Changes[0].revision == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(what_is_not_newer_is_not_passed_on)
+{
+  this->Take(10, this->Registered);
+  this->Take(9, core::RemovedItem{});
+  this->Log.Close(12);
+  const auto excerpt = this->Log.Since(10);
+  BOOST_TEST_REQUIRE(excerpt.has_value());
+  BOOST_TEST(excerpt->Changes.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
