Bound what the fleet gives cold back ends, and keep routes to their regions

Cause: what a configuration says of services and requests was dropped by the adapter. A route's allowed regions were not read.

Change: routes carry kind, latency goal, time-out, priority and regions; services their warm-up. Each daemon gives a cold back end a share of what it bears: a third, divided by the number of daemons, a fraction of an opening by a hash of daemon and back end, so that nobody needs to know the others. The number of daemons is summed upwards along the tree of the seed that reads and told downwards; the highest of the last periods holds, and 1,000 where none was heard for 6 s. Where all are cold an opening waits for its repetition, and its last copy is refused (warming_up, not run). Back ends outside of a route's regions, or in zones that the settings do not name, are no candidates. Where none of 32 drawn back ends takes flows, all are looked at: an opening could be turned away though one was free.

Weighed: cold ones last (starves them while the rest is full), shares by a fixed fleet (a back end of 74 daemons would get a tenth of its share), a leader (none here). Tried while building: counting every subscription as a follower, which grew without end where seeds ask each other; only a daemon that follows is counted.

Without a bound nothing changes.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -156,9 +156,14 @@
   return key != keys_.end() && entries_.at(key->second).ended;
 }
 
-PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) {
-  return {entry.address.id, entry.address.service, std::max(entry.registration.capacity, 1U),
-          entry.weight, entry.warmUntil};
+PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) const {
+  const auto region = regions_.find(entry.registration.zone);
+  return {entry.address.id,
+          entry.address.service,
+          std::max(entry.registration.capacity, 1U),
+          entry.weight,
+          entry.warmUntil,
+          region == regions_.end() ? kNoRegion : region->second};
 }
 
 bool BackendRegistry::isServing(const Entry& entry) const {
@@ -257,6 +262,14 @@
   return list;
 }
 
+void BackendRegistry::setRegions(const std::map<std::string, std::string>& regionsOfZones) {
+  regions_.clear();
+  for (const auto& [zone, region] : regionsOfZones) {
+    regions_[zone] = regionIdOf(region);
+  }
+  candidates_.clear();
+}
+
 void BackendRegistry::reweigh() {
   for (auto& [key, entry] : entries_) {
     entry.weight = weights_.weightOf(entry.registration);
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -26,17 +26,18 @@
   std::uint32_t capacity = 1;
   std::uint32_t weight = kDefaultPlacementWeight;
   Time warmUntil{};  ///< Slow until this time.
+  RegionId region = kNoRegion;
 };
 
 /// What happened to a back end, for logs.
 enum class RegistryEvent : std::uint8_t {
   kAdded,
-  kLeaving,   ///< Announced its end.
-  kReturned,  ///< Active again after it was leaving or had vanished.
-  kVanished,  ///< Its item was removed.
-  kChanged,   ///< Another field changed.
-  kRefreshed, ///< Taken, though it says what was known.
-  kNone,      ///< Older than what is known, or without effect.
+  kLeaving,    ///< Announced its end.
+  kReturned,   ///< Active again after it was leaving or had vanished.
+  kVanished,   ///< Its item was removed.
+  kChanged,    ///< Another field changed.
+  kRefreshed,  ///< Taken, though it says what was known.
+  kNone,       ///< Older than what is known, or without effect.
 };
 
 const char* toString(RegistryEvent event);
@@ -50,6 +51,9 @@
   BackendRegistry(Duration keepDeparted, PlacementWeights& weights, TokenReach* reach = nullptr)
       : keepDeparted_(keepDeparted), weights_(weights), tokens_(reach) {}
 
+  /// Says which region each zone is in.
+  void setRegions(const std::map<std::string, std::string>& regionsOfZones);
+
   /// Weighs every back end again, after the policy changed.
   void reweigh();
 
@@ -122,7 +126,7 @@
     std::uint32_t weight = kDefaultPlacementWeight;
   };
 
-  static PlacementCandidate candidateOf(const Entry& entry);
+  PlacementCandidate candidateOf(const Entry& entry) const;
   bool hasVanished(const Entry& entry, Time since) const;
   /// @return true where the back end would take new flows but for an evacuation of its zone.
   bool isServing(const Entry& entry) const;
@@ -146,6 +150,7 @@
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
   std::unordered_map<ServiceId, Time> lastDeparture_;
   ZoneEvacuations evacuations_;
+  std::map<std::string, RegionId> regions_;  ///< By zone.
   /// Collected when asked for; a change of a service drops its list.
   std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
 };
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -240,6 +240,22 @@
 /// Where more than one registration in so many of a service vanishes without a word, they lapsed.
 inline constexpr std::size_t kBackendsPerLapse = 3;
 
+// Back ends that are cold; see docs/design/010-shifted-work.md.
+
+/// Share of what a cold back end bears that the fleet means to use. The users' rule allows half as
+/// much again as it bears, and more; what is left is for chance and for daemons not known of.
+inline constexpr double kWarmUpShare = 1.0 / 3;
+/// Openings of a second that the rule counts, and how much further apart they may arrive than they
+/// were sent on.
+inline constexpr Duration kWarmUpWindow = 1100ms;
+/// Daemons that are taken for granted where nobody has counted them: above the users' target of 750.
+inline constexpr std::uint32_t kLargestFleet = 1000;
+/// For how long, twice at most, a count of daemons is remembered; longer than any cut of a day.
+inline constexpr Duration kFleetCountMemory = 30s;
+/// A tree of followers has grown after this long: each of its levels renews within kRenewEvery, and
+/// a daemon finds one to follow in a few questions.
+inline constexpr Duration kFleetCountSettles = 6s;
+
 /// Daemons that follow one daemon. Three seeds and two levels below them carry 3,000; each sign of
 /// life takes the processor about 10 us a follower.
 inline constexpr std::size_t kMostFollowers = 32;
--- a/src/core/hashing.cc
+++ b/src/core/hashing.cc
@@ -34,6 +34,10 @@
   return ServiceId{static_cast<std::uint32_t>(hashName(serviceName))};
 }
 
+RegionId regionIdOf(std::string_view regionName) {
+  return RegionId{static_cast<std::uint32_t>(hashName(regionName)) | 1U};
+}
+
 MemberId memberIdOf(std::string_view memberName) { return MemberId{hashName(memberName) | 1U}; }
 
 BackendId backendIdOf(ServiceId service, const Endpoint& endpoint, std::uint32_t incarnation) {
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -19,6 +19,9 @@
 /// @return the identity of the service with this name.
 ServiceId serviceIdOf(std::string_view serviceName);
 
+/// @return the identity of the region with this name.
+RegionId regionIdOf(std::string_view regionName);
+
 /// @return the identity of the daemon with this name.
 MemberId memberIdOf(std::string_view memberName);
 
--- a/src/core/registration.h
+++ b/src/core/registration.h
@@ -39,20 +39,44 @@
   bool operator==(const RouteTarget&) const = default;
 };
 
-/// Where new flows to one address and port go.
+/// What callers may do with a request that has failed.
+enum class RequestKind : std::uint8_t {
+  kUnknown,
+  kSafe,      ///< It may run again.
+  kUnsafe,    ///< It runs at most once.
+  kDownload,  ///< It may run again, and its answer is large.
+};
+
+/// Where new flows to one address and port go, and what the requests on them are.
 struct Route {
   std::string name;
   Endpoint endpoint;
   std::vector<RouteTarget> targets;  ///< At least one.
+  RequestKind kind = RequestKind::kUnknown;
+  std::chrono::milliseconds latencyGoal{0};      ///< In which answers are wanted; zero: not told.
+  std::chrono::milliseconds timeout{0};          ///< After which callers give up; zero: not told.
+  std::uint32_t priority = 0;                    ///< Zero is the highest.
+  std::vector<std::string> allowedRegions = {};  ///< Of its back ends; empty: any.
 
   bool operator==(const Route&) const = default;
 };
 
+/// What is known of all back ends of a service.
+struct ServiceTraits {
+  std::string name;
+  std::chrono::milliseconds warmUp{0};  ///< For so long a back end is cold after its start.
+  /// Openings a second that a cold back end bears, from the whole fleet; zero: no bound.
+  double coldOpenings = 0;
+
+  bool operator==(const ServiceTraits&) const = default;
+};
+
 /// All routes of one configuration version.
 struct RouteSet {
   ConfigurationVersion version = 0;
   std::chrono::milliseconds idleTimeout{0};  ///< Flows idle for longer may be forgotten.
   std::vector<Route> routes;
+  std::vector<ServiceTraits> services = {};
 };
 
 /// What a configuration version changed in the routes of an earlier one.
@@ -62,6 +86,7 @@
   std::chrono::milliseconds idleTimeout{0};
   std::vector<Route> changed;  ///< Routes that are new or differ.
   std::vector<Endpoint> dropped;
+  std::vector<ServiceTraits> services = {};  ///< All of the version; there are few.
 };
 
 /// Operators want a zone's back ends to get no new flow until the item is removed.
--- a/src/core/relay/follower_leases.cc
+++ b/src/core/relay/follower_leases.cc
@@ -7,37 +7,48 @@
 
 namespace cobaltgauge::core {
 
-bool FollowerLeases::Grant(const Endpoint& follower, Time now)
+bool FollowerLeases::Grant(const Endpoint& follower,
+                           std::uint32_t daemons,
+                           Time now)
 {
-  const bool isFull = this->Ends.size() >= kMostFollowers ||
+  const bool isFull = this->Leases.size() >= kMostFollowers ||
     this->CountNearer(follower) >= kFollowersFromAfar;
-  if (isFull && this->Ends.count(follower) == 0) {
+  if (isFull && this->Leases.count(follower) == 0) {
     return false;
   }
-  this->Ends[follower] = now + kSubscriptionLease;
+  this->Leases[follower] = { now + kSubscriptionLease, daemons };
   return true;
 }
 
 void FollowerLeases::Expire(Time now)
 {
-  std::erase_if(this->Ends,
-                [now](const auto& item) { return item.second <= now; });
+  std::erase_if(this->Leases,
+                [now](const auto& item) { return item.second.Ends <= now; });
 }
 
 std::vector<Endpoint> FollowerLeases::List() const
 {
   std::vector<Endpoint> list;
-  for (const auto& [follower, end] : this->Ends) {
+  for (const auto& [follower, lease] : this->Leases) {
     list.push_back(follower);
   }
   return list;
 }
 
+std::uint32_t FollowerLeases::CountTree() const
+{
+  std::uint32_t daemons = 1;
+  for (const auto& [follower, lease] : this->Leases) {
+    daemons += std::min(lease.Daemons, kLargestFleet);
+  }
+  return std::min(daemons, kLargestFleet);
+}
+
 std::size_t FollowerLeases::CountNearer(const Endpoint& asking) const
 {
   const std::size_t own = CountSharedBytes(this->Self, asking);
   return static_cast<std::size_t>(std::count_if(
-    this->Ends.begin(), this->Ends.end(), [&asking, own](const auto& item) {
+    this->Leases.begin(), this->Leases.end(), [&asking, own](const auto& item) {
       return item.first != asking &&
         CountSharedBytes(item.first, asking) > own;
     }));
--- a/src/core/relay/follower_leases.h
+++ b/src/core/relay/follower_leases.h
@@ -25,15 +25,18 @@
   }
 
   /// Begin or renew a lease.
+  /// \param daemons the follower and all that follow it; zero: it only asks.
   /// \return false where there is no room, or where enough followers are
   /// nearer to the asking one.
-  bool Grant(const Endpoint& follower, Time now);
+  bool Grant(const Endpoint& follower, std::uint32_t daemons, Time now);
 
   /// End the leases that were not renewed.
   void Expire(Time now);
-  void Clear() { this->Ends.clear(); }
+  void Clear() { this->Leases.clear(); }
 
-  std::size_t Count() const { return this->Ends.size(); }
+  std::size_t Count() const { return this->Leases.size(); }
+  /// Count this daemon and all that follow it, directly or not.
+  std::uint32_t CountTree() const;
   std::vector<Endpoint> List() const;
 
   /// Get some followers whom a daemon may ask instead of this one, those near
@@ -44,7 +47,13 @@
   std::size_t CountNearer(const Endpoint& asking) const;
 
   Endpoint Self;
-  std::map<Endpoint, Time> Ends;
+  struct Lease
+  {
+    Time Ends{};
+    std::uint32_t Daemons = 0;
+  };
+
+  std::map<Endpoint, Lease> Leases;
 };
 
 } // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -118,6 +118,9 @@
 {
   this->Followers.Expire(now);
   this->Clocks.Expire(now);
+  if (this->Reading && this->Seeds.IsSelfSeed()) {
+    this->Fleet.OnHeard(this->Followers.CountTree(), now);
+  }
   const Duration age = now - this->Reader.confirmedAt();
   if (this->Upstream && age >= this->Timing.AskPeersAfter) {
     this->StopFollowing();
@@ -201,9 +204,12 @@
 {
   ++this->Counters.SubscriptionsSent;
   const auto sentAt = static_cast<std::uint64_t>(now.count());
+  const std::uint32_t daemons =
+    this->Upstream == destination ? this->Followers.CountTree() : 0;
   this->Outgoing.push_back(
     { { destination },
-      ViewSubscription{ this->Self, this->Reader.revision(), sentAt } });
+      ViewSubscription{
+        this->Self, this->Reader.revision(), sentAt, daemons } });
 }
 
 void ViewRelay::OnStoreAnswer(Time now)
@@ -280,6 +286,9 @@
   if (!IsPart(update)) {
     this->Reader.confirm(*confirmed);
   }
+  if (update.daemons != 0) {
+    this->Fleet.OnHeard(update.daemons, now);
+  }
   if (this->Reader.confirmedAt() > this->LastConfirmed) {
     this->LastConfirmed = this->Reader.confirmedAt();
     this->ViewRank = update.readerRank;
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -18,6 +18,7 @@
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
+#include "core/relay/fleet_count.h"
 #include "core/relay/follower_leases.h"
 #include "core/relay/peer_clocks.h"
 #include "core/relay/relay_timing.h"
@@ -107,6 +108,8 @@
   bool IsReading() const { return this->Reading; }
   /// Get the daemon that is followed, if any.
   const std::optional<Endpoint>& GetUpstream() const { return this->Upstream; }
+  /// Get how many daemons there are; errs high.
+  std::uint32_t CountFleet(Time now) const { return this->Fleet.Get(now); }
   std::size_t CountFollowers() const { return this->Followers.Count(); }
   const ViewRelayCounters& GetCounters() const { return this->Counters; }
 
@@ -155,6 +158,7 @@
   bool Leaving = false;
   std::optional<Endpoint> Upstream;
   FollowerLeases Followers;
+  FleetCount Fleet;
   PeerClocks Clocks;
   Time NextAskAt{};
   Time MissingAskedAt{};
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -1,8 +1,25 @@
 #include "core/route_table.h"
 
+#include <algorithm>
+
 #include "core/hashing.h"
 
 namespace cobaltgauge::core {
+namespace {
+
+std::vector<RegionId> regionsOf(const Route& route) {
+  std::vector<RegionId> regions;
+  for (const std::string& name : route.allowedRegions) {
+    regions.push_back(regionIdOf(name));
+  }
+  return regions;
+}
+
+}  // namespace
+
+bool RouteEntry::allows(RegionId region) const {
+  return regions.empty() || std::find(regions.begin(), regions.end(), region) != regions.end();
+}
 
 std::size_t EndpointHash::operator()(const Endpoint& endpoint) const {
   return static_cast<std::size_t>(backendIdOf(ServiceId{0}, endpoint, 0));
@@ -13,7 +30,7 @@
 }
 
 RouteDelta RouteTable::difference(const RouteSet& routes) const {
-  RouteDelta delta{version_, routes.version, routes.idleTimeout, {}, {}};
+  RouteDelta delta{version_, routes.version, routes.idleTimeout, {}, {}, routes.services};
   if (routes.version <= version_) {
     return delta;
   }
@@ -53,6 +70,7 @@
   }
   version_ = delta.version;
   idleTimeout_ = delta.idleTimeout;
+  takeServices(delta.services);
   return RouteOffer::kAccepted;
 }
 
@@ -60,10 +78,26 @@
   const auto known = routes_.find(route.endpoint);
   if (known != routes_.end() && known->second.route.targets == route.targets) {
     known->second.route = route;
+    known->second.regions = regionsOf(route);
     return;
   }
   const WeightedSplit split(route.targets, startPoint_ ^ EndpointHash{}(route.endpoint));
-  routes_.insert_or_assign(route.endpoint, RouteEntry{route, split});
+  routes_.insert_or_assign(route.endpoint, RouteEntry{route, split, regionsOf(route)});
+}
+
+void RouteTable::takeServices(const std::vector<ServiceTraits>& services) {
+  services_ = services;
+  coldOpenings_.clear();
+  for (const ServiceTraits& service : services) {
+    if (service.coldOpenings > 0) {
+      coldOpenings_[serviceIdOf(service.name)] = service.coldOpenings;
+    }
+  }
+}
+
+double RouteTable::coldOpenings(ServiceId service) const {
+  const auto found = coldOpenings_.find(service);
+  return found == coldOpenings_.end() ? 0 : found->second;
 }
 
 RouteEntry* RouteTable::find(const Endpoint& endpoint) {
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -30,6 +30,10 @@
 struct RouteEntry {
   Route route;
   WeightedSplit split;
+  std::vector<RegionId> regions;  ///< Those of `route.allowedRegions`.
+
+  /// @return true where back ends of a region may get the route's flows.
+  bool allows(RegionId region) const;
 };
 
 class RouteTable {
@@ -60,13 +64,19 @@
   ConfigurationVersion version() const { return version_; }
   std::size_t size() const { return routes_.size(); }
   std::chrono::milliseconds idleTimeout() const { return idleTimeout_; }
+  const std::vector<ServiceTraits>& services() const { return services_; }
+  /// @return openings a second that a cold back end of the service bears; zero: no bound.
+  double coldOpenings(ServiceId service) const;
 
  private:
   void put(const Route& route);
+  void takeServices(const std::vector<ServiceTraits>& services);
 
   std::uint64_t startPoint_;
   ConfigurationVersion version_ = 0;
   std::chrono::milliseconds idleTimeout_{0};
+  std::vector<ServiceTraits> services_;
+  std::unordered_map<ServiceId, double> coldOpenings_;  ///< Of services that have a bound.
   std::unordered_map<Endpoint, RouteEntry, EndpointHash> routes_;
   std::unordered_map<Endpoint, Time, EndpointHash> dropped_;
 };
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -60,7 +60,7 @@
                                     RouteReason reason, BackendId avoided, Time now) {
   const Choice choice = chooseForRoute(route, avoided, now);
   if (choice.id == kNoBackend) {
-    return withoutBackend(packet, route.route, now);
+    return withoutBackend(packet, route.route, reason, now);
   }
   emptySince_.erase(route.route.endpoint);
   if (choice.busy && packet.openingCopy < kLastOpeningCopy) {
@@ -73,13 +73,23 @@
   flows_.put(flow, now);
   health_.onOpening(choice.id, now);
   pacer_.onOpening(choice.id, choice.capacity, now);
+  if (choice.cold) {
+    warmUps_.OnOpening(choice.id, now);
+  }
   return forward(*backends_.find(choice.id), reason);
 }
 
-Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route, Time now) {
+Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
+                                      RouteReason reason, Time now) {
   if (!viewCurrent_) {
     return Drop{DropReason::kStaleView};
   }
+  if (decision_.coldCandidates > 0) {
+    // They bear another one soon. Only an opening that was never sent on is refused.
+    const bool isLast = packet.openingCopy >= kLastOpeningCopy && reason == RouteReason::kPlaced;
+    return isLast ? refuse(RefuseReason::kWarmingUp, RefusalCertainty::kNotRun)
+                  : Verdict(Drop{DropReason::kPaced});
+  }
   // A repeated opening may have been answered through another daemon before the zones were out.
   if (packet.openingCopy == 0 && isEvacuated(route)) {
     return refuse(RefuseReason::kEvacuated, RefusalCertainty::kNotRun);
@@ -109,14 +119,18 @@
   }
   // Another part of the split is allowed to run the flow, and better than refusing it.
   for (const ServiceId service : services) {
-    const Choice choice = chooseOfService(service, avoided, now);
+    const Choice choice = chooseOfService(service, route, avoided, now);
     if (choice.id != kNoBackend) {
       return choice;
     }
   }
+  if (decision_.coldCandidates > 0) {
+    return Choice{};
+  }
   for (const ServiceId service : services) {
-    const Choice choice =
-        chooseAmong(backends_.vanishedSince(service, now - kVanishedFallback), avoided, now);
+    const std::vector<PlacementCandidate> vanished =
+        backends_.vanishedSince(service, now - kVanishedFallback);
+    const Choice choice = chooseAllowed(vanished, route, avoided, now);
     if (choice.id != kNoBackend) {
       return choice;
     }
@@ -124,36 +138,61 @@
   return Choice{};
 }
 
-TokenSteering::Choice TokenSteering::chooseOfService(ServiceId service, BackendId avoided,
-                                                     Time now) {
+TokenSteering::Choice TokenSteering::chooseOfService(ServiceId service, const RouteEntry& route,
+                                                     BackendId avoided, Time now) {
   const std::vector<PlacementCandidate>& registered = backends_.candidates(service);
   std::vector<PlacementCandidate> all = backends_.lapsedSince(service, now - kVanishedFallback);
   if (all.empty()) {
-    return chooseAmong(registered, avoided, now);
+    return chooseAllowed(registered, route, avoided, now);
   }
   // Registrations are still coming back: those that are there are too few for all openings.
   all.insert(all.end(), registered.begin(), registered.end());
-  return chooseAmong(all, avoided, now);
+  return chooseAllowed(all, route, avoided, now);
+}
+
+TokenSteering::Choice TokenSteering::chooseAllowed(
+    const std::vector<PlacementCandidate>& candidates, const RouteEntry& route, BackendId avoided,
+    Time now) {
+  if (route.regions.empty()) {
+    return chooseAmong(candidates, avoided, now);
+  }
+  std::vector<PlacementCandidate> allowed;
+  for (const PlacementCandidate& candidate : candidates) {
+    if (route.allows(candidate.region)) {
+      allowed.push_back(candidate);
+    }
+  }
+  return chooseAmong(allowed, avoided, now);
 }
 
 TokenSteering::Choice TokenSteering::chooseAmong(const std::vector<PlacementCandidate>& candidates,
                                                  BackendId avoided, Time now) {
-  Choice best;
-  if (candidates.empty()) {
-    return best;
-  }
   decision_.candidates = candidates.size();
   decision_.slowCandidates = 0;
+  // Neighbours in the list would not do: one among back ends of other zones would be compared with
+  // few of its own and get several times its share.
+  const auto draw = [this, &candidates](std::size_t) { return random_.below(candidates.size()); };
+  const auto each = [](std::size_t look) { return look; };
+  if (candidates.size() > kPlacementLooks) {
+    const Choice drawn = chooseBest(candidates, kPlacementLooks, draw, avoided, now);
+    if (drawn.id != kNoBackend) {
+      return drawn;
+    }
+  }
+  return chooseBest(candidates, candidates.size(), each, avoided, now);
+}
+
+template <typename Pick>
+TokenSteering::Choice TokenSteering::chooseBest(const std::vector<PlacementCandidate>& candidates,
+                                                std::size_t looks, Pick pick, BackendId avoided,
+                                                Time now) {
+  Choice best;
   std::uint64_t ties = 0;
-  const bool looksAtAll = candidates.size() <= kPlacementLooks;
-  const std::size_t looks = looksAtAll ? candidates.size() : kPlacementLooks;
   const bool withOutliers = outliersCount(candidates);
-  for (std::size_t i = 0; i < looks; ++i) {
-    // Neighbours in the list would not do: one among back ends of other zones would be compared
-    // with few of its own and get several times its share.
-    const std::size_t index = looksAtAll ? i : random_.below(candidates.size());
-    const Choice choice = assess(candidates[index], avoided, withOutliers, now);
-    if (choice.excluded) {
+  for (std::size_t look = 0; look < looks; ++look) {
+    const Choice choice = assess(candidates[pick(look)], avoided, withOutliers, now);
+    decision_.coldCandidates += choice.coldHeld ? 1U : 0U;
+    if (choice.excluded || choice.coldHeld) {
       continue;
     }
     decision_.slowCandidates += choice.slow ? 1U : 0U;
@@ -181,6 +220,9 @@
   choice.busy = pacer_.isBusy(candidate.id, now);
   choice.slow = slowness > 1.0;
   choice.excluded = candidate.weight == 0;
+  const double bears = now < candidate.warmUntil ? routes_.coldOpenings(candidate.service) : 0;
+  choice.cold = bears > 0;
+  choice.coldHeld = choice.cold && !warmUps_.MayOpen(candidate.id, bears, now);
   choice.load = flows * factor / (double{1} * candidate.capacity * std::max(candidate.weight, 1U));
   return choice;
 }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -28,7 +28,8 @@
       reach_(makeReach(options)),
       backends_(options.longestFlow, weights, reach_.get()),
       routes_(random.below(UINT64_MAX)),
-      flows_(options.flowEntries) {}
+      flows_(options.flowEntries),
+      warmUps_(options.daemon) {}
 
 Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
   const bool opens = packet.kind == PacketKind::kOpening;
@@ -211,6 +212,7 @@
   flows_.expire(now, std::max<Duration>(options_.flowIdleTimeout, routes_.idleTimeout()));
   health_.expire(now);
   pacer_.expire(now);
+  warmUps_.Expire(now);
   answerTimes_.Expire(now);
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -26,6 +26,7 @@
 #include "core/reach/token_reach.h"
 #include "core/route_table.h"
 #include "core/token_flows.h"
+#include "core/warmup/warm_up_budget.h"
 
 namespace cobaltgauge::core {
 
@@ -35,6 +36,7 @@
   std::size_t flowEntries = 1U << 16U;
   Duration flowIdleTimeout = std::chrono::seconds(15);
   Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
+  std::uint64_t daemon = 0;                         ///< Tells daemons apart.
   /// An address of this daemon; tokens hold addresses that lie near it. None: tokens are hashes.
   std::optional<IpAddress> home;
 };
@@ -46,6 +48,7 @@
   std::uint32_t openFlows = 0;     ///< On the back end, as far as seen here.
   std::size_t candidates = 0;      ///< Back ends that could have been chosen.
   std::size_t slowCandidates = 0;  ///< Of those that were compared: passed over for their answers.
+  std::size_t coldCandidates = 0;  ///< Of those that were compared: cold, and given all they bear.
   ConfigurationVersion version = 0;  ///< Of the routes that decided.
 };
 
@@ -83,6 +86,9 @@
   /// Call when every packet that waited has been handled.
   void onQueueDrained() { openingsAreStale_ = false; }
 
+  /// Says how many daemons there are; too high a number is the safe side.
+  void setFleet(std::uint32_t daemons) { warmUps_.SetFleet(daemons); }
+
   /// @return back ends whose address should be connected to; answer each by onProbe().
   std::vector<BackendAddress> takeProbes(Time now);
   void onProbe(BackendId backend, ProbeResult result, Time now);
@@ -123,20 +129,30 @@
     bool excluded = true;  ///< The policy gives it no new flow.
     bool suspected = true;
     bool busy = true;
-    bool slow = false;  ///< Its answers take longer than usual.
+    bool slow = false;      ///< Its answers take longer than usual.
+    bool cold = false;      ///< Counts for the bound of what a cold back end gets.
+    bool coldHeld = false;  ///< Cold, and this daemon may give it nothing now.
     double load = 0;
   };
   /// @return the best back end for a route, with kNoBackend where there is none.
   Choice chooseForRoute(RouteEntry& route, BackendId avoided, Time now);
   /// @return the best of a service's registered back ends and of those whose registrations lapsed.
-  Choice chooseOfService(ServiceId service, BackendId avoided, Time now);
+  Choice chooseOfService(ServiceId service, const RouteEntry& route, BackendId avoided, Time now);
+  /// @return the best of those in regions that the route allows.
+  Choice chooseAllowed(const std::vector<PlacementCandidate>& candidates, const RouteEntry& route,
+                       BackendId avoided, Time now);
   Choice chooseAmong(const std::vector<PlacementCandidate>& candidates, BackendId avoided,
                      Time now);
+  /// @param pick gives the candidate to be looked at, by the number of the look.
+  template <typename Pick>
+  Choice chooseBest(const std::vector<PlacementCandidate>& candidates, std::size_t looks, Pick pick,
+                    BackendId avoided, Time now);
   Choice assess(const PlacementCandidate& candidate, BackendId avoided, bool outliersCount,
                 Time now) const;
   static bool isBetter(const Choice& left, const Choice& right);
   /// @return what an opening gets where no back end of its route takes flows.
-  Verdict withoutBackend(const PacketSummary& packet, const Route& route, Time now);
+  Verdict withoutBackend(const PacketSummary& packet, const Route& route, RouteReason reason,
+                         Time now);
   /// @return true where operators have taken out zones of the route's back ends.
   bool isEvacuated(const Route& route) const;
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
@@ -160,6 +176,7 @@
   TokenFlows flows_;
   BackendHealth health_;
   OpeningPacer pacer_;
+  WarmUpBudget warmUps_;
   std::unordered_map<Endpoint, Time, EndpointHash> emptySince_;  ///< Routes without back ends.
   std::vector<FlowReset> resets_;
   VerdictCounters counters_;
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -53,8 +53,9 @@
   kBackendEnded,  ///< The flow's back end has ended; another one uses its address.
   kBackendDead,   ///< The flow's back end was silent and failed a probe.
   kEvacuated,     ///< Every back end's zone was taken out by operators.
+  kWarmingUp,     ///< Every back end is cold and was given what it bears.
 };
-inline constexpr std::size_t kRefuseReasons = 9;
+inline constexpr std::size_t kRefuseReasons = 10;
 
 /// Whether a refused request can have been executed.
 enum class RefusalCertainty : std::uint8_t {
--- a/src/core/view_conversion.cc
+++ b/src/core/view_conversion.cc
@@ -49,9 +49,22 @@
     message.services.push_back(target.service);
     message.weights.push_back(target.weight);
   }
+  message.kind = route.kind;
+  message.latencyGoalMs = wholeMilliseconds(route.latencyGoal);
+  message.timeoutMs = wholeMilliseconds(route.timeout);
+  message.priority = route.priority;
+  message.allowedRegions = route.allowedRegions;
   return message;
 }
 
+ViewService toMessage(const ServiceTraits& service) {
+  return {service.name, wholeMilliseconds(service.warmUp), service.coldOpenings};
+}
+
+ServiceTraits toTraits(const ViewService& message) {
+  return {message.name, std::chrono::milliseconds(message.warmUpMs), message.coldOpenings};
+}
+
 /// @return the route, or nothing where it has no targets.
 std::optional<Route> toRoute(const ViewRoute& message) {
   if (message.services.empty() || message.services.size() != message.weights.size()) {
@@ -61,6 +74,11 @@
   for (std::size_t i = 0; i < message.services.size(); ++i) {
     route.targets.push_back({message.services[i], message.weights[i]});
   }
+  route.kind = message.kind;
+  route.latencyGoal = std::chrono::milliseconds(message.latencyGoalMs);
+  route.timeout = std::chrono::milliseconds(message.timeoutMs);
+  route.priority = message.priority;
+  route.allowedRegions = message.allowedRegions;
   return route;
 }
 
@@ -69,24 +87,27 @@
 ViewRouteDelta toMessage(const StoreChange& change, const RouteDelta& delta) {
   ViewRouteDelta message{
       change.key, change.revision, delta.from, delta.version, wholeMilliseconds(delta.idleTimeout),
-      {},         delta.dropped};
+      {},         delta.dropped,   {}};
   for (const Route& route : delta.changed) {
     message.changed.push_back(toMessage(route));
   }
+  for (const ServiceTraits& service : delta.services) {
+    message.services.push_back(toMessage(service));
+  }
   return message;
 }
 
 StoreChange toChange(const ViewRouteDelta& message) {
-  RouteDelta delta{message.from,
-                   message.version,
-                   std::chrono::milliseconds(message.idleTimeoutMs),
-                   {},
-                   message.dropped};
+  RouteDelta delta{message.from, message.version, std::chrono::milliseconds(message.idleTimeoutMs),
+                   {},           message.dropped, {}};
   for (const ViewRoute& item : message.changed) {
     if (std::optional<Route> route = toRoute(item)) {
       delta.changed.push_back(std::move(*route));
     }
   }
+  for (const ViewService& service : message.services) {
+    delta.services.push_back(toTraits(service));
+  }
   return {message.key, message.revision, std::move(delta)};
 }
 
--- a/src/core/view_conversion.h
+++ b/src/core/view_conversion.h
@@ -19,6 +19,9 @@
 StoreChange toChange(const ViewEvacuation& evacuation);
 
 ViewRoute toMessage(const Route& route);
+ViewService toMessage(const ServiceTraits& service);
+ServiceTraits toTraits(const ViewService& message);
+
 /// @return the route, or nothing where it has no targets.
 std::optional<Route> toRoute(const ViewRoute& message);
 
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -115,6 +115,9 @@
   for (const Route& route : steering_.routes().routes()) {
     view.routes.push_back(toMessage(route));
   }
+  for (const ServiceTraits& service : steering_.routes().services()) {
+    view.services.push_back(toMessage(service));
+  }
   for (const StoreChange& change : steering_.backends().contents()) {
     view.backends.push_back(toMessage(change, std::get<Registration>(change.item)));
   }
@@ -144,6 +147,9 @@
       routes.routes.push_back(std::move(*route));
     }
   }
+  for (const ViewService& message : transfer.services) {
+    routes.services.push_back(toTraits(message));
+  }
   if (routes.version != 0) {
     sink_.onChange({"peer", transfer.revision, std::move(routes)}, now);
   }
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -38,6 +38,18 @@
   Endpoint endpoint;
   std::vector<std::string> services;
   std::vector<std::uint32_t> weights;
+  RequestKind kind = RequestKind::kUnknown;
+  std::uint32_t latencyGoalMs = 0;
+  std::uint32_t timeoutMs = 0;
+  std::uint32_t priority = 0;
+  std::vector<std::string> allowedRegions = {};
+};
+
+/// What is known of all back ends of a service.
+struct ViewService {
+  std::string name;
+  std::uint32_t warmUpMs = 0;
+  double coldOpenings = 0;
 };
 
 /// A zone that operators have taken out.
@@ -57,6 +69,7 @@
   std::vector<ViewBackend> backends;
   std::vector<Endpoint> peers;
   std::vector<ViewEvacuation> evacuations;
+  std::vector<ViewService> services = {};
 };
 
 /// An item that is no longer in the store.
@@ -74,6 +87,7 @@
   std::uint32_t idleTimeoutMs = 0;
   std::vector<ViewRoute> changed;
   std::vector<Endpoint> dropped;
+  std::vector<ViewService> services = {};
 };
 
 /// A daemon has seen a back end leave a caller without an answer.
@@ -93,6 +107,9 @@
   Endpoint replyTo;            ///< Where the sender takes peer messages.
   Revision have = 0;           ///< The sender's view is complete up to here.
   std::uint64_t sentAtUs = 0;  ///< By the sender's clock; returned in the answer.
+  /// The sender and all that follow it, directly or not, where it follows the receiver; zero where
+  /// it only asks, so that nobody is counted twice.
+  std::uint32_t daemons = 0;
 };
 
 /// What changed in a daemon's view, and how old the view can be. Times are the sender's.
@@ -114,6 +131,7 @@
   std::vector<Endpoint> peers;      ///< Some that follow the sender.
   std::vector<BackendId> outliers;  ///< Back ends that leave callers without answers.
   std::vector<ViewEvacuation> evacuations;
+  std::uint32_t daemons = 0;  ///< In the tree of the reader that confirmed this; zero: not known.
 };
 
 }  // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/warmup/warm_up_budget.cc
@@ -0,0 +1,59 @@
+#include "core/warmup/warm_up_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/hashing.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Map a hash to the range from 0 to 1.
+double ToFraction(std::uint64_t hash)
+{
+  return std::ldexp(static_cast<double>(hash), -64);
+}
+
+} // namespace
+
+std::uint32_t WarmUpBudget::GetLimit(BackendId backend, double perSecond) const
+{
+  const std::uint32_t daemons = std::max(this->Fleet, 1U);
+  const double share = perSecond * kWarmUpShare / daemons;
+  const double whole = std::floor(share);
+  const std::uint64_t draw =
+    mixHash(this->Daemon, static_cast<std::uint64_t>(backend));
+  const bool isDrawn = ToFraction(draw) < share - whole;
+  return static_cast<std::uint32_t>(whole) + (isDrawn ? 1 : 0);
+}
+
+bool WarmUpBudget::MayOpen(BackendId backend, double perSecond, Time now) const
+{
+  const auto openings = this->Openings.find(backend);
+  const auto counted = openings == this->Openings.end()
+    ? 0
+    : std::count_if(
+        openings->second.begin(), openings->second.end(), [now](Time at) {
+          return now - at < kWarmUpWindow;
+        });
+  return static_cast<std::uint32_t>(counted) <
+    this->GetLimit(backend, perSecond);
+}
+
+void WarmUpBudget::OnOpening(BackendId backend, Time now)
+{
+  this->Openings[backend].push_back(now);
+}
+
+void WarmUpBudget::Expire(Time now)
+{
+  for (auto& [backend, times] : this->Openings) {
+    while (!times.empty() && now - times.front() >= kWarmUpWindow) {
+      times.pop_front();
+    }
+  }
+  std::erase_if(this->Openings,
+                [](const auto& item) { return item.second.empty(); });
+}
+
+} // namespace cobaltgauge::core
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -32,6 +32,7 @@
   std::string name;
   std::string zone = "default";
   std::string region = "default";
+  std::map<std::string, std::string> regionsOfZones;  ///< Of all zones that back ends may be in.
   core::Endpoint dataListen;
   std::uint32_t vni = 1;
   std::size_t flowTableEntries = 1U << 18U;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -26,7 +26,8 @@
 /// @return true for settings that take effect while the daemon runs (token steering).
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
-         flag == "steering-policy-file" || flag == "platform-address" || flag == "cluster-seeds";
+         flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
+         flag == "platform-address" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -106,6 +107,24 @@
   return true;
 }
 
+/// Takes a list of ZONE=REGION separated by commas; an empty text is an empty list.
+bool assignRegionsOfZones(Settings& settings, const std::string& text) {
+  settings.regionsOfZones.clear();
+  std::size_t begin = 0;
+  while (begin < text.size()) {
+    const std::size_t end = std::min(text.find(',', begin), text.size());
+    const std::string item = text.substr(begin, end - begin);
+    const std::size_t equals = item.find('=');
+    if (equals == std::string::npos || !isName(item.substr(0, equals)) ||
+        !isName(item.substr(equals + 1))) {
+      return false;
+    }
+    settings.regionsOfZones[item.substr(0, equals)] = item.substr(equals + 1);
+    begin = end + 1;
+  }
+  return true;
+}
+
 bool assignSteering(Settings& settings, const std::string& text) {
   settings.steering = text == "token" ? SteeringMode::kToken : SteeringMode::kRecorded;
   return text == "token" || text == "recorded";
@@ -127,6 +146,11 @@
                              &Settings::name, true));
   fields.push_back(nameField("daemon", "zone", "Zone this machine is in", &Settings::zone));
   fields.push_back(nameField("daemon", "region", "Region this machine is in", &Settings::region));
+  fields.push_back(field("daemon", "regions_of_zones",
+                         "Regions of the zones that back ends are in (token); where a route names "
+                         "regions, back ends of other zones get none of its flows",
+                         "ZONE=REGION, several separated by commas, or nothing",
+                         assignRegionsOfZones));
   fields.push_back(numberField("daemon", "linger_ms",
                                "Time a planned stop goes on forwarding, in milliseconds",
                                &Settings::linger, 0, 600'000));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -41,6 +41,7 @@
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
   options.flowEntries = settings.flowTableEntries;
   options.longestFlow = settings.longestFlow;
+  options.daemon = static_cast<std::uint64_t>(core::memberIdOf(settings.name));
   if (settings.tokenForm == TokenForm::kAddress) {
     options.home = settings.dataListen.address;
   }
@@ -98,6 +99,7 @@
     // Serving matters more than being watched.
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
   }
+  steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
   waitForSignal();
@@ -232,6 +234,7 @@
   noticeSuspension(now);
   steering_.onTick(now);
   peers_.OnTick(now);
+  steering_.setFleet(peers_.GetRelay().CountFleet(now));
   carryOutHealth(now);
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
@@ -319,6 +322,7 @@
     return;
   }
   setLogLevel(settings_.logLevel);
+  steering_.backends().setRegions(settings_.regionsOfZones);
   const bool policyTaken = loadPolicy();
   if (policyTaken) {
     steering_.backends().reweigh();
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -50,6 +50,7 @@
             {"open_flows", std::to_string(decision.openFlows)},
             {"candidates", std::to_string(decision.candidates)},
             {"slow", std::to_string(decision.slowCandidates)},
+            {"cold", std::to_string(decision.coldCandidates)},
             {"version", std::to_string(decision.version)},
             {"revision", std::to_string(viewRevision)}});
 }
--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -111,6 +111,8 @@
     return static_cast<std::uint64_t>(core::MemberState::kLeft);
   } else if constexpr (std::is_same_v<T, core::RecordPurpose>) {
     return static_cast<std::uint64_t>(core::RecordPurpose::kHandover);
+  } else if constexpr (std::is_same_v<T, core::RequestKind>) {
+    return static_cast<std::uint64_t>(core::RequestKind::kDownload);
   } else {
     return std::numeric_limits<std::underlying_type_t<T>>::max();
   }
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -83,26 +83,31 @@
                   m.capacity, m.leaving, m.warmUpLeftMs);
 }
 auto fieldsOf(IsMessage<core::ViewRoute> auto& m) {
-  return std::tie(m.name, m.endpoint, m.services, m.weights);
+  return std::tie(m.name, m.endpoint, m.services, m.weights, m.kind, m.latencyGoalMs, m.timeoutMs,
+                  m.priority, m.allowedRegions);
+}
+auto fieldsOf(IsMessage<core::ViewService> auto& m) {
+  return std::tie(m.name, m.warmUpMs, m.coldOpenings);
 }
 auto fieldsOf(IsMessage<core::ViewTransfer> auto& m) {
   return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers,
-                  m.evacuations);
+                  m.evacuations, m.services);
 }
 auto fieldsOf(IsMessage<core::ViewRemoval> auto& m) { return std::tie(m.key, m.revision); }
 auto fieldsOf(IsMessage<core::ViewEvacuation> auto& m) {
   return std::tie(m.key, m.revision, m.zone);
 }
 auto fieldsOf(IsMessage<core::ViewRouteDelta> auto& m) {
-  return std::tie(m.key, m.revision, m.from, m.version, m.idleTimeoutMs, m.changed, m.dropped);
+  return std::tie(m.key, m.revision, m.from, m.version, m.idleTimeoutMs, m.changed, m.dropped,
+                  m.services);
 }
 auto fieldsOf(IsMessage<core::ViewSubscription> auto& m) {
-  return std::tie(m.replyTo, m.have, m.sentAtUs);
+  return std::tie(m.replyTo, m.have, m.sentAtUs, m.daemons);
 }
 auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
   return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
                   m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers,
-                  m.evacuations);
+                  m.evacuations, m.daemons);
 }
 auto fieldsOf(IsMessage<core::OutlierObservation> auto& m) {
   return std::tie(m.backend, m.reporter);
--- a/tests/core/relay/follower_leases_test.cc
+++ b/tests/core/relay/follower_leases_test.cc
@@ -21,9 +21,9 @@
 BOOST_AUTO_TEST_CASE(a_lease_ends_unless_it_is_renewed)
 {
   core::FollowerLeases leases(endpoint(9, 250, 7720));
-  BOOST_TEST(leases.Grant(Follower(1), 100s));
-  BOOST_TEST(leases.Grant(Follower(2), 100s));
-  BOOST_TEST(leases.Grant(Follower(2), 102s));
+  BOOST_TEST(leases.Grant(Follower(1), 1, 100s));
+  BOOST_TEST(leases.Grant(Follower(2), 1, 100s));
+  BOOST_TEST(leases.Grant(Follower(2), 1, 102s));
   leases.Expire(100s + core::kSubscriptionLease);
   BOOST_TEST((leases.List() == std::vector{ Follower(2) }));
 }
@@ -32,10 +32,10 @@
 {
   core::FollowerLeases leases(endpoint(9, 250, 7720));
   for (std::size_t i = 1; i <= core::kMostFollowers; ++i) {
-    BOOST_TEST(leases.Grant(Follower(i), 100s));
+    BOOST_TEST(leases.Grant(Follower(i), 1, 100s));
   }
-  BOOST_TEST(!leases.Grant(Follower(200), 100s));
-  BOOST_TEST(leases.Grant(Follower(1), 100s));
+  BOOST_TEST(!leases.Grant(Follower(200), 1, 100s));
+  BOOST_TEST(leases.Grant(Follower(1), 1, 100s));
   BOOST_TEST(leases.Count() == core::kMostFollowers);
 }
 
@@ -43,7 +43,7 @@
 {
   core::FollowerLeases leases(endpoint(9, 250, 7720));
   for (std::size_t i = 1; i <= 2 * core::kPeersNamed; ++i) {
-    leases.Grant(Follower(i), 100s);
+    leases.Grant(Follower(i), 1, 100s);
   }
   const std::vector<core::Endpoint> named = leases.NameSome(Follower(1));
   BOOST_TEST(named.size() == core::kPeersNamed);
@@ -60,20 +60,20 @@
     return endpoint(7, static_cast<std::uint8_t>(number), 7720);
   };
   for (std::size_t i = 1; i <= core::kFollowersFromAfar; ++i) {
-    BOOST_TEST(leases.Grant(far(i), 100s));
+    BOOST_TEST(leases.Grant(far(i), 1, 100s));
   }
-  BOOST_TEST(!leases.Grant(far(100), 100s));
+  BOOST_TEST(!leases.Grant(far(100), 1, 100s));
   // A renewal, its own network and yet another one are not concerned.
-  BOOST_TEST(leases.Grant(far(1), 100s));
-  BOOST_TEST(leases.Grant(Follower(1), 100s));
-  BOOST_TEST(leases.Grant(endpoint(5, 1, 7720), 100s));
+  BOOST_TEST(leases.Grant(far(1), 1, 100s));
+  BOOST_TEST(leases.Grant(Follower(1), 1, 100s));
+  BOOST_TEST(leases.Grant(endpoint(5, 1, 7720), 1, 100s));
   const std::vector<core::Endpoint> named = leases.NameSome(far(100));
   BOOST_REQUIRE(named.size() >= core::kFollowersFromAfar);
   for (std::size_t i = 0; i < core::kFollowersFromAfar; ++i) {
     BOOST_TEST((named[i] == far(i + 1)));
   }
   leases.Expire(100s + core::kSubscriptionLease);
-  BOOST_TEST(leases.Grant(far(100), 105s));
+  BOOST_TEST(leases.Grant(far(100), 1, 105s));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/core/warmup/warm_up_budget_test.cc
@@ -0,0 +1,139 @@
+#include "core/warmup/warm_up_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include "core/hashing.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The users' rule: a cold back end gets at most this many openings in any
+/// second, by what it bears.
+constexpr double kOverage = 1.5;
+constexpr double kSlack = 5;
+constexpr core::Duration kRuleWindow = 1s;
+
+/// Daemons that each want to give every cold back end all that they can.
+struct WarmingFleet
+{
+  std::vector<core::WarmUpBudget> Daemons;
+  std::vector<std::vector<core::Time>> Openings; ///< By back end.
+
+  WarmingFleet(std::uint32_t daemons,
+               std::uint32_t believed,
+               std::size_t backends)
+    : Openings(backends)
+  {
+    for (std::uint32_t i = 0; i < daemons; ++i) {
+      const std::string name = "daemon-" + std::to_string(i);
+      this->Daemons.emplace_back(
+        static_cast<std::uint64_t>(core::memberIdOf(name)));
+      this->Daemons.back().SetFleet(believed);
+    }
+  }
+
+  void Run(double perSecond, core::Duration span)
+  {
+    for (core::Time now = 100s; now < 100s + span; now += 20ms) {
+      for (core::WarmUpBudget& daemon : this->Daemons) {
+        for (std::size_t i = 0; i < this->Openings.size(); ++i) {
+          const core::BackendId backend{ core::mixHash(77, i) };
+          if (daemon.MayOpen(backend, perSecond, now)) {
+            daemon.OnOpening(backend, now);
+            this->Openings[i].push_back(now);
+          }
+        }
+        daemon.Expire(now);
+      }
+    }
+  }
+
+  /// \return the most openings that one back end got in one second.
+  std::size_t Most() const
+  {
+    std::size_t most = 0;
+    for (const auto& times : this->Openings) {
+      for (auto end = times.begin(); end != times.end(); ++end) {
+        const auto begin =
+          std::lower_bound(times.begin(), end, *end - kRuleWindow);
+        most = std::max(most, static_cast<std::size_t>(end - begin) + 1);
+      }
+    }
+    return most;
+  }
+
+  std::size_t All() const
+  {
+    std::size_t all = 0;
+    for (const auto& times : this->Openings) {
+      all += times.size();
+    }
+    return all;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(WarmUpBudgetTest)
+
+BOOST_AUTO_TEST_CASE(a_fleet_keeps_the_bound_and_uses_its_share)
+{
+  for (const std::uint32_t daemons : { 1U, 2U, 7U, 30U, 74U, 295U }) {
+    for (const double perSecond : { 0.5, 1.0, 4.0, 10.0, 40.0, 100.0 }) {
+      WarmingFleet fleet(daemons, daemons, 40);
+      fleet.Run(perSecond, 3300ms);
+      const double bound = perSecond * kOverage + kSlack;
+      BOOST_TEST(static_cast<double>(fleet.Most()) <= bound,
+                 daemons << " daemons, " << perSecond << " a second");
+      // Of 40 back ends together, in three windows; few are left to chance.
+      const double wanted = perSecond * core::kWarmUpShare * 40 * 3;
+      BOOST_TEST(static_cast<double>(fleet.All()) > (wanted - 20) * 0.5,
+                 daemons << " daemons, " << perSecond << " a second");
+    }
+  }
+}
+
+// Two halves that never heard of each other.
+BOOST_AUTO_TEST_CASE(a_fleet_that_counts_half_of_itself_keeps_the_bound)
+{
+  for (const std::uint32_t daemons : { 20U, 74U, 295U }) {
+    for (const double perSecond : { 1.0, 4.0, 10.0, 40.0 }) {
+      WarmingFleet fleet(daemons, daemons / 2, 40);
+      fleet.Run(perSecond, 2200ms);
+      BOOST_TEST(static_cast<double>(fleet.Most()) <=
+                   perSecond * kOverage + kSlack,
+                 daemons << " daemons, " << perSecond << " a second");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_knows_no_count_is_one_of_many)
+{
+  core::WarmUpBudget daemon(1);
+  std::size_t allowed = 0;
+  for (std::uint64_t i = 0; i < 1000; ++i) {
+    allowed +=
+      daemon.MayOpen(core::BackendId{ core::mixHash(5, i) }, 10.0, 100s) ? 1
+                                                                         : 0;
+  }
+  BOOST_TEST(allowed < 20U);
+}
+
+BOOST_AUTO_TEST_CASE(openings_count_for_a_window)
+{
+  core::WarmUpBudget daemon(1);
+  daemon.SetFleet(1);
+  const core::BackendId backend{ 9 };
+  BOOST_TEST(daemon.MayOpen(backend, 3.0, 100s));
+  daemon.OnOpening(backend, 100s);
+  BOOST_TEST(!daemon.MayOpen(backend, 3.0, 101s));
+  BOOST_TEST(daemon.MayOpen(backend, 3.0, 100s + core::kWarmUpWindow));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -76,6 +76,30 @@
   BOOST_TEST((registration.state == core::BackendState::kActive));
 }
 
+BOOST_AUTO_TEST_CASE(a_configuration_tells_of_requests_and_services) {
+  // {"version":7,"routes":[{"name":"r","host":"198.18.0.1","path-prefix":"/8443/","service":"web",
+  //  "type":"unsafe","timeout-ms":3000,"latency-goal-ms":250.0,"priority":2,
+  //  "allowed-regions":["north"]}],
+  //  "services":[{"name":"web","warmup-s":2.5,"warmup-per-s":4.0},{"name":"api"}]}
+  constexpr const char* kTraits =
+      "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Im5hbWUiOiJyIiwiaG9zdCI6IjE5OC4xOC4wLjEiLCJwYXRoLXByZWZp"
+      "eCI6Ii84NDQzLyIsInNlcnZpY2UiOiJ3ZWIiLCJ0eXBlIjoidW5zYWZlIiwidGltZW91dC1tcyI6MzAwMCwibGF0"
+      "ZW5jeS1nb2FsLW1zIjoyNTAuMCwicHJpb3JpdHkiOjIsImFsbG93ZWQtcmVnaW9ucyI6WyJub3J0aCJdfV0sInNl"
+      "cnZpY2VzIjpbeyJuYW1lIjoid2ViIiwid2FybXVwLXMiOjIuNSwid2FybXVwLXBlci1zIjo0LjB9LHsibmFtZSI6"
+      "ImFwaSJ9XX0=";
+  const core::StoreReply reply = parseItems(item("op/config", kTraits));
+  const auto& set = std::get<core::RouteSet>(reply.changes.at(0).item);
+  const core::Route& route = set.routes.at(0);
+  BOOST_TEST((route.kind == core::RequestKind::kUnsafe));
+  BOOST_TEST(route.timeout.count() == 3000);
+  BOOST_TEST(route.latencyGoal.count() == 250);
+  BOOST_TEST(route.priority == 2U);
+  BOOST_TEST(route.allowedRegions.at(0) == "north");
+  BOOST_TEST(set.services.at(0).warmUp.count() == 2500);
+  BOOST_TEST(set.services.at(0).coldOpenings == 4.0);
+  BOOST_TEST(set.services.at(1).coldOpenings == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(an_evacuation_names_its_zone_in_its_key) {
   // {} as base64.
   const core::StoreReply reply = parseItems(item("op/evacuate/hall-c", "e30="));
