Give up connections between daemons that go silent

Connections between daemons, which carry one large message each, had no bound: the socket and the message stayed for good on either side. Servers of readiness and metrics closed a silent connection after 30 s; who asks twice a second and opens another one each time fills their 64 places in 32 s.

Change: a connection between daemons ends after 3 s either way, is counted, and what it carried is asked for again as any lost message; the servers close idle connections after 10 s.

Result: three tests of the transport, two of which did not end before; one of the client.

--- a/src/daemon/peers/peer_link.h
+++ b/src/daemon/peers/peer_link.h
@@ -63,6 +63,10 @@
 
   const core::ViewExchange& GetExchange() const { return this->Exchange; }
   const core::ViewRelay& GetRelay() const { return this->Relay; }
+  const net::PeerTransportCounters& GetTransportCounters() const
+  {
+    return this->Peers.counters();
+  }
   core::OutlierDetector& GetOutliers() { return this->Outliers; }
   const core::OutlierDetector& GetOutliers() const { return this->Outliers; }
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -121,6 +121,13 @@
        [](const Sources& s) {
          return single(s.steering.backends().evacuations().GetZones().size());
        }},
+      {"cobaltgauge_peer_streams_given_up_total",
+       "Connections between daemons that did not carry their message in time", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.peers.GetTransportCounters().streamsGivenUp); }},
+      {"cobaltgauge_peer_bytes_sent_total", "Bytes sent to other daemons", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.peers.GetTransportCounters().bytesSent); }},
       {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
        nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
       {"cobaltgauge_ready", "1 while this daemon asks for packets", nullptr, MetricType::Gauge,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,7 +17,9 @@
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kMaxTargetBytes = 4096;
 constexpr int kMaxConnections = 64;
-constexpr auto kIdleTimeout = std::chrono::seconds(30);
+/// A connection may go silent without a reset, and whoever asks twice a second and is not answered
+/// opens another one: they must not take all places. Longer than the pause of whoever asks rarely.
+constexpr auto kIdleTimeout = std::chrono::seconds(10);
 constexpr int kMethodNotAllowed = 405;
 
 const char* reasonPhrase(int status) {
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -2,7 +2,9 @@
 
 #include <asio/buffer.hpp>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <utility>
 
 #include "net/address.h"
 
@@ -35,19 +37,51 @@
 
 }  // namespace
 
+/// One connection that ends after a bound, since it may go silent without a word.
+class BoundedStream {
+ public:
+  explicit BoundedStream(asio::ip::tcp::socket socket)
+      : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+
+ protected:
+  /// Closes the connection after `longest`, which ends what waits on it. @param self keeps the
+  /// stream alive. @param onGivenUp is called then.
+  template <typename Self, typename Handler>
+  void giveUpAfter(std::chrono::milliseconds longest, Self self, Handler onGivenUp) {
+    timer_.expires_after(longest);
+    timer_.async_wait([this, self, onGivenUp](const asio::error_code& error) {
+      if (!error) {
+        onGivenUp();
+        asio::error_code ignored;
+        socket_.close(ignored);
+      }
+    });
+  }
+  void finish() { timer_.cancel(); }
+
+  asio::ip::tcp::socket socket_;
+
+ private:
+  asio::steady_timer timer_;
+};
+
 /// Reads one length-prefixed frame from an accepted connection.
-class PeerTransport::InboundStream : public std::enable_shared_from_this<InboundStream> {
+class PeerTransport::InboundStream : public BoundedStream,
+                                     public std::enable_shared_from_this<InboundStream> {
  public:
   InboundStream(asio::ip::tcp::socket socket, PeerTransport& owner)
-      : socket_(std::move(socket)), owner_(owner) {}
+      : BoundedStream(std::move(socket)), owner_(owner) {}
 
   void start() {
     auto self = shared_from_this();
+    giveUpAfter(owner_.longestStream_, self, [self] { ++self->owner_.counters_.streamsGivenUp; });
     asio::async_read(socket_, asio::buffer(length_),
                      [self](const asio::error_code& error, std::size_t) {
-                       if (!error) {
-                         self->readBody();
+                       if (error) {
+                         self->finish();
+                         return;
                        }
+                       self->readBody();
                      });
   }
 
@@ -56,24 +90,59 @@
     const std::uint32_t length = readLength(length_);
     if (length > kMaxStreamBytes) {
       ++owner_.counters_.refused[PeerCodecError::kMalformed];
+      finish();
       return;
     }
     body_.resize(length);
     auto self = shared_from_this();
     asio::async_read(socket_, asio::buffer(body_),
                      [self](const asio::error_code& error, std::size_t) {
+                       self->finish();
                        if (!error) {
                          self->owner_.deliver(self->body_);
                        }
                      });
   }
 
-  asio::ip::tcp::socket socket_;
   PeerTransport& owner_;
   std::array<std::uint8_t, kLengthBytes> length_{};
   std::vector<std::uint8_t> body_;
 };
 
+/// Carries one frame to a peer.
+class PeerTransport::OutboundStream : public BoundedStream,
+                                      public std::enable_shared_from_this<OutboundStream> {
+ public:
+  OutboundStream(asio::io_context& context, std::vector<std::uint8_t> bytes, PeerTransport& owner)
+      : BoundedStream(asio::ip::tcp::socket(context)), bytes_(std::move(bytes)), owner_(owner) {
+    const auto length = writeLength(bytes_.size());
+    bytes_.insert(bytes_.begin(), length.begin(), length.end());
+  }
+
+  void start(const core::Endpoint& destination) {
+    auto self = shared_from_this();
+    giveUpAfter(owner_.longestStream_, self, [self] { ++self->owner_.counters_.streamsGivenUp; });
+    socket_.async_connect(toTcp(destination), [self](const asio::error_code& error) {
+      if (error) {
+        self->end(error);
+        return;
+      }
+      asio::async_write(
+          self->socket_, asio::buffer(self->bytes_),
+          [self](const asio::error_code& failure, std::size_t) { self->end(failure); });
+    });
+  }
+
+ private:
+  void end(const asio::error_code& error) {
+    owner_.counters_.sendErrors += error ? 1U : 0U;
+    finish();
+  }
+
+  std::vector<std::uint8_t> bytes_;
+  PeerTransport& owner_;
+};
+
 PeerTransport::PeerTransport(asio::io_context& context, PeerCodec codec, FrameHandler handler)
     : context_(context),
       codec_(std::move(codec)),
@@ -189,18 +258,7 @@
 
 void PeerTransport::sendStream(const core::Endpoint& destination, std::vector<std::uint8_t> bytes) {
   ++counters_.streamsSent;
-  const auto length = writeLength(bytes.size());
-  bytes.insert(bytes.begin(), length.begin(), length.end());
-  auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
-  auto body = std::make_shared<std::vector<std::uint8_t>>(std::move(bytes));
-  socket->async_connect(toTcp(destination), [this, socket, body](const asio::error_code& error) {
-    if (error) {
-      ++counters_.sendErrors;
-      return;
-    }
-    asio::async_write(*socket, asio::buffer(*body),
-                      [socket, body](const asio::error_code&, std::size_t) {});
-  });
+  std::make_shared<OutboundStream>(context_, std::move(bytes), *this)->start(destination);
 }
 
 }  // namespace cobaltgauge::net
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,10 @@
 
 namespace cobaltgauge::net {
 
+/// A connection that has not carried its frame after this long never will: a frame of 3 MB takes as
+/// long on a link of 10 Mbit/s, and its receiver has asked others by then.
+inline constexpr std::chrono::milliseconds kLongestStream{3000};
+
 /// Counters of a PeerTransport; bytes include the authenticator, not UDP/IP headers.
 struct PeerTransportCounters {
   std::uint64_t datagramsSent = 0;
@@ -23,6 +28,7 @@
   std::uint64_t bytesSent = 0;
   std::uint64_t bytesReceived = 0;
   std::uint64_t sendErrors = 0;
+  std::uint64_t streamsGivenUp = 0;  ///< Not through within the bound, either way.
   std::map<PeerCodecError, std::uint64_t> refused;
 };
 
@@ -43,10 +49,14 @@
   void send(const std::vector<core::Endpoint>& destinations, const PeerFrame& frame);
   void close();
 
+  /// Sets how long a connection may take for its frame.
+  void setLongestStream(std::chrono::milliseconds longest) { longestStream_ = longest; }
+
   const PeerTransportCounters& counters() const { return counters_; }
 
  private:
   class InboundStream;
+  class OutboundStream;
 
   void receiveDatagram();
   void acceptStream();
@@ -62,6 +72,7 @@
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::udp::endpoint sender_;
   std::vector<std::uint8_t> buffer_;
+  std::chrono::milliseconds longestStream_ = kLongestStream;
   std::string lastReason_;
   PeerTransportCounters counters_;
 };
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -93,6 +93,39 @@
   BOOST_TEST(!answer->reason.empty());
 }
 
+// A kept connection that has gone silent is known only by the time-out; the next request must not
+// wait on it as well.
+BOOST_AUTO_TEST_CASE(a_connection_that_goes_silent_is_replaced) {
+  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::tcp::acceptor acceptor(context, any);
+  std::vector<asio::ip::tcp::socket> accepted;
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  // Each connection answers its first request and nothing after it.
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](const asio::error_code& error, asio::ip::tcp::socket socket) {
+      if (!error) {
+        accepted.push_back(std::move(socket));
+        asio::write(accepted.back(), asio::buffer(ok));
+        accept();
+      }
+    });
+  };
+  accept();
+  net::HttpClient client(context, {{{127, 0, 0, 1}, false}, acceptor.local_endpoint().port()});
+  std::vector<net::HttpFailure> results;
+  std::function<void()> next = [&] {
+    client.get("/", 100ms, [&](const net::HttpAnswer& given) {
+      results.push_back(given.failure);
+      results.size() < 3 ? next() : context.stop();
+    });
+  };
+  next();
+  context.run();
+  BOOST_TEST((results == std::vector{net::HttpFailure::kNone, net::HttpFailure::kTimedOut,
+                                     net::HttpFailure::kNone}));
+  BOOST_TEST(accepted.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- /dev/null
+++ b/tests/net/peer_transport_test.cc
@@ -0,0 +1,85 @@
+/// Connections between daemons that open and then say nothing more.
+#include "net/peer_transport.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "net/address.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds kBound = 30ms;
+
+/// A message far larger than what sockets hold.
+core::ViewTransfer largeView() {
+  core::ViewTransfer view;
+  view.backends.resize(200'000);
+  return view;
+}
+
+struct TransportFixture {
+  asio::io_context context;
+  net::PeerTransport transport{context, net::PeerCodec("test", "sixteen byte key", {}),
+                               [this](const net::ReceivedFrame&) { ++received; }};
+  int received = 0;
+
+  TransportFixture() {
+    transport.setLongestStream(kBound);
+    BOOST_REQUIRE(transport.open({{{127, 0, 0, 1}, false}, 0}));
+  }
+
+  /// Runs until so many streams were given up.
+  void runUntilGivenUp(std::uint64_t count) {
+    while (transport.counters().streamsGivenUp < count) {
+      context.run_one();
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(PeerTransportTest, TransportFixture)
+
+// Without a bound the socket and the message stayed for good.
+BOOST_AUTO_TEST_CASE(a_peer_that_reads_nothing_is_given_up) {
+  asio::ip::tcp::acceptor silent(context,
+                                 asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  asio::ip::tcp::socket accepted(context);
+  silent.async_accept(accepted, [](const asio::error_code&) {});
+  transport.send({{{127, 0, 0, 1}, false}, silent.local_endpoint().port()}, largeView());
+  runUntilGivenUp(1);
+  BOOST_TEST(transport.counters().streamsSent == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_that_goes_silent_half_way_is_given_up) {
+  asio::ip::tcp::socket peer(context);
+  peer.connect(net::toTcp(transport.localEndpoint()));
+  const std::array<std::uint8_t, 5> begun{0, 0, 1, 0, 7};  // A length of 256 and one byte.
+  asio::write(peer, asio::buffer(begun));
+  runUntilGivenUp(1);
+  asio::error_code error;
+  std::array<char, 1> answer{};
+  peer.read_some(asio::buffer(answer), error);
+  BOOST_TEST(error.operator bool());
+  BOOST_TEST(received == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_arrives_is_not_counted) {
+  core::ViewTransfer view;
+  view.backends.resize(1000);
+  transport.send(transport.localEndpoint(), view);
+  while (received == 0) {
+    context.run_one();
+  }
+  context.run_for(2 * kBound);
+  BOOST_TEST(received == 1);
+  BOOST_TEST(transport.counters().streamsGivenUp == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
