Give up idle flows of ended back ends as soon as the view shows it

Cause: flows of a back end whose address a later one has taken were given up at the next second's maintenance or at their next packet; the packet of a request was lost then.

Change: whenever the view changes. The test was seen to fail with the call taken back (it did not exist).

--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -80,6 +80,9 @@
     viewCurrent_ = current;
   }
   bool hasWholeView() const { return viewComplete_; }
+  /// Call after the view has changed: flows of back ends whose address another one has taken are
+  /// given up at once, so that the next request on an idle one opens elsewhere and is not lost.
+  void onViewChanged() { resetFlowsOfEnded(); }
   /// Call after the process was suspended: openings that waited meanwhile have been sent again,
   /// and a late second answer would break their flow. They are dropped until onQueueDrained().
   void onResume();
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -267,6 +267,8 @@
     const core::Time now = bootTime();
     noteViewState(now);
     packets_.retryPending(now);
+    steering_.onViewChanged();
+    carryOutHealth(now);
   }
   peers_.OnStoreAnswer(bootTime());
   if (read.kind == core::StoreRead::Kind::kList) {
@@ -290,6 +292,8 @@
   if (changed || reader_.isComplete() != steering_.hasWholeView()) {
     noteViewState(now);
     packets_.retryPending(now);
+    steering_.onViewChanged();
+    carryOutHealth(now);
   }
   store_->start();
 }
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -171,6 +171,21 @@
   BOOST_TEST((report.observations[0].backend == backend));
 }
 
+// An idle flow of a restarted back end met the new one, which holds no such flow: the request on it
+// was lost, and a caller of an unsafe one cannot try again.
+BOOST_AUTO_TEST_CASE(idle_flows_of_an_ended_back_end_are_given_up_as_soon_as_it_is_known) {
+  const BackendId first = openAndAnswer(1);
+  const auto host = static_cast<std::uint8_t>(static_cast<std::uint64_t>(first));
+  putBackend(9, makeRegistration(9, "web", 1, host));
+  steering.onViewChanged();
+  const std::vector<core::FlowReset> resets = steering.takeResets();
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].backend == first));
+  BOOST_TEST((resets[0].reason == RefuseReason::kBackendEnded));
+  steering.onViewChanged();
+  BOOST_TEST(steering.takeResets().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
