Tell all daemons of a back end that one could not reach

Cause: each daemon found a back end without power by losing a request of its own: a packet that was repeated, then a probe that timed out.

Change: a daemon that finds one dead reports it to the seeds, who pass it on at once, and so do their followers. A report proves nothing: who hears it probes by itself, and only where two probes in a row time out, or a back end that calls itself ready in a current view refuses a connection, are its flows given up. One that may be leaving is not probed (it stops listening before its last flows end), nor are more than a quarter of all (a zone that is cut off; idle flows there may live on).

Tried beside it and taken out: three daemons of the fleet, drawn by hash, keep a connection to each back end, whose end tells of a crash at once.

Tests of reports, doubts and their limits, seen to fail with each limit taken back.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -1,5 +1,7 @@
 #include "core/backend_health.h"
 
+#include <utility>
+
 #include "core/constants.h"
 
 namespace cobaltgauge::core {
@@ -31,12 +33,25 @@
   ask(backend, firstSentAt, now);
 }
 
+void BackendHealth::onDoubt(BackendId backend, Time now) {
+  Signs& signs = signs_[backend];
+  if (signs.dead || signs.doubted) {
+    return;
+  }
+  signs.lastSign = now;
+  signs.doubted = true;
+  signs.timedOut = 0;
+  signs.nextProbe = now;
+  open_.insert(backend);
+}
+
 void BackendHealth::onAnswer(BackendId backend, Time now) {
   Signs& signs = signs_[backend];
   signs.lastSign = now;
   signs.unansweredSince = Time{};
   counters_.revived += signs.dead ? 1U : 0U;
   signs.dead = false;
+  signs.doubted = false;
   open_.erase(backend);
 }
 
@@ -48,7 +63,7 @@
   const Signs& signs = found->second;
   const bool silent =
       signs.unansweredSince != Time{} && now - signs.unansweredSince > kAnswerPatience;
-  return signs.dead || silent;
+  return signs.dead || signs.doubted || silent;
 }
 
 bool BackendHealth::isDead(BackendId backend) const {
@@ -59,10 +74,12 @@
 std::vector<BackendId> BackendHealth::takeProbes(std::size_t known, Time now) {
   std::vector<BackendId> due;
   std::size_t suspects = 0;
+  std::size_t doubted = 0;
   for (const BackendId id : open_) {
     const Signs& signs = signs_.at(id);
     const bool suspected = isSuspected(id, now);
     suspects += suspected ? 1U : 0U;
+    doubted += signs.doubted ? 1U : 0U;
     if (suspected && !signs.probing && now >= signs.nextProbe) {
       due.push_back(id);
     }
@@ -70,6 +87,12 @@
   if (suspects > 1 && suspects * 2 > known) {
     return {};
   }
+  if (doubted > 1 && doubted * kBackendsPerDoubt > known) {
+    std::erase_if(due, [this](BackendId id) {
+      const Signs& signs = signs_.at(id);
+      return signs.doubted && signs.unansweredSince == Time{};
+    });
+  }
   for (const BackendId id : due) {
     signs_.at(id).probing = true;
     ++counters_.probes;
@@ -77,7 +100,7 @@
   return due;
 }
 
-bool BackendHealth::onProbe(BackendId backend, ProbeResult result, Time now) {
+bool BackendHealth::onProbe(BackendId backend, ProbeResult result, bool isReady, Time now) {
   const auto found = signs_.find(backend);
   if (found == signs_.end()) {
     return false;
@@ -89,18 +112,33 @@
     onAnswer(backend, now);
     return false;
   }
-  const bool answeredMeanwhile = signs.unansweredSince == Time{};
-  if (result == ProbeResult::kRefused || answeredMeanwhile || signs.dead) {
+  if (signs.dead || !proves(signs, result, isReady, now)) {
     return false;
   }
   signs.dead = true;
+  signs.doubted = false;
   ++counters_.declaredDead;
   return true;
 }
 
+bool BackendHealth::proves(Signs& signs, ProbeResult result, bool isReady, Time now) {
+  const bool isSilent = signs.unansweredSince != Time{};
+  if (result == ProbeResult::kRefused) {
+    const bool wasDoubted = std::exchange(signs.doubted, false);
+    return isReady && (isSilent || wasDoubted);
+  }
+  if (isSilent || !signs.doubted) {
+    return isSilent;
+  }
+  // Nothing was silent here: a single lost packet must not do.
+  signs.nextProbe = now;
+  return ++signs.timedOut >= kTimeoutsOfDoubted;
+}
+
 void BackendHealth::onResume() {
   for (auto& [id, signs] : signs_) {
     signs.unansweredSince = Time{};
+    signs.doubted = false;
   }
   std::erase_if(open_, [this](BackendId id) { return !signs_.at(id).dead; });
 }
--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <vector>
 
+#include "core/outlier/unreachable_reports.h"
 #include "core/types.h"
 #include "core/view_messages.h"
 
@@ -67,6 +68,13 @@
   /// Get the outliers, as they are told to other daemons.
   std::vector<BackendId> GetOutliers() const;
 
+  /// Get the reports of back ends that cannot be reached at all.
+  UnreachableReports& GetUnreachable() { return this->Unreachable; }
+  const UnreachableReports& GetUnreachable() const
+  {
+    return this->Unreachable;
+  }
+
   const OutlierCounters& GetCounters() const { return this->Counters; }
 
 private:
@@ -89,6 +97,7 @@
   std::uint64_t Late = 0;
   std::uint64_t LateBefore = 0;
   Time PeriodEnds{};
+  UnreachableReports Unreachable;
   OutlierCounters Counters;
 };
 
--- a/src/core/relay/follower_leases.cc
+++ b/src/core/relay/follower_leases.cc
@@ -47,11 +47,13 @@
 std::size_t FollowerLeases::CountNearer(const Endpoint& asking) const
 {
   const std::size_t own = CountSharedBytes(this->Self, asking);
-  return static_cast<std::size_t>(std::count_if(
-    this->Leases.begin(), this->Leases.end(), [&asking, own](const auto& item) {
-      return item.first != asking &&
-        CountSharedBytes(item.first, asking) > own;
-    }));
+  return static_cast<std::size_t>(
+    std::count_if(this->Leases.begin(),
+                  this->Leases.end(),
+                  [&asking, own](const auto& item) {
+                    return item.first != asking &&
+                      CountSharedBytes(item.first, asking) > own;
+                  }));
 }
 
 std::vector<Endpoint> FollowerLeases::NameSome(const Endpoint& asking) const
--- a/src/core/relay/view_relay_followers.cc
+++ b/src/core/relay/view_relay_followers.cc
@@ -14,8 +14,8 @@
   reply.echoUs = subscription.sentAtUs;
   reply.peers = this->Followers.NameSome(subscription.replyTo);
   if (!this->Leaving) {
-    reply.full = !this->Followers.Grant(
-      subscription.replyTo, subscription.daemons, now);
+    reply.full =
+      !this->Followers.Grant(subscription.replyTo, subscription.daemons, now);
   }
   ++this->Counters.UpdatesSent;
   this->Outgoing.push_back({ { subscription.replyTo }, std::move(reply) });
@@ -30,6 +30,7 @@
   update.outliers = this->Outliers.GetOutliers();
   // The tree of a reader that is no seed may be one of many.
   const bool isCounted = !this->Reading || this->Seeds.IsSelfSeed();
+  update.unreachable = this->Outliers.GetUnreachable().GetLatest();
   update.daemons = isCounted ? this->Fleet.GetLatest() : 0;
   if (!this->Reader.isComplete()) {
     return update;
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = 1s;
+
 std::unique_ptr<TokenReach> makeReach(const TokenSteeringOptions& options) {
   if (!options.home) {
     return nullptr;
@@ -172,21 +173,30 @@
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
     } else {
-      health_.onProbe(id, ProbeResult::kConnected, now);
+      health_.onProbe(id, ProbeResult::kConnected, false, now);
     }
   }
   return probes;
 }
 
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
-  if (health_.onProbe(backend, result, now)) {
+  const bool isReady = viewCurrent_ && backends_.isReady(backend);
+  if (health_.onProbe(backend, result, isReady, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
+      outliers_->GetUnreachable().OnUnreachable(backend);
     }
     resetFlowsOf(backend, RefuseReason::kBackendDead);
   }
 }
 
+void TokenSteering::onDoubt(BackendId backend, Time now) {
+  // Of one that is leaving, or of which the view may be old, a failed probe says nothing.
+  if (viewCurrent_ && backends_.isReady(backend)) {
+    health_.onDoubt(backend, now);
+  }
+}
+
 void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
   for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
     resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
--- a/src/core/warmup/warm_up_budget.cc
+++ b/src/core/warmup/warm_up_budget.cc
@@ -32,10 +32,9 @@
   const auto openings = this->Openings.find(backend);
   const auto counted = openings == this->Openings.end()
     ? 0
-    : std::count_if(
-        openings->second.begin(), openings->second.end(), [now](Time at) {
-          return now - at < kWarmUpWindow;
-        });
+    : std::count_if(openings->second.begin(),
+                    openings->second.end(),
+                    [now](Time at) { return now - at < kWarmUpWindow; });
   return static_cast<std::uint32_t>(counted) <
     this->GetLimit(backend, perSecond);
 }
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -186,6 +186,86 @@
   BOOST_TEST(steering.takeResets().empty());
 }
 
+/// Lets a daemon with an idle flow hear that its back end cannot be reached.
+struct DoubtFixture : TokenFixture {
+  BackendId backend = openAndAnswer(1);
+
+  /// @return true where the back end is to be probed.
+  bool hear() {
+    now += 100ms;
+    steering.onDoubt(backend, now);
+    return isProbed();
+  }
+  bool isProbed() { return steering.takeProbes(now).size() == 1U; }
+};
+
+// Each daemon lost a request of its own on each back end without power (srv_crash dark).
+BOOST_FIXTURE_TEST_CASE(a_reported_back_end_is_given_up_after_two_probes_of_ones_own,
+                        DoubtFixture) {
+  BOOST_TEST(hear());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST(steering.takeResets().empty());
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST(steering.takeResets().size() == 1U);
+  BOOST_TEST((refusalOf(send(1, backend, 7, 10)) == RefuseReason::kBackendDead));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reported_back_end_that_takes_a_connection_keeps_its_flows, DoubtFixture) {
+  BOOST_TEST(hear());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kConnected, now);
+  BOOST_TEST(steering.takeResets().empty());
+  BOOST_TEST((backendOf(send(1, backend, 7, 10)) == backend));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_reported_back_end_that_is_ready_and_refuses_has_crashed, DoubtFixture) {
+  BOOST_TEST(hear());
+  steering.onProbe(backend, ProbeResult::kRefused, now);
+  BOOST_TEST(steering.takeResets().size() == 1U);
+}
+
+// One that leaves stops listening before its last flows end; and an old view may call it ready.
+BOOST_FIXTURE_TEST_CASE(a_report_of_one_that_may_be_leaving_is_not_heard, DoubtFixture) {
+  steering.setViewState(true, false);
+  BOOST_TEST(!hear());
+  steering.setViewState(true, true);
+  BOOST_TEST(hear());
+  core::Registration leaving = makeRegistration(static_cast<std::uint64_t>(backend), "web", 1,
+                                                static_cast<std::uint8_t>(backend));
+  leaving.state = core::BackendState::kLeaving;
+  putBackend(static_cast<std::uint64_t>(backend), leaving);
+  steering.onProbe(backend, ProbeResult::kRefused, now);
+  BOOST_TEST(steering.takeResets().empty());
+  now += 2s;
+  BOOST_TEST(!hear());
+}
+
+BOOST_FIXTURE_TEST_CASE(reports_of_most_back_ends_are_not_believed, DoubtFixture) {
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    steering.onDoubt(BackendId{id}, now);
+  }
+  BOOST_TEST(steering.takeProbes(now).empty());
+}
+
+// A zone that is cut off looks like a zone of dead back ends; its idle flows may live on.
+BOOST_FIXTURE_TEST_CASE(reports_of_a_whole_zone_are_not_believed, DoubtFixture) {
+  for (std::uint8_t id = 11; id <= 13; ++id) {
+    putBackend(id, makeRegistration(id, "web", 2, id));
+    steering.onDoubt(BackendId{id}, now);
+  }
+  BOOST_TEST(steering.takeProbes(now).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_doubt_ends_where_it_is_not_confirmed, DoubtFixture) {
+  BOOST_TEST(hear());
+  BOOST_TEST(steering.health().isSuspected(backend, now));
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  steering.onResume();
+  BOOST_TEST(!steering.health().isSuspected(backend, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
