Take a refused connection for no proof, whatever the view says

Change: only probes that time out count, as before; a refusal ends the doubt. The test that stood for the rule now stands for the opposite.

Also: zones can be taken out in our own configuration (evacuated_zones of a service), and the demo plays it.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -20,9 +20,9 @@
 PACKET_BACKENDS = 4
 WATCH_SESSIONS = 300
 PACKET_SESSIONS = 40
-CALLER_SECONDS = 42
+CALLER_SECONDS = 48
 WALK_IN_SESSIONS = 15  # Opened at each of WALK_IN_SECONDS, so that new flows meet every fault.
-WALK_IN_SECONDS = [6, 9, 11, 13, 16, 20, 23, 27, 29, 31, 34, 36, 39]
+WALK_IN_SECONDS = [6, 9, 11, 13, 16, 20, 23, 27, 29, 31, 34, 36, 39, 42, 45]
 
 
 def read_policy(root, name):
@@ -75,6 +75,16 @@
     fleet.publish("back end rw-16 added")
 
 
+def evacuate_zone(fleet):
+    fleet.services["rate-watch"].evacuated_zones = ["hall-3"]
+    fleet.publish("hall-3 is taken out: its back ends get no new flow")
+
+
+def take_zone_back(fleet):
+    fleet.services["rate-watch"].evacuated_zones = []
+    fleet.publish("hall-3 is taken back")
+
+
 def kill_daemon(fleet):
     fault(fleet, "daemon lb-2 is killed")
     fleet.signal("lb-2", signal.SIGKILL)
@@ -135,7 +145,8 @@
 # Seconds after the callers started, and what happens then.
 STEPS = [(5, replace_policy), (8, drain_backend), (12, add_backend), (15, kill_daemon),
          (19, stop_daemon), (22, join_daemon), (25, freeze_daemon), (26, drain_while_frozen),
-         (30, wake_daemon), (33, platform_down), (35, platform_stale), (38, platform_fresh)]
+         (30, wake_daemon), (33, platform_down), (35, platform_stale), (38, platform_fresh),
+         (41, evacuate_zone), (44, take_zone_back)]
 
 
 def open_walk_ins(index, second):
--- a/scripts/demo_fleet.py
+++ b/scripts/demo_fleet.py
@@ -24,6 +24,7 @@
         self.port = port
         self.policy = policy
         self.backends = {}
+        self.evacuated_zones = []
 
     def to_json(self):
         return {
@@ -34,6 +35,7 @@
             "refusal": "coap",
             "policy": self.policy,
             "backends": list(self.backends.values()),
+            "evacuated_zones": self.evacuated_zones,
         }
 
 
--- a/src/configuration/configuration_json.cc
+++ b/src/configuration/configuration_json.cc
@@ -95,8 +95,8 @@
     return fail(path + ": not valid JSON");
   }
   JsonReader reader(root, path);
-  reader.allowOnly(
-      {"name", "address", "port", "protocol", "class", "refusal", "policy", "backends"});
+  reader.allowOnly({"name", "address", "port", "protocol", "class", "refusal", "policy", "backends",
+                    "evacuated_zones"});
   core::Service service;
   service.name = reader.text("name");
   service.id = core::serviceIdOf(service.name);
@@ -115,6 +115,7 @@
   }
   const std::string source = reader.text("policy");
   const std::string flowClass = reader.textOr("class", service.name);
+  const std::set<std::string> evacuated = reader.namesOr("evacuated_zones");
   std::vector<std::uint32_t> capacities;
   std::set<std::string> names;
   for (const nlohmann::json& item : reader.array("backends")) {
@@ -124,6 +125,10 @@
     std::uint32_t capacity = 0;
     service.backends.push_back(readBackend(backendReader, service.id, capacity));
     capacities.push_back(capacity);
+    if (evacuated.contains(service.backends.back().zone)) {
+      // As one that leaves: it keeps its flows and takes no new one.
+      service.backends.back().state = core::BackendState::kLeaving;
+    }
     if (!names.insert(service.backends.back().name).second) {
       backendReader.fail("name", "'" + service.backends.back().name + "' is used twice");
     }
--- a/src/configuration/json_reader.cc
+++ b/src/configuration/json_reader.cc
@@ -26,6 +26,22 @@
   }
 }
 
+std::set<std::string> JsonReader::namesOr(const char* field) {
+  std::set<std::string> names;
+  const nlohmann::json* value = find(field);
+  if (value == nullptr) {
+    return names;
+  }
+  for (const nlohmann::json& item : array(field)) {
+    if (!item.is_string() || item.get<std::string>().empty()) {
+      fail(field, "must be a list of names, got " + item.dump());
+      return {};
+    }
+    names.insert(item.get<std::string>());
+  }
+  return names;
+}
+
 void JsonReader::fail(const std::string& field, const std::string& problem) {
   if (!error_) {
     error_ = path_ + "." + field + ": " + problem;
--- a/src/configuration/json_reader.h
+++ b/src/configuration/json_reader.h
@@ -7,6 +7,7 @@
 #include <initializer_list>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/types.h"
@@ -33,6 +34,9 @@
   /// @return the array, or an empty one after an error.
   const nlohmann::json& array(const char* field);
 
+  /// @return a list of names, empty where the field is missing or after an error.
+  std::set<std::string> namesOr(const char* field);
+
   /// Records an error about a field, unless there was one before.
   void fail(const std::string& field, const std::string& problem);
   bool ok() const { return !error_.has_value(); }
--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -1,7 +1,5 @@
 #include "core/backend_health.h"
 
-#include <utility>
-
 #include "core/constants.h"
 
 namespace cobaltgauge::core {
@@ -100,7 +98,7 @@
   return due;
 }
 
-bool BackendHealth::onProbe(BackendId backend, ProbeResult result, bool isReady, Time now) {
+bool BackendHealth::onProbe(BackendId backend, ProbeResult result, Time now) {
   const auto found = signs_.find(backend);
   if (found == signs_.end()) {
     return false;
@@ -112,7 +110,10 @@
     onAnswer(backend, now);
     return false;
   }
-  if (signs.dead || !proves(signs, result, isReady, now)) {
+  if (signs.dead || !proves(signs, result, now)) {
+    if (signs.unansweredSince == Time{} && !signs.doubted && !signs.dead) {
+      open_.erase(backend);
+    }
     return false;
   }
   signs.dead = true;
@@ -121,11 +122,11 @@
   return true;
 }
 
-bool BackendHealth::proves(Signs& signs, ProbeResult result, bool isReady, Time now) {
+bool BackendHealth::proves(Signs& signs, ProbeResult result, Time now) {
   const bool isSilent = signs.unansweredSince != Time{};
   if (result == ProbeResult::kRefused) {
-    const bool wasDoubted = std::exchange(signs.doubted, false);
-    return isReady && (isSilent || wasDoubted);
+    signs.doubted = false;
+    return false;
   }
   if (isSilent || !signs.doubted) {
     return isSilent;
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -21,10 +21,10 @@
 enum class ProbeResult : std::uint8_t {
   kConnected,  ///< Something listens there.
   kRefused,    ///< The machine answers, nothing listens. A back end that is about to end as planned
-               ///< stops listening before its last flows end: no reason to give flows up, unless it
-  ///< calls itself ready. A machine whose back end crashed resets the flows itself, but
-  ///< only with their next packet, which may be a request.
-  kTimedOut,  ///< No answer: without power, or cut off.
+               ///< stops listening before its last flows end, one that is overloaded refuses
+               ///< connections for a while, and a machine whose back end crashed resets the flows
+               ///< itself: no reason to give flows up.
+  kTimedOut,   ///< No answer: without power, or cut off.
 };
 
 const char* toString(ProbeResult result);
@@ -58,10 +58,8 @@
   /// @param known how many back ends there are.
   /// @return back ends to be probed now; each must be answered by onProbe().
   std::vector<BackendId> takeProbes(std::size_t known, Time now);
-  /// Takes the result of a probe. @param isReady the back end calls itself ready, in a view that is
-  /// current: where nothing listens at its address it has crashed.
-  /// @return true where the back end is dead from now on.
-  bool onProbe(BackendId backend, ProbeResult result, bool isReady, Time now);
+  /// Takes the result of a probe. @return true where the back end is dead from now on.
+  bool onProbe(BackendId backend, ProbeResult result, Time now);
 
   /// Call after the process was suspended: what is unanswered since before means nothing.
   void onResume();
@@ -83,7 +81,7 @@
 
   void ask(BackendId backend, Time since, Time now);
   /// @return true where a probe that failed proves that the back end is gone.
-  static bool proves(Signs& signs, ProbeResult result, bool isReady, Time now);
+  static bool proves(Signs& signs, ProbeResult result, Time now);
 
   std::unordered_map<BackendId, Signs> signs_;
   /// Back ends with something unanswered, or dead; few, while `signs_` may hold all.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -173,15 +173,14 @@
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
     } else {
-      health_.onProbe(id, ProbeResult::kConnected, false, now);
+      health_.onProbe(id, ProbeResult::kConnected, now);
     }
   }
   return probes;
 }
 
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
-  const bool isReady = viewCurrent_ && backends_.isReady(backend);
-  if (health_.onProbe(backend, result, isReady, now)) {
+  if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
       outliers_->GetUnreachable().OnUnreachable(backend);
--- a/tests/configuration/configuration_json_test.cc
+++ b/tests/configuration/configuration_json_test.cc
@@ -114,4 +114,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(BackEndsOfEvacuatedZonesTakeNoNewFlows) {
+  json root = makeRoot();
+  root["services"][0]["backends"][0]["zone"] = "hall-1";
+  root["services"][0]["backends"][1]["zone"] = "hall-2";
+  root["services"][0]["evacuated_zones"] = {"hall-2", "hall-9"};
+  ConfigurationParser parser;
+  JsonConfigurationCompiler compiler;
+  const auto services = compiler.compile(*parser.parse(root.dump()));
+  BOOST_TEST_REQUIRE(services.has_value());
+  const std::vector<core::Backend>& backends = services->front().backends;
+  BOOST_TEST((backends[0].state == core::BackendState::kActive));
+  BOOST_TEST((backends[1].state == core::BackendState::kLeaving));
+  root["services"][0]["evacuated_zones"] = {7};
+  BOOST_TEST(reasonOf(root).find("evacuated_zones") != std::string::npos);
+  root["services"][0]["evacuated_zones"] = "hall-2";
+  BOOST_TEST(reasonOf(root).find("evacuated_zones") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
