--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -26,6 +26,10 @@
 ROUND_SECONDS = 10.0
 HEAL_SECONDS = 5.0
 LEAVING_BOUND = 3.0  # A back end that leaves gets no new flow after this.
+EVACUATION_BOUND = 5.0  # Back ends of a zone that is taken out get no new flow after this.
+COLD_PER_SECOND = 4  # Openings a second that a cold back end bears, from all daemons.
+COLD_BOUND = COLD_PER_SECOND * 1.5 + 5  # The most that it may get in any second.
+WARM_UP_MS = 2000
 IN_TOUCH = 4.0       # A daemon without faults for this long must keep every bound.
 FLOWS = 24
 
@@ -36,6 +40,7 @@
     def __init__(self, upstream):
         self.upstream = upstream
         self.mode = "up"  # up, delay, deaf (nothing back), mute (nothing through), refuse
+        self.hushed = set()  # Pairs that carry nothing more, while new ones do.
         self.pairs = []
         self.listener = socket.create_server((upstream[0], 0))
         self.address = f"{upstream[0]}:{self.listener.getsockname()[1]}"
@@ -48,18 +53,21 @@
                 near.close()
                 continue
             far = socket.create_connection(self.upstream)
-            self.pairs.append((near, far))
+            pair = (near, far)
+            self.pairs.append(pair)
             for source, target, cut in ((near, far, "mute"), (far, near, "deaf")):
-                threading.Thread(target=self.pump, args=(source, target, cut), daemon=True).start()
+                threading.Thread(target=self.pump, args=(source, target, cut, pair),
+                                 daemon=True).start()
 
-    def pump(self, source, target, cut):
+    def pump(self, source, target, cut, pair):
         try:
             while data := source.recv(65536):
                 if self.mode == "delay":
                     time.sleep(0.3)
                 while self.mode == cut:
                     time.sleep(0.05)
-                target.sendall(data)
+                if pair not in self.hushed:
+                    target.sendall(data)
         except OSError:
             pass
         for end in (source, target):
@@ -68,6 +76,10 @@
             except OSError:
                 pass
 
+    def hush(self):
+        """Lets open connections go silent for good, without a reset."""
+        self.hushed |= set(self.pairs)
+
     def reset(self):
         pairs, self.pairs = self.pairs, []
         for pair in pairs:
@@ -85,6 +97,7 @@
         self.touched = {}  # By daemon: when a fault on it ended, or None while one lasts.
         self.store_touched = time.monotonic()
         self.left = {}     # By back end: when it announced its end.
+        self.evacuated_at = None  # When zone "b" was taken out.
         self.extra = set()
         self.next_host = 10
         self.proxies = {}
@@ -101,8 +114,11 @@
         self.began = time.monotonic()
         fleet = self.fleet
         self.publish()
+        fleet.services = [{"name": "web", "warmup-s": WARM_UP_MS / 1000,
+                           "warmup-per-s": float(COLD_PER_SECOND)}]
+        self.publish()
         for host in range(1, 7):
-            fleet.start_backend(fleet.at(2, host), "web")
+            fleet.start_backend(fleet.at(2, host), "web", "ab"[host % 2])
         host, port = fleet.store.address.split(":")
         for number in range(2, 5):
             proxy = Proxy((host, int(port)))
@@ -141,9 +157,9 @@
 
     def spoil(self, daemon):
         proxy = self.proxies[daemon]
-        mode = self.random.choice(["delay", "deaf", "mute", "refuse", "reset"])
-        if mode == "reset":
-            proxy.reset()
+        mode = self.random.choice(["delay", "deaf", "mute", "refuse", "reset", "hush"])
+        if mode in ("reset", "hush"):
+            proxy.reset() if mode == "reset" else proxy.hush()
             return lambda: None
         proxy.mode = mode
 
@@ -185,21 +201,36 @@
 
     def backend_change(self):
         staying = [b for b in self.fleet.backends if b.alive and b not in self.left]
-        kind = self.random.choice(["add", "leave", "crash"])
+        kind = self.random.choice(["add", "leave", "crash", "mute"])
         if kind == "add" or len(staying) < 4:
             self.next_host += 1
             self.note("add back end")
-            self.fleet.start_backend(self.fleet.at(2, self.next_host), "web")
+            zone = "ab"[self.next_host % 2]
+            self.fleet.start_backend(self.fleet.at(2, self.next_host), "web", zone, WARM_UP_MS)
             return
         backend = self.random.choice(staying)
         self.note(f"{kind} back end {backend.id:x}")
-        if kind == "leave":
+        if kind == "mute":
+            backend.mute = True
+            threading.Timer(self.random.uniform(0.5, 3.0), setattr,
+                            (backend, "mute", False)).start()
+        elif kind == "leave":
             backend.leave()
             self.left[backend] = time.monotonic()
         else:
             backend.crash()
             threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
 
+    def zone_change(self):
+        if self.evacuated_at is None:
+            self.note("zone b is taken out")
+            self.fleet.evacuate("b")
+            self.evacuated_at = time.monotonic()
+        else:
+            self.note("zone b is taken back")
+            self.evacuated_at = None
+            self.fleet.take_back("b")
+
     def route_change(self):
         route = self.random.choice(EXTRA)
         self.extra ^= {route}
@@ -249,6 +280,25 @@
                     self.fail(f"leaving back end {backend.id:x} got a flow {opened - left:.1f} s later")
             backend.openings = [o for o in backend.openings if o[0] <= left + LEAVING_BOUND]
 
+    def check_evacuated(self):
+        since = self.evacuated_at
+        if since is None or not self.store_quiet_since(since):
+            return
+        for backend in self.fleet.backends:
+            late = [at - since for at, _ in backend.openings if at > since + EVACUATION_BOUND]
+            if backend.zone == "b" and late:
+                self.fail(f"back end {backend.id:x} of the zone that is out got a flow "
+                          f"{late[0]:.1f} s later")
+
+    def check_cold(self):
+        for backend in self.fleet.backends:
+            cold_until = backend.started + WARM_UP_MS / 1000
+            times = [at for at, _ in backend.openings if backend.warm_up_ms and at < cold_until]
+            for first in times:
+                count = sum(first <= at < first + 1 for at in times)
+                if count > COLD_BOUND:
+                    self.fail(f"cold back end {backend.id:x} got {count} flows in a second")
+
     def store_quiet_since(self, then):
         daemons = [self.touched[daemon] for daemon in self.fleet.daemons]
         quiet = [self.store_touched, *daemons]
@@ -299,9 +349,12 @@
                 if time.monotonic() >= next_fault:
                     next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
                     self.random.choice([self.daemon_fault, self.daemon_fault, self.store_fault,
-                                        self.backend_change, self.route_change])()
+                                        self.backend_change, self.route_change,
+                                        self.zone_change])()
                 self.check_strays()
                 self.check_leaving()
+                self.check_evacuated()
+                self.check_cold()
             self.check_whole()
             self.check_strays()
 
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -143,13 +143,16 @@
 class Backend:
     """One back end: answers openings and data, and notes what is wrong about a packet."""
 
-    def __init__(self, fleet, address, service):
+    def __init__(self, fleet, address, service, zone="a", warm_up_ms=0):
         self.fleet, self.address, self.service = fleet, address, service
+        self.zone, self.warm_up_ms = zone, warm_up_ms
+        self.mute = False  # Acknowledges data and never answers it.
         fleet.next_id += 1
         self.id = fleet.next_id
         self.key = f"servers/i-{self.id:x}"
         self.flows, self.strays, self.openings = {}, [], []
         self.alive = True
+        self.started = time.monotonic()
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((address, BACKEND_PORT))
         self.listener = socket.create_server((address, BACKEND_PORT))
@@ -158,8 +161,9 @@
 
     def register(self, state):
         self.fleet.store.put(self.key, {
-            "service": self.service, "address": f"{self.address}:{BACKEND_PORT}", "zone": "a",
-            "version": "v1", "capacity": 2, "state": state, "warmup-left-ms": 0, "sequence": 1})
+            "service": self.service, "address": f"{self.address}:{BACKEND_PORT}",
+            "zone": self.zone, "version": "v1", "capacity": 2, "state": state,
+            "warmup-left-ms": self.warm_up_ms, "sequence": 1})
 
     def leave(self):
         self.register("draining")
@@ -191,8 +195,8 @@
             self.reply(flow, echo, SYN | ACK, self.flows[flow], sequence + 1)
         elif flow in self.flows:
             data = packet[HEAD.size:]
-            self.flows[flow] += 10 if data else 0
-            if data:
+            self.flows[flow] += 10 if data and not self.mute else 0
+            if data and not self.mute:
                 self.reply(flow, echo, ACK, self.flows[flow], sequence + len(data))
         else:
             self.strays.append(flow)
@@ -355,6 +359,7 @@
         self.next_id = 0x1000
         self.daemons, self.backends = [], []
         self.version = 0
+        self.services = []  # As the configuration describes them.
 
     def at(self, net, host):
         """Returns an address of this run."""
@@ -364,7 +369,7 @@
         """`routes`: (address, port, service) each."""
         self.version += 1
         self.store.put("op/config", {
-            "version": self.version, "services": [], "limits": {"idle-timeout-ms": 15000},
+            "version": self.version, "services": self.services, "limits": {"idle-timeout-ms": 15000},
             "routes": [{"name": f"r-{port}", "host": address, "path-prefix": f"/{port}/",
                         "service": service} for address, port, service in routes]})
 
@@ -373,8 +378,14 @@
         self.daemons.append(daemon)
         return daemon
 
-    def start_backend(self, address, service):
-        backend = Backend(self, address, service)
+    def evacuate(self, zone):
+        self.store.put(f"op/evacuate/{zone}", {})
+
+    def take_back(self, zone):
+        self.store.remove(f"op/evacuate/{zone}")
+
+    def start_backend(self, address, service, zone="a", warm_up_ms=0):
+        backend = Backend(self, address, service, zone, warm_up_ms)
         self.backends.append(backend)
         return backend
 
--- a/scripts/token_smoke.py
+++ b/scripts/token_smoke.py
@@ -57,6 +57,24 @@
                   len(more) == 12 and len(backends[0].openings) == before)
     checks.expect("and keeps its flows", ask_all(caller, [second], flows) == ["ok"] * 12)
 
+    other = fleet.start_backend(fleet.at(2, 4), "web", zone="b")
+    wait_until(lambda: other.openings or not open_many(caller, [first], 1), "zone b gets flows")
+    stays = [flow for flow in open_many(caller, [first, second], 12)]
+    fleet.evacuate("b")
+    wait_until(lambda: all(daemon.lines("zone_evacuated") for daemon in (first, second)),
+               "every daemon knows that the zone is taken out")
+    before = len(other.openings)
+    checks.expect("a zone that is taken out gets no new flow",
+                  len(open_many(caller, [first, second], 12)) == 12
+                  and len(other.openings) == before)
+    checks.expect("and keeps its flows", ask_all(caller, [second], stays) == ["ok"] * len(stays))
+    checks.expect("the admin page names it", '"zone": "b"' in first.get(fleet.admin_port, "/zones")[1])
+    fleet.take_back("b")
+    wait_until(lambda: all(daemon.lines("zone_returned") for daemon in (first, second)),
+               "every daemon knows that the zone is back")
+    wait_until(lambda: open_many(caller, [first], 1) and len(other.openings) > before,
+               "it gets flows again")
+
     fleet.store.set_mode("silent")
     second.kill()
     second.start()
