--- /dev/null
+++ b/tests/bench/token_benchmark.cc
@@ -0,0 +1,131 @@
+/// @file
+/// Cost of one decision where packets carry a token: time and allocations. Run by hand; not a test.
+#include <benchmark/benchmark.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <new>
+
+#include "core/token_steering.h"
+#include "sim/seeded_random.h"
+#include "support/core_fixtures.h"
+
+namespace {
+
+std::atomic<std::uint64_t> allocationCount{0};
+
+}  // namespace
+
+void* operator new(std::size_t size) {
+  ++allocationCount;
+  if (void* block = std::malloc(size)) {
+    return block;
+  }
+  throw std::bad_alloc();
+}
+void operator delete(void* block) noexcept { std::free(block); }
+void operator delete(void* block, std::size_t) noexcept { std::free(block); }
+
+namespace {
+
+using namespace cobaltgauge;
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kCallers = 1U << 14U;
+
+/// A daemon with a whole view of one service.
+class TokenDaemon {
+ public:
+  explicit TokenDaemon(std::int64_t backends) {
+    core::RouteSet routes;
+    routes.version = 1;
+    routes.routes.push_back({"r", tests::endpoint(90, 1, 443), {{"web", 1}}});
+    steering.routes().offer(routes, now);
+    for (std::int64_t i = 1; i <= backends; ++i) {
+      core::Registration registration;
+      registration.id = core::BackendId{static_cast<std::uint64_t>(i)};
+      registration.service = "web";
+      registration.endpoint = tests::endpoint(static_cast<std::uint8_t>(i / 250),
+                                              static_cast<std::uint8_t>(i % 250), 8000);
+      registration.zone = "a";
+      registration.capacity = 2;
+      steering.backends().put("b" + std::to_string(i), registration, static_cast<core::Revision>(i),
+                              now);
+    }
+    steering.setViewState(true, true);
+  }
+
+  static core::PacketSummary packetOf(std::uint32_t caller, core::PacketKind kind) {
+    core::PacketSummary packet;
+    packet.flow.protocol = core::Protocol::kTcp;
+    packet.flow.source = tests::endpoint(static_cast<std::uint8_t>(caller >> 14U),
+                                         static_cast<std::uint8_t>(caller >> 6U),
+                                         static_cast<std::uint16_t>(1024 + (caller & 63U)));
+    packet.flow.destination = tests::endpoint(90, 1, 443);
+    packet.kind = kind;
+    return packet;
+  }
+
+  core::Verdict open(std::uint32_t caller) {
+    now += 10ms;  // So that no opening is paced.
+    return steering.onPacket(packetOf(caller, core::PacketKind::kOpening), now);
+  }
+
+  sim::SeededRandom random{1};
+  core::EqualWeights weights;
+  core::TokenSteering steering{core::TokenSteeringOptions{}, weights, random};
+  core::Time now = 100s;
+};
+
+void reportAllocations(benchmark::State& state, std::uint64_t before) {
+  state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocationCount - before),
+                                                     benchmark::Counter::kAvgIterations);
+}
+
+void packetOfAnOpenFlow(benchmark::State& state) {
+  TokenDaemon daemon(state.range(0));
+  std::vector<core::PacketSummary> packets;
+  for (std::uint32_t caller = 0; caller < kCallers; ++caller) {
+    daemon.open(caller);
+    packets.push_back(TokenDaemon::packetOf(caller, core::PacketKind::kContinuing));
+    packets.back().token = core::HashTokenOf(daemon.steering.lastDecision().backend);
+  }
+  std::uint32_t next = 0;
+  std::uint32_t acknowledged = 1;
+  const std::uint64_t before = allocationCount;
+  for (auto _ : state) {
+    packets[next].acknowledgement = acknowledged;
+    benchmark::DoNotOptimize(daemon.steering.onPacket(packets[next], daemon.now));
+    next = (next + 1) % kCallers;
+    acknowledged += next == 0 ? 1 : 0;
+  }
+  reportAllocations(state, before);
+}
+BENCHMARK(packetOfAnOpenFlow)->Arg(15)->Arg(120)->Arg(5600);
+
+void openingOfAFlow(benchmark::State& state) {
+  TokenDaemon daemon(state.range(0));
+  std::uint32_t caller = 0;
+  const std::uint64_t before = allocationCount;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(daemon.open(++caller % kCallers));
+  }
+  reportAllocations(state, before);
+}
+BENCHMARK(openingOfAFlow)->Arg(15)->Arg(120)->Arg(5600);
+
+/// After a zone was taken out every list of candidates is collected anew.
+void evacuationAndOpening(benchmark::State& state) {
+  TokenDaemon daemon(state.range(0));
+  core::Revision revision = 1'000'000;
+  std::uint32_t caller = 0;
+  for (auto _ : state) {
+    daemon.steering.backends().putEvacuation("b", "b", ++revision);
+    benchmark::DoNotOptimize(daemon.open(++caller % kCallers));
+  }
+}
+BENCHMARK(evacuationAndOpening)->Arg(120)->Arg(5600);
+
+}  // namespace
+
+BENCHMARK_MAIN();
