Let the time of an evacuation bound how old a view may get

Cause: the limits of the view relay follow from the shortest time in which a change has to be in force; that of an evacuation was not among them.

Change: steering.evacuate_within_ms, rendered from the platform's bound. Tests of it and of the zones' regions, with wrong input.

--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -40,8 +40,8 @@
                      core::memberIdOf(settings.name)),
       [this](const net::ReceivedFrame& received) { this->OnFrame(received); })
 {
-  this->Relay.SetTiming(core::RelayTiming::Within(
-    std::min(settings.applyWithin, settings.drainWithin)));
+  this->Relay.SetTiming(core::RelayTiming::Within(std::min(
+    { settings.applyWithin, settings.drainWithin, settings.evacuateWithin })));
 }
 
 bool PeerLink::Open()
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -55,6 +55,7 @@
   std::chrono::milliseconds stopGrace{6000};
   std::chrono::milliseconds applyWithin{3000};
   std::chrono::milliseconds drainWithin{3000};
+  std::chrono::milliseconds evacuateWithin{3000};
   core::Endpoint readinessListen;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -188,6 +188,10 @@
   fields.push_back(numberField("steering", "drain_within_ms",
                                "Time after which a leaving back end must get no new flow (token)",
                                &Settings::drainWithin, 500, 600'000));
+  fields.push_back(
+      numberField("steering", "evacuate_within_ms",
+                  "Time after which a zone that is taken out must get no new flow (token)",
+                  &Settings::evacuateWithin, 500, 600'000));
   fields.push_back(field(
       "steering", "policy_file", "Policy program that weighs back ends for new flows (token)",
       "the path of a Lua file; empty: all alike", [](Settings& settings, const std::string& text) {
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -117,6 +117,24 @@
   BOOST_TEST(bad.reason.find("500") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(ZonesAndTheirEvacuationAreRead) {
+  const Outcome good = load(kValid, {"--daemon-regions-of-zones=hall-1=west,hall-2=east",
+                                     "--steering-evacuate-within-ms=2000"});
+  BOOST_REQUIRE(good.settings.has_value());
+  BOOST_TEST(good.settings->evacuateWithin.count() == 2000);
+  BOOST_TEST(good.settings->regionsOfZones.size() == 2U);
+  BOOST_TEST(good.settings->regionsOfZones.at("hall-2") == "east");
+  BOOST_TEST(load(kValid, {"--daemon-regions-of-zones="}).settings.has_value());
+  for (const char* wrong :
+       {"--daemon-regions-of-zones=hall-1", "--daemon-regions-of-zones==west",
+        "--daemon-regions-of-zones=hall-1=", "--daemon-regions-of-zones=hall-1=west,,",
+        "--daemon-regions-of-zones=a b=west"}) {
+    const Outcome bad = load(kValid, {wrong});
+    BOOST_TEST(!bad.settings.has_value(), wrong);
+    BOOST_TEST(bad.reason.find("ZONE=REGION") != std::string::npos, wrong);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MissingFieldIsNamed) {
   BOOST_TEST(load("[daemon]\nname = \"x\"\n").reason ==
              "data.listen: missing; set it in the file or by --data-listen (ADDRESS:PORT or "
