Probe a dead back end only while the store has it

Cause: a daemon went on probing a dead back end once a second until its signs were forgotten (15 s).

Change: one that is dead and not registered in a current view is not probed. While the view is not current it is, since its registration may have lapsed and it may live. Test: crash, removal, outage, registration again.

--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -170,6 +170,12 @@
     return probes;
   }
   for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
+    // The store says that it is gone, and its flows are given up: nothing is to be learnt. While
+    // the store is away its registration may have lapsed, and it may live.
+    if (health_.isDead(id) && viewCurrent_ && !backends_.isReady(id)) {
+      health_.onProbe(id, ProbeResult::kTimedOut, now);
+      continue;
+    }
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
     } else {
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -270,6 +270,35 @@
   BOOST_TEST(!steering.health().isSuspected(backend, now));
 }
 
+// 60 back ends that had crashed were probed by each of 74 daemons once a second until nobody
+// remembered them.
+BOOST_FIXTURE_TEST_CASE(a_dead_back_end_is_probed_while_it_is_registered, DoubtFixture) {
+  BOOST_TEST(hear());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  now += core::kProbeAgainAfter;
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  steering.backends().remove(keyOf(static_cast<std::uint64_t>(backend)), ++revision, now);
+  now += core::kProbeAgainAfter;
+  BOOST_TEST(!isProbed());
+  // Without the store nobody knows whether its registration has only lapsed.
+  steering.setViewState(true, false);
+  now += core::kProbeAgainAfter;
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  steering.setViewState(true, true);
+  // It registers again, after a lapse: a probe tells.
+  putBackend(static_cast<std::uint64_t>(backend),
+             makeRegistration(static_cast<std::uint64_t>(backend), "web", 1,
+                              static_cast<std::uint8_t>(backend)));
+  now += core::kProbeAgainAfter;
+  BOOST_TEST(isProbed());
+  steering.onProbe(backend, ProbeResult::kConnected, now);
+  BOOST_TEST(!steering.health().isSuspected(backend, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
