Forget reports of too many back ends instead of leaving them in doubt

Cause: where more than a quarter of all back ends were reported unreachable (a zone that is cut off) none was probed, and all of them came last for new flows until they answered someone or were forgotten after 15 s, also after the cut had healed.

Change: the doubts are dropped. The test of a whole zone asks for it and was seen to fail before.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -86,10 +86,8 @@
     return {};
   }
   if (doubted > 1 && doubted * kBackendsPerDoubt > known) {
-    std::erase_if(due, [this](BackendId id) {
-      const Signs& signs = signs_.at(id);
-      return signs.doubted && signs.unansweredSince == Time{};
-    });
+    dropDoubts();
+    return takeProbes(known, now);
   }
   for (const BackendId id : due) {
     signs_.at(id).probing = true;
@@ -98,6 +96,16 @@
   return due;
 }
 
+void BackendHealth::dropDoubts() {
+  for (const BackendId id : open_) {
+    signs_.at(id).doubted = false;
+  }
+  std::erase_if(open_, [this](BackendId id) {
+    const Signs& signs = signs_.at(id);
+    return signs.unansweredSince == Time{} && !signs.dead;
+  });
+}
+
 bool BackendHealth::onProbe(BackendId backend, ProbeResult result, Time now) {
   const auto found = signs_.find(backend);
   if (found == signs_.end()) {
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -80,6 +80,8 @@
   };
 
   void ask(BackendId backend, Time since, Time now);
+  /// Forgets what other daemons said: too much of it to be true.
+  void dropDoubts();
   /// @return true where a probe that failed proves that the back end is gone.
   static bool proves(Signs& signs, ProbeResult result, Time now);
 
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -260,6 +260,10 @@
     steering.onDoubt(BackendId{id}, now);
   }
   BOOST_TEST(steering.takeProbes(now).empty());
+  // Nor do they come last for new flows until someone proves that they live.
+  for (const std::uint64_t id : {11, 12, 13}) {
+    BOOST_TEST(!steering.health().isSuspected(BackendId{id}, now));
+  }
 }
 
 BOOST_FIXTURE_TEST_CASE(a_doubt_ends_where_it_is_not_confirmed, DoubtFixture) {
