--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -30,6 +30,7 @@
 COLD_PER_SECOND = 4  # Openings a second that a cold back end bears, from all daemons.
 COLD_BOUND = COLD_PER_SECOND * 1.5 + 5  # The most that it may get in any second.
 WARM_UP_MS = 2000
+FEWEST_IN_ZONE = 3  # Back ends that stay in zone "a".
 IN_TOUCH = 4.0       # A daemon without faults for this long must keep every bound.
 FLOWS = 24
 
@@ -209,6 +210,8 @@
             self.fleet.start_backend(self.fleet.at(2, self.next_host), "web", zone, WARM_UP_MS)
             return
         backend = self.random.choice(staying)
+        if kind != "mute" and backend.zone == "a" and self.count_in("a") < FEWEST_IN_ZONE:
+            return  # Zone "b" may be out or be taken out: something must be left to serve.
         self.note(f"{kind} back end {backend.id:x}")
         if kind == "mute":
             backend.mute = True
@@ -221,7 +224,13 @@
             backend.crash()
             threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
 
+    def count_in(self, zone):
+        return sum(b.alive and b not in self.left and b.zone == zone
+                   for b in self.fleet.backends)
+
     def zone_change(self):
+        if self.evacuated_at is None and self.count_in("a") < FEWEST_IN_ZONE:
+            return
         if self.evacuated_at is None:
             self.note("zone b is taken out")
             self.fleet.evacuate("b")
