Check reports only of back ends that hold flows seen here

Cause: every daemon probed every reported back end.

Change: a daemon that knows no flow there has nothing to give up and does not probe.

--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -197,7 +197,9 @@
 
 void TokenSteering::onDoubt(BackendId backend, Time now) {
   // Of one that is leaving, or of which the view may be old, a failed probe says nothing.
-  if (viewCurrent_ && backends_.isReady(backend)) {
+  // Without a flow there this daemon has nothing to give up, and its openings tell it soon enough.
+  const bool matters = flows_.openOn(backend) > 0;
+  if (matters && viewCurrent_ && backends_.isReady(backend)) {
     health_.onDoubt(backend, now);
   }
 }
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -246,8 +246,19 @@
   BOOST_TEST(!hear());
 }
 
+// 74 to 300 daemons probed each back end of which one of them had told.
+BOOST_FIXTURE_TEST_CASE(a_report_of_one_without_flows_here_is_not_checked, DoubtFixture) {
+  for (std::uint8_t id = 11; id <= 20; ++id) {
+    putBackend(id, makeRegistration(id, "web", 2, id));
+  }
+  steering.onDoubt(BackendId{11}, now);
+  BOOST_TEST(!steering.health().hasSuspects());
+  BOOST_TEST(hear());
+}
+
 BOOST_FIXTURE_TEST_CASE(reports_of_most_back_ends_are_not_believed, DoubtFixture) {
   for (std::uint64_t id = 1; id <= 3; ++id) {
+    send(static_cast<std::uint16_t>(100 + id), BackendId{id}, 1, 0);
     steering.onDoubt(BackendId{id}, now);
   }
   BOOST_TEST(steering.takeProbes(now).empty());
@@ -257,6 +268,7 @@
 BOOST_FIXTURE_TEST_CASE(reports_of_a_whole_zone_are_not_believed, DoubtFixture) {
   for (std::uint8_t id = 11; id <= 13; ++id) {
     putBackend(id, makeRegistration(id, "web", 2, id));
+    send(static_cast<std::uint16_t>(100 + id), BackendId{id}, 1, 0);
     steering.onDoubt(BackendId{id}, now);
   }
   BOOST_TEST(steering.takeProbes(now).empty());
