--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -31,25 +31,12 @@
   ask(backend, firstSentAt, now);
 }
 
-void BackendHealth::onDoubt(BackendId backend, Time now) {
-  Signs& signs = signs_[backend];
-  if (signs.dead || signs.doubted) {
-    return;
-  }
-  signs.lastSign = now;
-  signs.doubted = true;
-  signs.timedOut = 0;
-  signs.nextProbe = now;
-  open_.insert(backend);
-}
-
 void BackendHealth::onAnswer(BackendId backend, Time now) {
   Signs& signs = signs_[backend];
   signs.lastSign = now;
   signs.unansweredSince = Time{};
   counters_.revived += signs.dead ? 1U : 0U;
   signs.dead = false;
-  signs.doubted = false;
   open_.erase(backend);
 }
 
@@ -61,7 +48,7 @@
   const Signs& signs = found->second;
   const bool silent =
       signs.unansweredSince != Time{} && now - signs.unansweredSince > kAnswerPatience;
-  return signs.dead || signs.doubted || silent;
+  return signs.dead || silent;
 }
 
 bool BackendHealth::isDead(BackendId backend) const {
@@ -72,12 +59,10 @@
 std::vector<BackendId> BackendHealth::takeProbes(std::size_t known, Time now) {
   std::vector<BackendId> due;
   std::size_t suspects = 0;
-  std::size_t doubted = 0;
   for (const BackendId id : open_) {
     const Signs& signs = signs_.at(id);
     const bool suspected = isSuspected(id, now);
     suspects += suspected ? 1U : 0U;
-    doubted += signs.doubted ? 1U : 0U;
     if (suspected && !signs.probing && now >= signs.nextProbe) {
       due.push_back(id);
     }
@@ -85,10 +70,6 @@
   if (suspects > 1 && suspects * 2 > known) {
     return {};
   }
-  if (doubted > 1 && doubted * kBackendsPerDoubt > known) {
-    dropDoubts();
-    return takeProbes(known, now);
-  }
   for (const BackendId id : due) {
     signs_.at(id).probing = true;
     ++counters_.probes;
@@ -96,16 +77,6 @@
   return due;
 }
 
-void BackendHealth::dropDoubts() {
-  for (const BackendId id : open_) {
-    signs_.at(id).doubted = false;
-  }
-  std::erase_if(open_, [this](BackendId id) {
-    const Signs& signs = signs_.at(id);
-    return signs.unansweredSince == Time{} && !signs.dead;
-  });
-}
-
 bool BackendHealth::onProbe(BackendId backend, ProbeResult result, Time now) {
   const auto found = signs_.find(backend);
   if (found == signs_.end()) {
@@ -118,36 +89,18 @@
     onAnswer(backend, now);
     return false;
   }
-  if (signs.dead || !proves(signs, result, now)) {
-    if (signs.unansweredSince == Time{} && !signs.doubted && !signs.dead) {
-      open_.erase(backend);
-    }
+  const bool answeredMeanwhile = signs.unansweredSince == Time{};
+  if (result == ProbeResult::kRefused || answeredMeanwhile || signs.dead) {
     return false;
   }
   signs.dead = true;
-  signs.doubted = false;
   ++counters_.declaredDead;
   return true;
 }
 
-bool BackendHealth::proves(Signs& signs, ProbeResult result, Time now) {
-  const bool isSilent = signs.unansweredSince != Time{};
-  if (result == ProbeResult::kRefused) {
-    signs.doubted = false;
-    return false;
-  }
-  if (isSilent || !signs.doubted) {
-    return isSilent;
-  }
-  // Nothing was silent here: a single lost packet must not do.
-  signs.nextProbe = now;
-  return ++signs.timedOut >= kTimeoutsOfDoubted;
-}
-
 void BackendHealth::onResume() {
   for (auto& [id, signs] : signs_) {
     signs.unansweredSince = Time{};
-    signs.doubted = false;
   }
   std::erase_if(open_, [this](BackendId id) { return !signs_.at(id).dead; });
 }
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -21,9 +21,8 @@
 enum class ProbeResult : std::uint8_t {
   kConnected,  ///< Something listens there.
   kRefused,    ///< The machine answers, nothing listens. A back end that is about to end as planned
-               ///< stops listening before its last flows end, one that is overloaded refuses
-               ///< connections for a while, and a machine whose back end crashed resets the flows
-               ///< itself: no reason to give flows up.
+               ///< stops listening before its last flows end, and a machine whose back end crashed
+               ///< resets the flows itself: no reason to give flows up.
   kTimedOut,   ///< No answer: without power, or cut off.
 };
 
@@ -51,10 +50,6 @@
   /// @return false where everything is answered; cheap.
   bool hasSuspects() const { return !open_.empty(); }
 
-  /// Notes that the back end may be gone, though nothing is unanswered here: another daemon could
-  /// not reach it. It is probed at once.
-  void onDoubt(BackendId backend, Time now);
-
   /// @param known how many back ends there are.
   /// @return back ends to be probed now; each must be answered by onProbe().
   std::vector<BackendId> takeProbes(std::size_t known, Time now);
@@ -74,16 +69,10 @@
     Time unansweredSince{};  ///< When the first unanswered thing was sent; zero: all answered.
     Time nextProbe{};
     bool probing = false;
-    bool doubted = false;        ///< Without a sign of silence.
-    std::uint32_t timedOut = 0;  ///< Probes in a row, while doubted.
     bool dead = false;
   };
 
   void ask(BackendId backend, Time since, Time now);
-  /// Forgets what other daemons said: too much of it to be true.
-  void dropDoubts();
-  /// @return true where a probe that failed proves that the back end is gone.
-  static bool proves(Signs& signs, ProbeResult result, Time now);
 
   std::unordered_map<BackendId, Signs> signs_;
   /// Back ends with something unanswered, or dead; few, while `signs_` may hold all.
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -207,11 +207,6 @@
   return key != keys_.end() && isCandidate(entries_.at(key->second));
 }
 
-bool BackendRegistry::isReady(BackendId id) const {
-  const auto key = keys_.find(id);
-  return key != keys_.end() && isServing(entries_.at(key->second));
-}
-
 const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
   const auto [list, isNew] = candidates_.try_emplace(service);
   if (isNew) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -94,10 +94,6 @@
   /// @return true where the back end may be given new flows.
   bool takesNewFlows(BackendId id) const;
 
-  /// @return true where the back end's item is in the store and calls it ready, whatever operators
-  /// want of its zone.
-  bool isReady(BackendId id) const;
-
   /// @return back ends of a service that may be given new flows.
   const std::vector<PlacementCandidate>& candidates(ServiceId service);
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -81,11 +81,6 @@
 /// How long a probe waits for a connection, and the time between two probes of one back end.
 inline constexpr Duration kProbeTimeout = 300ms;
 inline constexpr Duration kProbeAgainAfter = 1000ms;
-/// Where others cannot reach more than one back end in so many, a zone is likelier cut off than all
-/// of them dead: idle flows there may live on, and only those with a sign of their own are probed.
-inline constexpr std::size_t kBackendsPerDoubt = 4;
-/// Probes in a row that have to time out where this daemon has seen no silence itself.
-inline constexpr std::uint32_t kTimeoutsOfDoubted = 2;
 /// How long signs of a back end are remembered.
 inline constexpr Duration kSignsMemory = 15s;
 /// Back ends of one service that are compared for one opening, drawn at random where there are
@@ -218,11 +213,6 @@
 inline constexpr std::uint64_t kAnsweredPerLate = 3;
 /// Where more than one back end in so many is an outlier, the cause lies elsewhere: none counts.
 inline constexpr std::size_t kBackendsPerOutlier = 3;
-/// How long a report that a back end cannot be reached is passed on: long enough for the last
-/// daemon of a tree to hear it with a sign of life, short enough to be told again of one that
-/// flaps.
-inline constexpr Duration kUnreachableFor = 1500ms;
-inline constexpr std::size_t kMostUnreachableTold = 64;
 /// Bounds of what is remembered and sent; a busy daemon has about 1,000 answers due at a time.
 inline constexpr std::size_t kMostExpectedAnswers = 8192;
 inline constexpr std::size_t kMostObservations = 64;
--- a/src/core/outlier/outlier_detector.cc
+++ b/src/core/outlier/outlier_detector.cc
@@ -35,7 +35,7 @@
 
 OutlierReport OutlierDetector::TakeReport()
 {
-  return { std::exchange(this->Pending, {}), this->Unreachable.TakePending() };
+  return { std::exchange(this->Pending, {}) };
 }
 
 std::vector<BackendId> OutlierDetector::Decide(const OutlierReport& report,
@@ -69,7 +69,6 @@
 
 void OutlierDetector::Expire(Time now)
 {
-  this->Unreachable.Expire(now);
   std::erase_if(this->Outliers,
                 [now](const auto& item) { return item.second <= now; });
   if (now < this->PeriodEnds) {
--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -8,7 +8,6 @@
 #include <map>
 #include <vector>
 
-#include "core/outlier/unreachable_reports.h"
 #include "core/types.h"
 #include "core/view_messages.h"
 
@@ -68,13 +67,6 @@
   /// Get the outliers, as they are told to other daemons.
   std::vector<BackendId> GetOutliers() const;
 
-  /// Get the reports of back ends that cannot be reached at all.
-  UnreachableReports& GetUnreachable() { return this->Unreachable; }
-  const UnreachableReports& GetUnreachable() const
-  {
-    return this->Unreachable;
-  }
-
   const OutlierCounters& GetCounters() const { return this->Counters; }
 
 private:
@@ -97,7 +89,6 @@
   std::uint64_t Late = 0;
   std::uint64_t LateBefore = 0;
   Time PeriodEnds{};
-  UnreachableReports Unreachable;
   OutlierCounters Counters;
 };
 
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -255,7 +255,9 @@
     this->Referred = update.peers;
   }
   this->Seeds.OnUpdate(update, this->Timing, now);
-  this->AdoptReports(update, now);
+  if (this->IsDecider(update.sender)) {
+    this->Outliers.Adopt(update.outliers, now);
+  }
   this->Clocks.Note(update, now);
   const std::optional<Time> confirmed =
     this->Clocks.GetConfirmation(update, now);
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -140,8 +140,6 @@
   void PushNews(Time now);
   void Push(Time now);
   void ReportOutliers(Time now);
-  /// Take what the daemons that decide say of back ends.
-  void AdoptReports(const ViewUpdate& update, Time now);
   bool IsDecider(const Endpoint& sender) const;
 
   Endpoint Self;
--- a/src/core/relay/view_relay_followers.cc
+++ b/src/core/relay/view_relay_followers.cc
@@ -30,7 +30,6 @@
   update.outliers = this->Outliers.GetOutliers();
   // The tree of a reader that is no seed may be one of many.
   const bool isCounted = !this->Reading || this->Seeds.IsSelfSeed();
-  update.unreachable = this->Outliers.GetUnreachable().GetLatest();
   update.daemons = isCounted ? this->Fleet.GetLatest() : 0;
   if (!this->Reader.isComplete()) {
     return update;
--- a/src/core/relay/view_relay_outliers.cc
+++ b/src/core/relay/view_relay_outliers.cc
@@ -10,7 +10,7 @@
 {
   this->Outliers.Expire(now);
   const OutlierReport report = this->Outliers.TakeReport();
-  if (report.observations.empty() && report.unreachable.empty()) {
+  if (report.observations.empty()) {
     return;
   }
   if (this->Seeds.HasOthers()) {
@@ -27,9 +27,7 @@
   const std::vector<BackendId> found = this->Outliers.Decide(report, now);
   this->FoundOutliers.insert(
     this->FoundOutliers.end(), found.begin(), found.end());
-  const bool isNews =
-    this->Outliers.GetUnreachable().Take(report.unreachable, now);
-  if (!found.empty() || isNews) {
+  if (!found.empty()) {
     this->Push(now);
   }
 }
@@ -39,18 +37,6 @@
   return std::exchange(this->FoundOutliers, {});
 }
 
-void ViewRelay::AdoptReports(const ViewUpdate& update, Time now)
-{
-  if (!this->IsDecider(update.sender)) {
-    return;
-  }
-  this->Outliers.Adopt(update.outliers, now);
-  // Followers of this daemon would hear of it with the next sign of life.
-  if (this->Outliers.GetUnreachable().Take(update.unreachable, now)) {
-    this->Push(now);
-  }
-}
-
 bool ViewRelay::IsDecider(const Endpoint& sender) const
 {
   return !this->Seeds.IsSelfSeed() &&
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kMaintenanceInterval = 1s;
-
 std::unique_ptr<TokenReach> makeReach(const TokenSteeringOptions& options) {
   if (!options.home) {
     return nullptr;
@@ -170,12 +169,6 @@
     return probes;
   }
   for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
-    // The store says that it is gone, and its flows are given up: nothing is to be learnt. While
-    // the store is away its registration may have lapsed, and it may live.
-    if (health_.isDead(id) && viewCurrent_ && !backends_.isReady(id)) {
-      health_.onProbe(id, ProbeResult::kTimedOut, now);
-      continue;
-    }
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
     } else {
@@ -189,21 +182,11 @@
   if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
-      outliers_->GetUnreachable().OnUnreachable(backend);
     }
     resetFlowsOf(backend, RefuseReason::kBackendDead);
   }
 }
 
-void TokenSteering::onDoubt(BackendId backend, Time now) {
-  // Of one that is leaving, or of which the view may be old, a failed probe says nothing.
-  // Without a flow there this daemon has nothing to give up, and its openings tell it soon enough.
-  const bool matters = flows_.openOn(backend) > 0;
-  if (matters && viewCurrent_ && backends_.isReady(backend)) {
-    health_.onDoubt(backend, now);
-  }
-}
-
 void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
   for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
     resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -95,9 +95,6 @@
   /// @return back ends whose address should be connected to; answer each by onProbe().
   std::vector<BackendAddress> takeProbes(Time now);
   void onProbe(BackendId backend, ProbeResult result, Time now);
-  /// Notes that another daemon could not reach a back end. It is probed before anything is given
-  /// up.
-  void onDoubt(BackendId backend, Time now);
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -99,7 +99,6 @@
 /// Observations on their way to the daemon that decides.
 struct OutlierReport {
   std::vector<OutlierObservation> observations;
-  std::vector<BackendId> unreachable = {};  ///< Back ends that the sender could not reach.
 };
 
 /// Asks for every change of a daemon's view from now on, for the time of a lease, and for those
@@ -132,7 +131,6 @@
   std::vector<Endpoint> peers;      ///< Some that follow the sender.
   std::vector<BackendId> outliers;  ///< Back ends that leave callers without answers.
   std::vector<ViewEvacuation> evacuations;
-  std::vector<BackendId> unreachable;  ///< Back ends that some daemon could not reach.
   std::uint32_t daemons = 0;  ///< In the tree of the reader that confirmed this; zero: not known.
 };
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -229,12 +229,6 @@
   carryOutHealth(now);
 }
 
-void TokenDaemon::checkReported(core::Time now) {
-  for (const core::BackendId backend : peers_.GetOutliers().GetUnreachable().TakeUnchecked()) {
-    steering_.onDoubt(backend, now);
-  }
-}
-
 void TokenDaemon::onTick() {
   const core::Time now = bootTime();
   noticeSuspension(now);
@@ -295,14 +289,12 @@
 }
 
 void TokenDaemon::onPeers(core::Time now, bool changed) {
-  const bool becameWhole = reader_.isComplete() != steering_.hasWholeView();
-  noteViewState(now);
-  checkReported(now);
-  if (changed || becameWhole) {
+  if (changed || reader_.isComplete() != steering_.hasWholeView()) {
+    noteViewState(now);
     packets_.retryPending(now);
     steering_.onViewChanged();
+    carryOutHealth(now);
   }
-  carryOutHealth(now);
   store_->start();
 }
 
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -48,8 +48,6 @@
   /// Starts the probes and sends the resets that the steering wants.
   void carryOutHealth(core::Time now);
   void onProbe(const core::BackendAddress& backend, core::ProbeResult result);
-  /// Has back ends probed that other daemons could not reach.
-  void checkReported(core::Time now);
   void onTick();
   void scheduleTick();
   void noticeSuspension(core::Time now);
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -107,14 +107,12 @@
 auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
   return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
                   m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers,
-                  m.evacuations, m.unreachable, m.daemons);
+                  m.evacuations, m.daemons);
 }
 auto fieldsOf(IsMessage<core::OutlierObservation> auto& m) {
   return std::tie(m.backend, m.reporter);
 }
-auto fieldsOf(IsMessage<core::OutlierReport> auto& m) {
-  return std::tie(m.observations, m.unreachable);
-}
+auto fieldsOf(IsMessage<core::OutlierReport> auto& m) { return std::tie(m.observations); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
