Agree on what passes between load, placement, admission and failure domains

Cause: each daemon decides alone what it sees alone; the parts that share load are to be built side by side.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -163,7 +163,8 @@
           std::max(entry.registration.capacity, 1U),
           entry.weight,
           entry.warmUntil,
-          region == regions_.end() ? kNoRegion : region->second};
+          region == regions_.end() ? kNoRegion : region->second,
+          zoneIdOf(entry.registration.zone)};
 }
 
 bool BackendRegistry::isServing(const Entry& entry) const {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -27,6 +27,7 @@
   std::uint32_t weight = kDefaultPlacementWeight;
   Time warmUntil{};  ///< Slow until this time.
   RegionId region = kNoRegion;
+  ZoneId zone = kNoZone;
 };
 
 /// What happened to a back end, for logs.
--- a/src/core/hashing.cc
+++ b/src/core/hashing.cc
@@ -38,6 +38,10 @@
   return RegionId{static_cast<std::uint32_t>(hashName(regionName)) | 1U};
 }
 
+ZoneId zoneIdOf(std::string_view zoneName) {
+  return ZoneId{static_cast<std::uint32_t>(hashName(zoneName)) | 1U};
+}
+
 MemberId memberIdOf(std::string_view memberName) { return MemberId{hashName(memberName) | 1U}; }
 
 BackendId backendIdOf(ServiceId service, const Endpoint& endpoint, std::uint32_t incarnation) {
--- a/src/core/hashing.h
+++ b/src/core/hashing.h
@@ -22,6 +22,9 @@
 /// @return the identity of the region with this name.
 RegionId regionIdOf(std::string_view regionName);
 
+/// @return the identity of the zone with this name.
+ZoneId zoneIdOf(std::string_view zoneName);
+
 /// @return the identity of the daemon with this name.
 MemberId memberIdOf(std::string_view memberName);
 
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -72,12 +72,15 @@
 enum class BackendId : std::uint64_t {};
 /// Hash of a region's name; zero where it is not known.
 enum class RegionId : std::uint32_t {};
+/// Hash of a zone's name; zero where it is not known.
+enum class ZoneId : std::uint32_t {};
 /// Hash of a daemon's name.
 enum class MemberId : std::uint64_t {};
 
 inline constexpr BackendId kNoBackend{0};
 inline constexpr MemberId kNoMember{0};
 inline constexpr RegionId kNoRegion{0};
+inline constexpr ZoneId kNoZone{0};
 
 /// Number of an accepted configuration; versions only rise. Zero means "none yet".
 using ConfigurationVersion = std::uint64_t;
