Let the soak play full and slow back ends, overload and zones that die at once

Cause: failures that the work on scarce room and failure domains answers were not played with real processes. Change: back ends that reset openings or answer late, all of them full at once, all back ends of a zone gone at one moment; the store's proxy moves to a file of its own.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,12 +13,12 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import threading
 import time
 
+from store_proxy import Proxy
 from token_fleet import Caller, TokenFleet, wait_until
 
 ROUTE = ("10.90.0.1", 443)
@@ -35,62 +35,6 @@
 FLOWS = 24
 
 
-class Proxy:
-    """Carries connections to the store, as badly as it is told to."""
-
-    def __init__(self, upstream):
-        self.upstream = upstream
-        self.mode = "up"  # up, delay, deaf (nothing back), mute (nothing through), refuse
-        self.hushed = set()  # Pairs that carry nothing more, while new ones do.
-        self.pairs = []
-        self.listener = socket.create_server((upstream[0], 0))
-        self.address = f"{upstream[0]}:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            near, _ = self.listener.accept()
-            if self.mode == "refuse":
-                near.close()
-                continue
-            far = socket.create_connection(self.upstream)
-            pair = (near, far)
-            self.pairs.append(pair)
-            for source, target, cut in ((near, far, "mute"), (far, near, "deaf")):
-                threading.Thread(target=self.pump, args=(source, target, cut, pair),
-                                 daemon=True).start()
-
-    def pump(self, source, target, cut, pair):
-        try:
-            while data := source.recv(65536):
-                if self.mode == "delay":
-                    time.sleep(0.3)
-                while self.mode == cut:
-                    time.sleep(0.05)
-                if pair not in self.hushed:
-                    target.sendall(data)
-        except OSError:
-            pass
-        for end in (source, target):
-            try:
-                end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
-
-    def hush(self):
-        """Lets open connections go silent for good, without a reset."""
-        self.hushed |= set(self.pairs)
-
-    def reset(self):
-        pairs, self.pairs = self.pairs, []
-        for pair in pairs:
-            for end in pair:
-                try:
-                    end.close()
-                except OSError:
-                    pass
-
-
 class Soak:
     def __init__(self, fleet, seed):
         self.fleet, self.random = fleet, random.Random(seed)
@@ -201,7 +145,7 @@
 
     def backend_change(self):
         staying = self.staying()
-        kind = self.random.choice(["add", "leave", "crash", "mute"])
+        kind = self.random.choice(["add", "leave", "crash", "mute", "full", "slow"])
         if kind == "add" or len(staying) < 4:
             self.next_host += 1
             self.note("add back end")
@@ -209,13 +153,12 @@
             self.fleet.start_backend(self.fleet.at(2, self.next_host), "web", zone, WARM_UP_MS)
             return
         backend = self.random.choice(staying)
-        if kind != "mute" and backend.zone == "a" and self.count_in("a") < FEWEST_IN_ZONE:
+        ends = kind in ("leave", "crash")
+        if ends and backend.zone == "a" and self.count_in("a") < FEWEST_IN_ZONE:
             return  # Zone "b" may be out or be taken out: something must be left to serve.
         self.note(f"{kind} back end {backend.id:x}")
-        if kind == "mute":
-            backend.mute = True
-            threading.Timer(self.random.uniform(0.5, 3.0), setattr,
-                            (backend, "mute", False)).start()
+        if not ends:
+            self.spoil_for_a_while([backend], kind)
         elif kind == "leave":
             backend.leave()
             self.left[backend] = time.monotonic()
@@ -223,6 +166,29 @@
             backend.crash()
             threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
 
+    def spoil_for_a_while(self, backends, how):
+        """Lets back ends be `mute`, `full` or `slow`, one of their attributes."""
+        for backend in backends:
+            setattr(backend, how, True)
+            threading.Timer(self.random.uniform(0.5, 3.0), setattr, (backend, how, False)).start()
+
+    def overload(self):
+        """Everything is full at once, while callers go on."""
+        self.note("all back ends are full")
+        self.spoil_for_a_while(self.staying(), "full")
+
+    def zone_crash(self):
+        """All back ends of zone "b" die at one moment and come back cold."""
+        lost = [backend for backend in self.staying() if backend.zone == "b"]
+        if self.count_in("a") < FEWEST_IN_ZONE or not lost:
+            return
+        self.note(f"crash zone b, {len(lost)} back ends")
+        for backend in lost:
+            backend.crash()
+            threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
+            self.next_host += 1
+            self.fleet.start_backend(self.fleet.at(2, self.next_host), "web", "b", WARM_UP_MS)
+
     def staying(self):
         return [b for b in self.fleet.backends if b.alive and b not in self.left]
 
@@ -358,7 +324,7 @@
                     next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
                     self.random.choice([self.daemon_fault, self.daemon_fault, self.store_fault,
                                         self.backend_change, self.route_change,
-                                        self.zone_change])()
+                                        self.zone_change, self.zone_crash, self.overload])()
                 self.check_strays()
                 self.check_leaving()
                 self.check_evacuated()
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -23,6 +23,7 @@
 
 SYN, ACK, FIN, RST = 64, 4, 8, 1
 HEAD = struct.Struct("<IBIHIIIHHI")  # sum, flags, echo, len, seq, ack, src, dport, sport, dst
+SLOW_SECONDS = 0.05
 BACKEND_PORT = 8080
 PATIENCE = 20.0  # Longest wait for something that must happen, in seconds.
 
@@ -147,6 +148,8 @@
         self.fleet, self.address, self.service = fleet, address, service
         self.zone, self.warm_up_ms = zone, warm_up_ms
         self.mute = False  # Acknowledges data and never answers it.
+        self.full = False  # Resets openings.
+        self.slow = False  # Answers each packet SLOW_SECONDS later.
         fleet.next_id += 1
         self.id = fleet.next_id
         self.key = f"servers/i-{self.id:x}"
@@ -189,7 +192,11 @@
         if target != self.id:
             return  # For another start of a back end at this address: ignored, as the real ones do.
         flow = (source, source_port, destination, port)
-        if flags & SYN:
+        if self.slow:
+            time.sleep(SLOW_SECONDS)
+        if flags & SYN and self.full:
+            self.reply(flow, echo, RST, 0, 0)
+        elif flags & SYN:
             self.openings.append((time.monotonic(), flow))
             self.flows[flow] = 1000 + self.id
             self.reply(flow, echo, SYN | ACK, self.flows[flow], sequence + 1)
