Choose back ends in a class of its own, which asks a list of reasons to put some last

The choice of a back end was a part of token steering that others could not reach. BackendChooser in core/placement holds it, notes nothing, and asks Demotions (signs of silence, outliers) which back ends come last; TokenSteering adds further ones by addDemotion.

--- /dev/null
+++ b/src/core/placement/own_demotions.cc
@@ -0,0 +1,33 @@
+#include "core/placement/own_demotions.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+
+namespace cobaltgauge::core {
+
+void OutlierDemotion::Consider(
+  const std::vector<PlacementCandidate>& candidates,
+  Time /*now*/)
+{
+  this->Counts = false;
+  if (this->Detector == nullptr || this->Detector->CountOutliers() == 0) {
+    return;
+  }
+  const auto found = static_cast<std::size_t>(
+    std::count_if(candidates.begin(),
+                  candidates.end(),
+                  [this](const PlacementCandidate& candidate) {
+                    return this->Detector->IsOutlier(candidate.id);
+                  }));
+  this->Counts =
+    found != 0 && found * kBackendsPerOutlier <= candidates.size();
+}
+
+bool OutlierDemotion::ComesLast(const PlacementCandidate& candidate,
+                                Time /*now*/) const
+{
+  return this->Counts && this->Detector->IsOutlier(candidate.id);
+}
+
+} // namespace cobaltgauge::core
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -29,7 +29,11 @@
       backends_(options.longestFlow, weights, reach_.get()),
       routes_(random.below(UINT64_MAX)),
       flows_(options.flowEntries),
-      warmUps_(options.daemon) {}
+      warmUps_(options.daemon),
+      chooser_({backends_, routes_, flows_, pacer_, warmUps_, answerTimes_, random}) {
+  chooser_.AddDemotion(suspectDemotion_);
+  chooser_.AddDemotion(outlierDemotion_);
+}
 
 Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
   const bool opens = packet.kind == PacketKind::kOpening;
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -22,6 +22,8 @@
 #include "core/outlier/answer_deadlines.h"
 #include "core/outlier/answer_times.h"
 #include "core/outlier/outlier_detector.h"
+#include "core/placement/backend_chooser.h"
+#include "core/placement/own_demotions.h"
 #include "core/random.h"
 #include "core/reach/token_reach.h"
 #include "core/route_table.h"
@@ -97,7 +99,12 @@
   void onProbe(BackendId backend, ProbeResult result, Time now);
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
   /// null for none.
-  void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
+  void setOutliers(OutlierDetector* outliers) {
+    outliers_ = outliers;
+    outlierDemotion_.SetDetector(outliers);
+  }
+  /// Adds a reason to put back ends last for new flows; outlives the steering.
+  void addDemotion(Demotion& demotion) { chooser_.AddDemotion(demotion); }
 
   /// @return the port of the back ends where it was found out since the last call: packets with
   /// unknown tokens may be decided again.
@@ -125,33 +132,6 @@
   Verdict repeatOpening(TokenFlow& flow, Time now);
   Verdict placeOpening(const PacketSummary& packet, RouteEntry& route, RouteReason reason,
                        BackendId avoided, Time now);
-  /// The better of two back ends for a new flow.
-  struct Choice {
-    BackendId id = kNoBackend;
-    std::uint32_t capacity = 1;
-    bool excluded = true;  ///< The policy gives it no new flow.
-    bool suspected = true;
-    bool busy = true;
-    bool slow = false;      ///< Its answers take longer than usual.
-    bool cold = false;      ///< Counts for the bound of what a cold back end gets.
-    bool coldHeld = false;  ///< Cold, and this daemon may give it nothing now.
-    double load = 0;
-  };
-  /// @return the best back end for a route, with kNoBackend where there is none.
-  Choice chooseForRoute(RouteEntry& route, BackendId avoided, Time now);
-  /// @return the best of a service's registered back ends and of those whose registrations lapsed.
-  Choice chooseOfService(ServiceId service, const RouteEntry& route, BackendId avoided, Time now);
-  /// @return the best of those in regions that the route allows.
-  Choice chooseAllowed(const std::vector<PlacementCandidate>& candidates, const RouteEntry& route,
-                       BackendId avoided, Time now);
-  Choice chooseAmong(const std::vector<PlacementCandidate>& candidates, BackendId avoided,
-                     Time now);
-  /// @param looks how many candidates are compared; where not all, they are drawn at random.
-  Choice chooseBest(const std::vector<PlacementCandidate>& candidates, std::size_t looks,
-                    BackendId avoided, Time now);
-  Choice assess(const PlacementCandidate& candidate, BackendId avoided, bool outliersCount,
-                Time now) const;
-  static bool isBetter(const Choice& left, const Choice& right);
   /// @return what an opening gets where no back end of its route takes flows.
   Verdict withoutBackend(const PacketSummary& packet, const Route& route, RouteReason reason,
                          Time now);
@@ -163,8 +143,6 @@
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
-  /// @return true where outliers among the candidates are to come last.
-  bool outliersCount(const std::vector<PlacementCandidate>& candidates) const;
   void resetFlowsOf(BackendId backend, RefuseReason reason);
   void resetFlowsOfEnded();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
@@ -186,6 +164,9 @@
   OutlierDetector* outliers_ = nullptr;
   AnswerDeadlines deadlines_;
   AnswerTimes answerTimes_;
+  SuspectDemotion suspectDemotion_{health_};
+  OutlierDemotion outlierDemotion_;
+  BackendChooser chooser_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
   bool viewCurrent_ = false;
