Let the policy's preference fade with the room of the preferred zone

Own-zone back ends got eight of nine openings whether their zone was full or empty. ZoneSpill keeps a share of a zone's openings there: all of them while nobody waits a quarter of the work longer there than elsewhere (queue M/M/2), and as many as the zone then bears beyond that; the rest is chosen again among zones that are known to have room. The share follows from figures of a RoomView and from what was kept when they were taken, within half their age, so that it settles with reports 0.1 to 1 s late, lost, repeated or wrong. Without figures the choice is as before.

ZoneRoom tells its age, which the share needs; sources that leave it zero count as 300 ms old. Not wired to sources yet.

--- a/src/core/load/load_figures.h
+++ b/src/core/load/load_figures.h
@@ -76,6 +76,7 @@
 {
   double Utilization = 0;   ///< In flight for each slot; 1: no idle slot.
   double RejectedShare = 0; ///< Of openings, 0 to 1.
+  Duration Age{};           ///< Of these figures; zero: not told.
 };
 
 /** \class RoomView
--- a/src/core/placement/backend_chooser.cc
+++ b/src/core/placement/backend_chooser.cc
@@ -11,6 +11,8 @@
 
 /// Work on a back end that has just started takes about this much longer.
 constexpr double kWarmUpFactor = 1.6;
+/// Parts in which a share of openings is drawn.
+constexpr std::uint64_t kDrawnParts = 1U << 20U;
 
 } // namespace
 
@@ -105,20 +107,79 @@
   for (Demotion* demotion : this->Demotions) {
     demotion->Consider(candidates, now);
   }
+  this->In.Spill.Update(candidates, now);
+  const Rated first = this->ChooseWithout(candidates, nullptr, avoided, now);
+  return this->Spill(first, candidates, avoided, now);
+}
+
+BackendChooser::Rated BackendChooser::Spill(const Rated& first,
+                                            const Candidates& candidates,
+                                            BackendId avoided,
+                                            Time now)
+{
+  Rated chosen = first;
+  std::vector<ZoneId> full;
+  while (!this->Stays(chosen)) {
+    full.push_back(chosen.Zone);
+    chosen = this->ChooseWithout(candidates, &full, avoided, now);
+    // A back end that comes last is no room, nor is one that is busy.
+    const bool isWorse = chosen.Id == kNoBackend ||
+      std::tie(chosen.Last, chosen.Busy) > std::tie(first.Last, first.Busy);
+    if (isWorse) {
+      return first;
+    }
+  }
+  if (!full.empty()) {
+    this->In.Spill.OnSpilled();
+    this->Seen.Spilled = true;
+  }
+  return chosen;
+}
+
+bool BackendChooser::Stays(const Rated& rated)
+{
+  if (rated.Id == kNoBackend) {
+    return true;
+  }
+  const double kept = this->In.Spill.GetKept(rated.Service, rated.Zone);
+  return kept >= 1 ||
+    static_cast<double>(this->In.Draws.below(kDrawnParts)) <
+    kept * static_cast<double>(kDrawnParts);
+}
+
+BackendChooser::Rated BackendChooser::ChooseWithout(
+  const Candidates& candidates,
+  const std::vector<ZoneId>* without,
+  BackendId avoided,
+  Time now)
+{
   if (candidates.size() > kPlacementLooks) {
     const Rated drawn =
-      this->ChooseBest(candidates, kPlacementLooks, avoided, now);
+      this->ChooseBest(candidates, kPlacementLooks, without, avoided, now);
     if (drawn.Id != kNoBackend) {
       return drawn;
     }
   }
-  return this->ChooseBest(candidates, candidates.size(), avoided, now);
+  return this->ChooseBest(
+    candidates, candidates.size(), without, avoided, now);
+}
+
+bool BackendChooser::MayTakeSpilled(const PlacementCandidate& candidate,
+                                    const std::vector<ZoneId>& without,
+                                    Time now) const
+{
+  return now >= candidate.warmUntil &&
+    std::find(without.begin(), without.end(), candidate.zone) ==
+    without.end() &&
+    this->In.Spill.MayTake(candidate.service, candidate.zone);
 }
 
-BackendChooser::Rated BackendChooser::ChooseBest(const Candidates& candidates,
-                                                 std::size_t looks,
-                                                 BackendId avoided,
-                                                 Time now)
+BackendChooser::Rated BackendChooser::ChooseBest(
+  const Candidates& candidates,
+  std::size_t looks,
+  const std::vector<ZoneId>* without,
+  BackendId avoided,
+  Time now)
 {
   Random& draws = this->In.Draws;
   Rated best;
@@ -128,6 +189,10 @@
     // would be compared with few of its own and get several times its share.
     const std::size_t index =
       looks < candidates.size() ? draws.below(candidates.size()) : look;
+    if (without != nullptr &&
+        !this->MayTakeSpilled(candidates[index], *without, now)) {
+      continue;
+    }
     const Rated rated = this->Rate(candidates[index], avoided, now);
     this->Seen.ColdCandidates += rated.ColdHeld ? 1U : 0U;
     if (rated.Excluded || rated.ColdHeld) {
@@ -158,6 +223,8 @@
     isWarming ? this->In.Routes.coldOpenings(candidate.service) : 0;
   Rated rated;
   rated.Id = candidate.id;
+  rated.Service = candidate.service;
+  rated.Zone = candidate.zone;
   rated.Capacity = candidate.capacity;
   rated.Excluded = candidate.weight == 0;
   rated.Last = candidate.id == avoided || this->ComesLast(candidate, now);
--- a/src/core/placement/backend_chooser.h
+++ b/src/core/placement/backend_chooser.h
@@ -9,6 +9,7 @@
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_times.h"
 #include "core/placement/demotion.h"
+#include "core/placement/zone_spill.h"
 #include "core/random.h"
 #include "core/route_table.h"
 #include "core/token_flows.h"
@@ -21,8 +22,9 @@
 {
   BackendId Id = kNoBackend; ///< kNoBackend: none takes flows.
   std::uint32_t Capacity = 1;
-  bool Busy = true;  ///< Was given an opening only just now.
-  bool Cold = false; ///< Counts for the bound of what a cold back end gets.
+  bool Busy = true;     ///< Was given an opening only just now.
+  bool Cold = false;    ///< Counts for the bound of what a cold back end gets.
+  bool Spilled = false; ///< Left the preferred zone for want of room.
   std::size_t Candidates = 0;     ///< That could have been chosen.
   std::size_t SlowCandidates = 0; ///< Of those compared, with slow answers.
   std::size_t ColdCandidates = 0; ///< Of those compared, given all they bear.
@@ -38,6 +40,7 @@
   const WarmUpBudget& WarmUps;
   const AnswerTimes& Answers;
   Random& Draws;
+  ZoneSpill& Spill;
 };
 
 /** \class BackendChooser
@@ -71,6 +74,8 @@
   struct Rated
   {
     BackendId Id = kNoBackend;
+    ServiceId Service{ 0 };
+    ZoneId Zone = kNoZone;
     std::uint32_t Capacity = 1;
     bool Excluded = true; ///< The policy gives it no new flow.
     bool Last = true;
@@ -93,11 +98,27 @@
                       BackendId avoided,
                       Time now);
   Rated ChooseAmong(const Candidates& candidates, BackendId avoided, Time now);
+  /// Leave the zone of a choice where it has too little room.
+  Rated Spill(const Rated& first,
+              const Candidates& candidates,
+              BackendId avoided,
+              Time now);
+  bool Stays(const Rated& rated);
+  /// \param without zones whose back ends, and all cold ones, are passed over;
+  /// null: none are.
+  Rated ChooseWithout(const Candidates& candidates,
+                      const std::vector<ZoneId>* without,
+                      BackendId avoided,
+                      Time now);
   /// \param looks how many are compared; where not all, drawn at random.
   Rated ChooseBest(const Candidates& candidates,
                    std::size_t looks,
+                   const std::vector<ZoneId>* without,
                    BackendId avoided,
                    Time now);
+  bool MayTakeSpilled(const PlacementCandidate& candidate,
+                      const std::vector<ZoneId>& without,
+                      Time now) const;
   Rated Rate(const PlacementCandidate& candidate,
              BackendId avoided,
              Time now) const;
--- /dev/null
+++ b/src/core/placement/zone_spill.h
@@ -0,0 +1,109 @@
+/// @file
+/// Which part of a zone's openings stays there while it has too little room.
+/// See docs/design/008-scarce-room.md.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/backend_registry.h"
+#include "core/load/load_figures.h"
+#include "core/placement/placement_limits.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// Openings of a service begin or cease to leave a zone; for logs.
+struct SpillChange
+{
+  ServiceId Service{ 0 };
+  ZoneId Zone = kNoZone;
+  bool Began = false;
+  double Kept = 1;   ///< Share of openings that stays.
+  double Demand = 0; ///< Slots that openings ask for, for each slot.
+  double Least = 0;  ///< The same of the zone with most room.
+  Duration Age{};    ///< Of these figures.
+};
+
+/** \class ZoneSpill
+ * \brief Let the policy's preference fade with the room of the zone.
+ *
+ * Of the openings that the policy gives to a zone, a share stays: all of them
+ * while nobody waits much longer there than elsewhere, and as many as it then
+ * bears beyond that.  The share follows from the figures and from what was
+ * kept when they were taken, so that figures of any age lead to the same
+ * point; it goes there within half their age, so that it does not swing at
+ * their pace, and by bounded steps.  Without figures it goes back to one.
+ */
+class ZoneSpill
+{
+public:
+  /// Add a source of figures, asked where those before it know too little.
+  /// \param room outlives this.
+  void AddSource(const RoomView& room) { this->Sources.push_back(&room); }
+
+  /// Let openings leave zones without room, or not.
+  void SetEnabled(bool enabled) { this->Enabled = enabled; }
+
+  /// Work out again, now and then, what the zones of a service keep.
+  /// \param candidates the service's back ends that take flows.
+  void Update(const std::vector<PlacementCandidate>& candidates, Time now);
+
+  /// Get the share of a zone's openings that stays there.
+  double GetKept(ServiceId service, ZoneId zone) const;
+
+  /// Tell whether a zone may take openings that others have no room for.
+  bool MayTake(ServiceId service, ZoneId zone) const;
+
+  /// Note that an opening left a zone for want of room.
+  void OnSpilled() { ++this->Spilled; }
+  std::uint64_t CountSpilled() const { return this->Spilled; }
+
+  /// Get the least share that any service keeps, by zone.
+  std::map<ZoneId, double> GetKeptByZone() const;
+
+  std::vector<SpillChange> TakeChanges()
+  {
+    return std::exchange(this->Changes, {});
+  }
+
+private:
+  struct Kept
+  {
+    Time At{};
+    double Share = 1;
+  };
+  struct Zone
+  {
+    double Share = 1;
+    bool Known = false; ///< There are figures.
+    bool Spills = false;
+    double Demand = 0;
+    Duration Age = kYoungestFigures;
+    std::deque<Kept> Before; ///< Shares of the past kKeptMemory.
+
+    double GetShareAt(Time when) const;
+  };
+  struct Service
+  {
+    Time UpdatedAt{};
+    std::map<ZoneId, Zone> Zones;
+  };
+
+  /// Take the figures of the first source that knows two zones of a service.
+  void TakeFigures(ServiceId id, Service& service, Time now) const;
+  void Steer(ServiceId id, Service& service, Duration passed, Time now);
+  void NoteChange(ServiceId id, ZoneId zoneId, Zone& zone, double least);
+
+  std::vector<const RoomView*> Sources;
+  std::unordered_map<ServiceId, Service> Services;
+  std::vector<SpillChange> Changes;
+  std::uint64_t Spilled = 0;
+  bool Enabled = true;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -55,6 +55,7 @@
   decision_.candidates = choice.Candidates;
   decision_.slowCandidates = choice.SlowCandidates;
   decision_.coldCandidates = choice.ColdCandidates;
+  decision_.spilled = choice.Spilled;
   if (choice.Id == kNoBackend) {
     return withoutBackend(packet, route.route, reason, now);
   }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -30,7 +30,7 @@
       routes_(random.below(UINT64_MAX)),
       flows_(options.flowEntries),
       warmUps_(options.daemon),
-      chooser_({backends_, routes_, flows_, pacer_, warmUps_, answerTimes_, random}) {
+      chooser_({backends_, routes_, flows_, pacer_, warmUps_, answerTimes_, random, spill_}) {
   chooser_.AddDemotion(suspectDemotion_);
   chooser_.AddDemotion(outlierDemotion_);
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -51,6 +51,7 @@
   std::size_t candidates = 0;      ///< Back ends that could have been chosen.
   std::size_t slowCandidates = 0;  ///< Of those that were compared: passed over for their answers.
   std::size_t coldCandidates = 0;  ///< Of those that were compared: cold, and given all they bear.
+  bool spilled = false;            ///< Left the preferred zone for want of room.
   ConfigurationVersion version = 0;  ///< Of the routes that decided.
 };
 
@@ -103,6 +104,9 @@
     outliers_ = outliers;
     outlierDemotion_.SetDetector(outliers);
   }
+  /// Decides which openings leave a zone for want of room; give it the sources of figures.
+  ZoneSpill& spill() { return spill_; }
+  const ZoneSpill& spill() const { return spill_; }
   /// Adds a reason to put back ends last for new flows; outlives the steering.
   void addDemotion(Demotion& demotion) { chooser_.AddDemotion(demotion); }
 
@@ -166,6 +170,7 @@
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
   OutlierDemotion outlierDemotion_;
+  ZoneSpill spill_;
   BackendChooser chooser_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
--- /dev/null
+++ b/tests/core/placement/spilled_openings_test.cc
@@ -0,0 +1,193 @@
+/// Where openings go while the preferred zone has too little room.
+#include "core/hashing.h"
+#include "core/placement/placement_limits.h"
+#include "core/token_steering.h"
+#include "support/token_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+/// Prefers zone "a" as eight to one.
+struct OwnZoneFirst : core::PlacementWeights
+{
+  std::uint32_t weightOf(const core::Registration& registration) override
+  {
+    return registration.zone == "never" ? 0
+      : registration.zone == "a"        ? 800
+                                        : 100;
+  }
+};
+
+struct NamedRoom : core::RoomView
+{
+  std::map<core::ZoneId, core::ZoneRoom> Zones;
+
+  std::optional<core::ZoneRoom> GetRoom(core::ServiceId,
+                                        core::ZoneId zone,
+                                        core::Time) const override
+  {
+    const auto found = this->Zones.find(zone);
+    return found == this->Zones.end() ? std::nullopt
+                                      : std::optional(found->second);
+  }
+  void Set(const std::string& zone, double inFlight)
+  {
+    this->Zones[core::zoneIdOf(zone)] = { inFlight, 0, 300ms };
+  }
+};
+
+constexpr std::uint8_t kPerZone = 10;
+constexpr double kCalm = 0.2;
+constexpr double kFull = 4;
+
+struct SpillFixture
+{
+  sim::SeededRandom Random{ 1 };
+  OwnZoneFirst Weights;
+  core::TokenSteering Steering{ core::TokenSteeringOptions{},
+                                Weights,
+                                Random };
+  NamedRoom Room;
+  core::Time Now = 100s;
+  core::Revision Revision = 0;
+  std::uint16_t Port = 1000;
+  std::map<std::string, int> Placed;
+
+  SpillFixture()
+  {
+    this->Steering.routes().offer(makeRoutes(1, { { 1, "web" } }), this->Now);
+    this->Steering.setViewState(true, true);
+    this->Steering.spill().AddSource(this->Room);
+    for (const char* zone : { "a", "b", "c" }) {
+      this->Put(zone);
+      this->Room.Set(zone, kCalm);
+    }
+  }
+
+  void Put(const std::string& zone, std::chrono::milliseconds warmUpLeft = 0ms)
+  {
+    for (std::uint8_t host = 0; host < kPerZone; ++host) {
+      const std::uint64_t id = ++this->Revision;
+      core::Registration item =
+        makeRegistration(id, "web", 1, static_cast<std::uint8_t>(id));
+      item.zone = zone;
+      item.warmUpLeft = warmUpLeft;
+      this->Steering.backends().put(
+        "servers/" + std::to_string(id), item, id, this->Now);
+      this->Zones[item.id] = zone;
+    }
+  }
+
+  /// Opens flows that end at once, for four seconds, then counts for four more.
+  void Run()
+  {
+    for (int opening = 0; opening < 800; ++opening) {
+      if (opening == 400) {
+        this->Placed.clear();
+      }
+      this->Now += 10ms;
+      core::PacketSummary packet =
+        TokenFixture::packet(++this->Port, core::PacketKind::kOpening);
+      const core::Verdict verdict = this->Steering.onPacket(packet, this->Now);
+      const core::BackendId backend = TokenFixture::backendOf(verdict);
+      ++this->Placed[this->Zones.at(backend)];
+      packet.token = core::HashTokenOf(backend);
+      packet.kind = core::PacketKind::kContinuing;
+      packet.acknowledgement = 1;
+      this->Steering.onPacket(packet, this->Now);
+      packet.kind = core::PacketKind::kClosing;
+      this->Steering.onPacket(packet, this->Now);
+    }
+  }
+
+  std::map<core::BackendId, std::string> Zones;
+};
+
+BOOST_FIXTURE_TEST_SUITE(SpilledOpeningsSuite, SpillFixture)
+
+BOOST_AUTO_TEST_CASE(APreferredZoneWithRoomGetsNearlyAll)
+{
+  this->Run();
+  BOOST_TEST(this->Placed["a"] > 360);
+  BOOST_TEST(this->Steering.spill().CountSpilled() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AFullZoneLeavesOpeningsToOthers)
+{
+  this->Room.Set("a", kFull);
+  this->Run();
+  // The figures say full whatever it gets, so it keeps the least.
+  BOOST_TEST(this->Placed["a"] < 40);
+  BOOST_TEST(this->Placed["a"] > 0);
+  BOOST_TEST(this->Placed["b"] > 120);
+  BOOST_TEST(this->Placed["c"] > 120);
+  BOOST_TEST(this->Steering.spill().CountSpilled() > 360);
+}
+
+BOOST_AUTO_TEST_CASE(NoZoneThatIsFullTakesWhatAnotherLeaves)
+{
+  this->Room.Set("a", kFull);
+  this->Room.Set("b", kFull);
+  this->Run();
+  BOOST_TEST(this->Placed["b"] < 40);
+  BOOST_TEST(this->Placed["c"] > 320);
+}
+
+BOOST_AUTO_TEST_CASE(AZoneWithoutFiguresTakesNothing)
+{
+  this->Room.Set("a", kFull);
+  this->Room.Zones.erase(core::zoneIdOf("b"));
+  this->Run();
+  BOOST_TEST(this->Placed["b"] < 20);
+  BOOST_TEST(this->Placed["c"] > 340);
+}
+
+BOOST_AUTO_TEST_CASE(AZoneThatIsColdTakesNothing)
+{
+  this->Room.Set("a", kFull);
+  this->Put("cold", 60000ms);
+  this->Room.Set("cold", 0);
+  this->Run();
+  BOOST_TEST(this->Placed["cold"] < 20);
+}
+
+BOOST_AUTO_TEST_CASE(AZoneThatIsOutTakesNothing)
+{
+  this->Room.Set("a", kFull);
+  this->Steering.backends().putEvacuation("zones/b", "b", 1000);
+  this->Run();
+  BOOST_TEST(this->Placed["b"] == 0);
+  BOOST_TEST(this->Placed["c"] > 340);
+}
+
+BOOST_AUTO_TEST_CASE(WeightZeroIsNeverChosen)
+{
+  this->Put("never");
+  this->Room.Set("never", 0);
+  for (const char* zone : { "a", "b", "c" }) {
+    this->Room.Set(zone, kFull);
+  }
+  this->Run();
+  BOOST_TEST(this->Placed["never"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(BackEndsThatComeLastAreNoRoom)
+{
+  struct AllOfB : core::Demotion
+  {
+    bool ComesLast(const core::PlacementCandidate& candidate,
+                   core::Time) const override
+    {
+      return candidate.zone != core::zoneIdOf("a");
+    }
+  } demotion;
+  this->Steering.addDemotion(demotion);
+  this->Room.Set("a", kFull);
+  this->Run();
+  BOOST_TEST(this->Placed["a"] == 400);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace cobaltgauge::tests
