Tell what became of each opening that a daemon placed

Cause: back ends answer straight to callers, so a daemon did not know which of its openings were rejected or reset. Change: OpeningOutcomes watches each opening up to the end of its first answer, by its caller's packets alone, and tells listeners once: served, turned away (far shorter than is usual on the route), reset, silent. The zone of a back end stands with its address. Nothing listens yet, and without a listener nothing is watched.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -40,7 +40,8 @@
   Entry& entry = entries_[key];
   const bool sameContent = !isNew && entry.present && entry.registration == registration;
   entry.registration = registration;
-  entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0};
+  entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0,
+                   zoneIdOf(registration.zone)};
   entry.revision = revision;
   entry.present = true;
   if (!sameContent) {
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -25,6 +25,7 @@
   ServiceId service{0};
   Endpoint endpoint;
   std::uint32_t incarnation = 0;
+  ZoneId zone = kNoZone;
 
   bool operator==(const BackendAddress&) const = default;
 };
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -40,6 +40,7 @@
     // The flow is open. A second back end that answered would take its later packets.
     return Drop{DropReason::kStaleOpening};
   }
+  outcomes_.OnCopy(known->fingerprint, now);
   const bool takesFlows = backends_.takesNewFlows(known->backend) ||
                           backends_.hasVanishedSince(known->backend, now - kVanishedFallback);
   if (health_.isSuspected(known->backend, now) || !takesFlows) {
@@ -71,12 +72,17 @@
   decision_.backend = choice.id;
   decision_.openFlows = flows_.openOn(choice.id);
   flows_.put(flow, now);
+  const BackendAddress& backend = *backends_.find(choice.id);
+  outcomes_.OnOpening(flow.fingerprint,
+                      {route.route.endpoint, backend.id, backend.service, backend.zone,
+                       route.route.priority},
+                      now);
   health_.onOpening(choice.id, now);
   pacer_.onOpening(choice.id, choice.capacity, now);
   if (choice.cold) {
     warmUps_.OnOpening(choice.id, now);
   }
-  return forward(*backends_.find(choice.id), reason);
+  return forward(backend, reason);
 }
 
 Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -76,6 +76,7 @@
 void TokenSteering::noteSigns(const PacketSummary& packet, const BackendAddress& backend,
                               Time now) {
   const FlowFingerprint fingerprint = fingerprintOf(packet.flow, options_.hashSeed);
+  outcomes_.OnPacket(fingerprint, packet, now);
   TokenFlow* flow = flows_.find(fingerprint);
   if (packet.kind == PacketKind::kClosing) {
     if (flow != nullptr) {
@@ -159,6 +160,7 @@
 
 void TokenSteering::onResume() {
   deadlines_.Clear();
+  outcomes_.Clear();
   openingsAreStale_ = true;
   health_.onResume();
 }
@@ -189,6 +191,7 @@
 
 void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
   for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
+    outcomes_.Forget(flow.fingerprint);
     resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
   }
 }
@@ -205,6 +208,7 @@
 
 void TokenSteering::onTick(Time now) {
   noteLateAnswers(now);
+  outcomes_.OnTick(now);
   if (now < nextMaintenance_) {
     return;
   }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -18,6 +18,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
 #include "core/outlier/answer_times.h"
@@ -99,6 +100,9 @@
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
 
+  /// Told of the end of each opening that was placed here. Outlives the steering.
+  void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
+
   /// @return the port of the back ends where it was found out since the last call: packets with
   /// unknown tokens may be decided again.
   std::optional<std::uint16_t> takeFoundPort();
@@ -114,6 +118,7 @@
   const VerdictCounters& counters() const { return counters_; }
   const TokenFlows& flows() const { return flows_; }
   const BackendHealth& health() const { return health_; }
+  const OpeningOutcomes& outcomes() const { return outcomes_; }
   /// @return how the last opening was decided.
   const OpeningDecision& lastDecision() const { return decision_; }
 
@@ -185,6 +190,7 @@
   OpeningDecision decision_;
   OutlierDetector* outliers_ = nullptr;
   AnswerDeadlines deadlines_;
+  OpeningOutcomes outcomes_;
   AnswerTimes answerTimes_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
