--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -18,6 +18,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
 #include "core/outlier/answer_times.h"
@@ -51,6 +52,7 @@
   std::size_t candidates = 0;      ///< Back ends that could have been chosen.
   std::size_t slowCandidates = 0;  ///< Of those that were compared: passed over for their answers.
   std::size_t coldCandidates = 0;  ///< Of those that were compared: cold, and given all they bear.
+  bool spilled = false;            ///< Left the preferred zone for want of room.
   ConfigurationVersion version = 0;  ///< Of the routes that decided.
 };
 
@@ -103,9 +105,15 @@
     outliers_ = outliers;
     outlierDemotion_.SetDetector(outliers);
   }
+  /// Decides which openings leave a zone for want of room; give it the sources of figures.
+  ZoneSpill& spill() { return spill_; }
+  const ZoneSpill& spill() const { return spill_; }
   /// Adds a reason to put back ends last for new flows; outlives the steering.
   void addDemotion(Demotion& demotion) { chooser_.AddDemotion(demotion); }
 
+  /// Told of the end of each opening that was placed here. Outlives the steering.
+  void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
+
   /// @return the port of the back ends where it was found out since the last call: packets with
   /// unknown tokens may be decided again.
   std::optional<std::uint16_t> takeFoundPort();
@@ -121,6 +129,7 @@
   const VerdictCounters& counters() const { return counters_; }
   const TokenFlows& flows() const { return flows_; }
   const BackendHealth& health() const { return health_; }
+  const OpeningOutcomes& outcomes() const { return outcomes_; }
   /// @return how the last opening was decided.
   const OpeningDecision& lastDecision() const { return decision_; }
 
@@ -163,9 +172,11 @@
   OpeningDecision decision_;
   OutlierDetector* outliers_ = nullptr;
   AnswerDeadlines deadlines_;
+  OpeningOutcomes outcomes_;
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
   OutlierDemotion outlierDemotion_;
+  ZoneSpill spill_;
   BackendChooser chooser_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
