Say not ready where none of the back ends that callers need is reached

A zone that is taken out and then cut off holds its callers' openings for back ends that it can't reach, while other zones' daemons would serve them. ServingReadiness (core/domains) goes by this daemon's own evidence: several back ends silent, no answer to anyone since, and three connections of its own timed out. Out, it probes one drawn back end each 250 ms and is back with the first that connects or answers. Setting readiness.require_reach, log lines serving and not_serving, metrics, /zones, pages.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -176,6 +176,26 @@
 /// one confirmation follows the other, and well below the time in which changes must be in force.
 inline constexpr Duration kViewCurrentFor = 1400ms;
 
+// Readiness; see docs/design/011-failure-domains.md.
+
+/// Back ends without an answer, and back ends whose probes time out, before a daemon says that it
+/// can't serve: one may be dead, two may be of one machine or have lost packets on the way.
+inline constexpr std::size_t kSilentToLeave = 2;
+inline constexpr std::size_t kProbesToLeave = 3;
+/// Time between two rounds of probes, of kProbesToLeave before a daemon leaves and of one while it
+/// is out: four connections a second, and routers, who ask twice a second, have it back within a
+/// second of the heal.
+inline constexpr Duration kServingProbeEvery = 250ms;
+/// A daemon that is back stays for at least this long: routers, who need two questions half a
+/// second apart, see each change, and none more often than each other second.
+inline constexpr Duration kLeastServing = 2000ms;
+/// Services that had an opening here within this time are those that the daemon has to serve.
+inline constexpr Duration kServiceSeenLately = 10s;
+/// A gap between ticks, 200 ms apart, in which probes may have run out unread.
+inline constexpr Duration kServingStall = 400ms;
+/// Bound of what is remembered.
+inline constexpr std::size_t kMostUnansweredKept = 256;
+
 // Following a peer; see docs/design/005-view-relay.md.
 
 /// The limits below fit changes that have to be in force everywhere within this time.
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -72,6 +72,7 @@
   decision_.openFlows = flows_.openOn(choice.id);
   flows_.put(flow, now);
   health_.onOpening(choice.id, now);
+  serving_.OnOpening(choice.id, backends_.find(choice.id)->service, now);
   pacer_.onOpening(choice.id, choice.capacity, now);
   if (choice.cold) {
     warmUps_.OnOpening(choice.id, now);
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -104,6 +104,10 @@
 
 void TokenSteering::noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now) {
   health_.onAnswer(flow.backend, now);
+  // Back ends of a zone that is taken out may be all that is reached; they serve no opening.
+  if (backends_.takesNewFlows(flow.backend)) {
+    serving_.OnAnswer(now);
+  }
   if (outliers_ != nullptr && !flow.dataAnswered) {
     outliers_->OnAnswered();
   }
@@ -158,6 +162,7 @@
 }
 
 void TokenSteering::onResume() {
+  serving_.OnResume();
   deadlines_.Clear();
   openingsAreStale_ = true;
   health_.onResume();
@@ -178,7 +183,32 @@
   return probes;
 }
 
+std::vector<BackendAddress> TokenSteering::takeReachProbes(Time now) {
+  std::vector<BackendAddress> probes;
+  const std::vector<ServiceId> services = serving_.TakeProbes(now);
+  for (const ServiceId service : services) {
+    const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
+    if (!candidates.empty()) {
+      probes.push_back(*backends_.find(candidates[random_.below(candidates.size())].id));
+    }
+  }
+  if (!services.empty() && probes.empty()) {
+    serving_.OnNoBackends(now);
+  }
+  return probes;
+}
+
+void TokenSteering::onReachProbe(BackendId backend, ProbeResult result, Time now) {
+  serving_.OnProbe(backend, result, now);
+  if (result == ProbeResult::kConnected) {
+    health_.onProbe(backend, result, now);
+  }
+}
+
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
+  if (backends_.takesNewFlows(backend)) {
+    serving_.OnProbe(backend, result, now);
+  }
   if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
@@ -205,6 +235,7 @@
 
 void TokenSteering::onTick(Time now) {
   noteLateAnswers(now);
+  serving_.OnTick(now);
   if (now < nextMaintenance_) {
     return;
   }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -17,6 +17,7 @@
 
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
+#include "core/domains/serving_readiness.h"
 #include "core/flow_steering.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
@@ -95,6 +96,12 @@
   /// @return back ends whose address should be connected to; answer each by onProbe().
   std::vector<BackendAddress> takeProbes(Time now);
   void onProbe(BackendId backend, ProbeResult result, Time now);
+  /// @return back ends to be connected to, to learn whether any is reached; answer each by
+  /// onReachProbe().
+  std::vector<BackendAddress> takeReachProbes(Time now);
+  void onReachProbe(BackendId backend, ProbeResult result, Time now);
+  ServingReadiness& serving() { return serving_; }
+  const ServingReadiness& serving() const { return serving_; }
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
@@ -177,6 +184,7 @@
   RouteTable routes_;
   TokenFlows flows_;
   BackendHealth health_;
+  ServingReadiness serving_;
   OpeningPacer pacer_;
   WarmUpBudget warmUps_;
   std::unordered_map<Endpoint, Time, EndpointHash> emptySince_;  ///< Routes without back ends.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -27,7 +27,7 @@
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
          flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "platform-address" || flag == "cluster-seeds";
+         flag == "readiness-require-reach" || flag == "platform-address" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -140,6 +140,11 @@
   return text == "hash" || text == "address";
 }
 
+bool assignRequireReach(Settings& settings, const std::string& text) {
+  settings.requireReach = text == "true";
+  return text == "true" || text == "false";
+}
+
 bool assignKey(Settings& settings, const std::string& text) {
   settings.clusterKey = text;
   return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes;
@@ -207,6 +212,10 @@
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
                                  &Settings::readinessListen));
+  fields.push_back(field("readiness", "require_reach",
+                         "Whether a daemon that reaches none of the back ends that its callers "
+                         "need says that it is not ready (token)",
+                         "true or false", assignRequireReach));
   fields.push_back(nameField("cluster", "name", "Name of the cluster", &Settings::clusterName));
   fields.push_back(field("cluster", "key", "Secret shared by the cluster's daemons",
                          "16 to 256 bytes", assignKey, true));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -68,6 +68,11 @@
       packets_(context_, *formats_.packets, steering_),
       prober_(context_, [this](const core::BackendAddress& backend,
                                core::ProbeResult result) { onProbe(backend, result); }),
+      reachProber_(context_,
+                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
+                     steering_.onReachProbe(backend.id, result, bootTime());
+                     carryOutReadiness(bootTime());
+                   }),
       readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
       admin_(context_, [this](const std::string& path) { return answerAdmin(path); }),
       timer_(context_),
@@ -100,6 +105,7 @@
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
   }
   steering_.backends().setRegions(settings_.regionsOfZones);
+  steering_.serving().SetRequired(settings_.requireReach);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
   waitForSignal();
@@ -154,7 +160,9 @@
   flushLog();
 }
 
-bool TokenDaemon::isReady() const { return reader_.isComplete() && !leaving_; }
+bool TokenDaemon::isReady() const {
+  return reader_.isComplete() && !leaving_ && steering_.serving().IsServing();
+}
 
 net::HttpResponse TokenDaemon::answerReadiness(const std::string& path) const {
   if (path != "/ready") {
@@ -167,7 +175,8 @@
 net::HttpResponse TokenDaemon::answerAdmin(const std::string& path) const {
   if (path == "/zones") {
     return {200, "application/json",
-            zonePage(steering_.backends().evacuations(), reader_.revision())};
+            zonePage(steering_.backends().evacuations(), reader_.revision(), isReady(),
+                     steering_.serving())};
   }
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
@@ -220,6 +229,16 @@
     packets_.refuse(reset.flow, reset.acknowledgement);
     logReset(reset, reader_.revision());
   }
+  carryOutReadiness(now);
+}
+
+void TokenDaemon::carryOutReadiness(core::Time now) {
+  for (const core::BackendAddress& backend : steering_.takeReachProbes(now)) {
+    reachProber_.probe(backend);
+  }
+  for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
+    logServingChange(change, reader_.revision());
+  }
 }
 
 void TokenDaemon::onProbe(const core::BackendAddress& backend, core::ProbeResult result) {
@@ -327,6 +346,7 @@
   }
   setLogLevel(settings_.logLevel);
   steering_.backends().setRegions(settings_.regionsOfZones);
+  steering_.serving().SetRequired(settings_.requireReach);
   const bool policyTaken = loadPolicy();
   if (policyTaken) {
     steering_.backends().reweigh();
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -151,6 +151,15 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logServingChange(const core::ServingChange& change, core::Revision viewRevision) {
+  logEvent(LogLevel::kWarning, change.Serving ? "serving" : "not_serving",
+           {{"reason", core::ToString(change.Reason)},
+            {"silent", std::to_string(change.Silent)},
+            {"probes_timed_out", std::to_string(change.TimedOut)},
+            {"silent_ms", std::to_string(change.Since / std::chrono::milliseconds(1))},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 void logOutlier(core::BackendId backend, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "outlier_found",
            {{"backend", hex(backend)},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -27,6 +27,9 @@
 void logStoreRead(const core::StoreRead& read, const core::StoreReply& reply,
                   core::Duration latency, core::Revision viewRevision);
 
+/// This daemon began or ceased to ask for packets, by what it reaches.
+void logServingChange(const core::ServingChange& change, core::Revision viewRevision);
+
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -131,7 +131,20 @@
       {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
        nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
       {"cobaltgauge_ready", "1 while this daemon asks for packets", nullptr, MetricType::Gauge,
-       [](const Sources& s) { return single(s.ready ? 1 : 0); }}};
+       [](const Sources& s) { return single(s.ready ? 1 : 0); }},
+      {"cobaltgauge_serving", "1 while this daemon does not know that it reaches no back end",
+       nullptr, MetricType::Gauge,
+       [](const Sources& s) { return single(s.steering.serving().IsServing() ? 1 : 0); }},
+      {"cobaltgauge_serving_changes_total", "Changes of whether back ends are reached", "to",
+       MetricType::Counter,
+       [](const Sources& s) {
+         const core::ServingCounters& counters = s.steering.serving().GetCounters();
+         return std::vector<MetricSample>{{"out", static_cast<double>(counters.Left)},
+                                          {"in", static_cast<double>(counters.Returned)}};
+       }},
+      {"cobaltgauge_reach_probes_total", "Connections opened to learn whether any back end is reached",
+       nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.serving().GetCounters().Probes); }}};
   return kDefinitions;
 }
 
--- a/src/daemon/zone_page.cc
+++ b/src/daemon/zone_page.cc
@@ -4,14 +4,19 @@
 
 namespace cobaltgauge::daemon {
 
-std::string zonePage(const core::ZoneEvacuations& evacuations, core::Revision viewRevision) {
+std::string zonePage(const core::ZoneEvacuations& evacuations, core::Revision viewRevision,
+                     bool ready, const core::ServingReadiness& serving) {
   nlohmann::json list = nlohmann::json::array();
   for (const core::StoreChange& change : evacuations.GetContents()) {
     list.push_back({{"zone", std::get<core::ZoneEvacuation>(change.item).zone},
                     {"key", change.key},
                     {"revision", change.revision}});
   }
-  const nlohmann::json page{{"revision", viewRevision}, {"evacuated", std::move(list)}};
+  const nlohmann::json page{{"revision", viewRevision},
+                            {"evacuated", std::move(list)},
+                            {"ready", ready},
+                            {"serving", serving.IsServing()},
+                            {"serving_reason", core::ToString(serving.GetReason())}};
   return page.dump(2) + "\n";
 }
 
