Put back ends that are gone together last, and believe nothing that was seen while cut off

Fifty back ends of a zone that die at one moment cost each daemon an opening each. SilentGroups (core/domains) has the neighbours of a back end that takes no connection probed at once, and puts the rest of its service and zone last where none takes one; any answer ends it. Setting steering.silent_groups.

They declare none while they reach nothing, and take back what they believed when that begins and ends.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -105,6 +105,14 @@
   std::erase_if(open_, [this](BackendId id) { return !signs_.at(id).dead; });
 }
 
+void BackendHealth::onReachChanged() {
+  for (auto& [id, signs] : signs_) {
+    signs.unansweredSince = Time{};
+    signs.dead = false;
+  }
+  open_.clear();
+}
+
 void BackendHealth::expire(Time now) {
   std::erase_if(signs_, [this, now](const auto& item) {
     const bool forget = now - item.second.lastSign > kSignsMemory && !item.second.probing;
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -58,6 +58,9 @@
 
   /// Call after the process was suspended: what is unanswered since before means nothing.
   void onResume();
+  /// Call where this daemon was found to reach nothing, and when it does again: what it believed
+  /// meanwhile was its own trouble.
+  void onReachChanged();
   /// Forgets back ends without recent signs.
   void expire(Time now);
 
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -186,6 +186,9 @@
 /// is out: four connections a second, and routers, who ask twice a second, have it back within a
 /// second of the heal.
 inline constexpr Duration kServingProbeEvery = 250ms;
+/// How long such a probe waits: as long as for any answer of a back end that listens. A probe that
+/// gives up too early takes a daemon out for one more probe.
+inline constexpr Duration kReachPatience = kAnswerPatience;
 /// A daemon that is back stays for at least this long: routers, who need two questions half a
 /// second apart, see each change, and none more often than each other second.
 inline constexpr Duration kLeastServing = 2000ms;
@@ -196,6 +199,16 @@
 /// Bound of what is remembered.
 inline constexpr std::size_t kMostUnansweredKept = 256;
 
+// Back ends that die together; see docs/design/011-failure-domains.md.
+
+/// Distinct members of a group that take no connection, while none answers, before the rest comes
+/// last: of a group with a third of its members dead three drawn ones are so once in 27 times.
+inline constexpr std::size_t kUnconnectedForGroup = 4;
+/// How often one member is tried again by a probe, and how long a verdict holds without news: two
+/// probes may be lost.
+inline constexpr Duration kGroupProbeEvery = 500ms;
+inline constexpr Duration kGroupSilentFor = 1500ms;
+
 // Following a peer; see docs/design/005-view-relay.md.
 
 /// The limits below fit changes that have to be in force everywhere within this time.
--- a/src/core/domains/serving_readiness.cc
+++ b/src/core/domains/serving_readiness.cc
@@ -26,7 +26,8 @@
   return "invalid";
 }
 
-void ServingReadiness::OnOpening(BackendId backend, ServiceId service,
+void ServingReadiness::OnOpening(BackendId backend,
+                                 ServiceId service,
                                  Time now)
 {
   this->Services[service] = now;
@@ -62,8 +63,9 @@
 std::size_t ServingReadiness::CountSilent(Time now) const
 {
   return static_cast<std::size_t>(std::count_if(
-    this->Unanswered.begin(), this->Unanswered.end(),
-    [now](const auto& item) { return now - item.second > kAnswerPatience; }));
+    this->Unanswered.begin(), this->Unanswered.end(), [now](const auto& item) {
+      return now - item.second > kAnswerPatience;
+    }));
 }
 
 bool ServingReadiness::IsAsking(Time now) const
@@ -132,8 +134,11 @@
   this->Reason = reason;
   this->ReturnedAt = serving ? now : this->ReturnedAt;
   ++(serving ? this->Counters.Returned : this->Counters.Left);
-  this->Changes.push_back({ serving, reason, this->CountSilent(now),
-                            this->TimedOut.size(), now - first });
+  this->Changes.push_back({ serving,
+                            reason,
+                            this->CountSilent(now),
+                            this->TimedOut.size(),
+                            now - first });
 }
 
 void ServingReadiness::Forget()
--- /dev/null
+++ b/src/core/token_domains.cc
@@ -0,0 +1,104 @@
+/// @file
+/// The part of TokenSteering that tells what it sees to core/domains, and draws back ends for its
+/// probes.
+#include <algorithm>
+#include <utility>
+
+#include "core/token_steering.h"
+
+namespace cobaltgauge::core {
+
+std::vector<BackendAddress> TokenSteering::takeReachProbes(Time now) {
+  std::vector<BackendAddress> probes;
+  const std::vector<ServiceId> services = serving_.TakeProbes(now);
+  for (const ServiceId service : services) {
+    const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
+    if (!candidates.empty()) {
+      probes.push_back(*backends_.find(candidates[random_.below(candidates.size())].id));
+    }
+  }
+  if (!services.empty() && probes.empty()) {
+    serving_.OnNoBackends(now);
+    noteReach();
+  }
+  return probes;
+}
+
+void TokenSteering::onReachProbe(BackendId backend, ProbeResult result, Time now) {
+  serving_.OnProbe(backend, result, now);
+  noteReach();
+  if (result == ProbeResult::kConnected) {
+    health_.onProbe(backend, result, now);
+  }
+}
+
+void TokenSteering::noteReach() {
+  if (std::exchange(wasServing_, serving_.IsServing()) != serving_.IsServing()) {
+    health_.onReachChanged();
+  }
+}
+
+const PlacementCandidate* TokenSteering::findCandidate(BackendId backend) {
+  const BackendAddress* address = backends_.find(backend);
+  if (address == nullptr) {
+    return nullptr;
+  }
+  const std::vector<PlacementCandidate>& candidates = backends_.candidates(address->service);
+  const auto found =
+      std::find_if(candidates.begin(), candidates.end(),
+                   [backend](const PlacementCandidate& item) { return item.id == backend; });
+  return found == candidates.end() ? nullptr : &*found;
+}
+
+std::vector<BackendId> TokenSteering::membersOf(const BackendGroup& group) {
+  std::vector<BackendId> members;
+  for (const PlacementCandidate& candidate : backends_.candidates(group.Service)) {
+    if (candidate.zone == group.Zone) {
+      members.push_back(candidate.id);
+    }
+  }
+  return members;
+}
+
+void TokenSteering::noteAnswerOfDomain(BackendId backend, Time now) {
+  // Back ends of a zone that is taken out may be all that is reached; they serve no opening.
+  if (backends_.takesNewFlows(backend)) {
+    serving_.OnAnswer(now);
+    noteReach();
+  }
+  if (silentGroups_.IsEmpty()) {
+    return;
+  }
+  if (const PlacementCandidate* candidate = findCandidate(backend)) {
+    silentGroups_.OnAnswer(backend, {candidate->service, candidate->zone}, now);
+  }
+}
+
+std::vector<BackendAddress> TokenSteering::takeGroupProbes(Time now) {
+  std::vector<BackendAddress> probes;
+  if (silentGroups_.IsEmpty()) {
+    return probes;
+  }
+  for (const GroupProbes& due : silentGroups_.TakeProbes(now)) {
+    std::vector<BackendId> members = membersOf(due.Group);
+    for (std::size_t count = 0; count < due.Count && !members.empty(); ++count) {
+      std::swap(members[random_.below(members.size())], members.back());
+      probes.push_back(*backends_.find(members.back()));
+      members.pop_back();
+    }
+  }
+  return probes;
+}
+
+void TokenSteering::onGroupProbe(BackendId backend, ProbeResult result, Time now) {
+  const PlacementCandidate* candidate = findCandidate(backend);
+  if (candidate == nullptr) {
+    return;
+  }
+  const BackendGroup group{candidate->service, candidate->zone};
+  if (silentGroups_.OnProbe(backend, group, result, now)) {
+    silentGroups_.Mark(group, membersOf(group), now);
+  }
+}
+
+}  // namespace cobaltgauge::core
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -33,6 +33,7 @@
       chooser_({backends_, routes_, flows_, pacer_, warmUps_, answerTimes_, random}) {
   chooser_.AddDemotion(suspectDemotion_);
   chooser_.AddDemotion(outlierDemotion_);
+  chooser_.AddDemotion(silentGroups_);
 }
 
 Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
@@ -108,10 +109,7 @@
 
 void TokenSteering::noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now) {
   health_.onAnswer(flow.backend, now);
-  // Back ends of a zone that is taken out may be all that is reached; they serve no opening.
-  if (backends_.takesNewFlows(flow.backend)) {
-    serving_.OnAnswer(now);
-  }
+  noteAnswerOfDomain(flow.backend, now);
   if (outliers_ != nullptr && !flow.dataAnswered) {
     outliers_->OnAnswered();
   }
@@ -167,6 +165,7 @@
 
 void TokenSteering::onResume() {
   serving_.OnResume();
+  silentGroups_.OnResume();
   deadlines_.Clear();
   openingsAreStale_ = true;
   health_.onResume();
@@ -174,7 +173,8 @@
 
 std::vector<BackendAddress> TokenSteering::takeProbes(Time now) {
   std::vector<BackendAddress> probes;
-  if (!health_.hasSuspects()) {
+  // Cut off, it would find every back end dead, and reset flows that live.
+  if (!health_.hasSuspects() || !serving_.IsServing()) {
     return probes;
   }
   for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
@@ -187,31 +187,11 @@
   return probes;
 }
 
-std::vector<BackendAddress> TokenSteering::takeReachProbes(Time now) {
-  std::vector<BackendAddress> probes;
-  const std::vector<ServiceId> services = serving_.TakeProbes(now);
-  for (const ServiceId service : services) {
-    const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
-    if (!candidates.empty()) {
-      probes.push_back(*backends_.find(candidates[random_.below(candidates.size())].id));
-    }
-  }
-  if (!services.empty() && probes.empty()) {
-    serving_.OnNoBackends(now);
-  }
-  return probes;
-}
-
-void TokenSteering::onReachProbe(BackendId backend, ProbeResult result, Time now) {
-  serving_.OnProbe(backend, result, now);
-  if (result == ProbeResult::kConnected) {
-    health_.onProbe(backend, result, now);
-  }
-}
-
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
-  if (backends_.takesNewFlows(backend)) {
-    serving_.OnProbe(backend, result, now);
+  onGroupProbe(backend, result, now);
+  if (!serving_.IsServing() && result != ProbeResult::kConnected) {
+    health_.onProbe(backend, ProbeResult::kRefused, now);
+    return;
   }
   if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
@@ -248,6 +228,7 @@
   health_.expire(now);
   pacer_.expire(now);
   warmUps_.Expire(now);
+  silentGroups_.Expire(now);
   answerTimes_.Expire(now);
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -18,6 +18,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/domains/serving_readiness.h"
+#include "core/domains/silent_groups.h"
 #include "core/flow_steering.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
@@ -102,6 +103,12 @@
   /// onReachProbe().
   std::vector<BackendAddress> takeReachProbes(Time now);
   void onReachProbe(BackendId backend, ProbeResult result, Time now);
+  /// @return back ends to be connected to, to learn whether all of their group are gone; answer
+  /// each by onGroupProbe().
+  std::vector<BackendAddress> takeGroupProbes(Time now);
+  void onGroupProbe(BackendId backend, ProbeResult result, Time now);
+  SilentGroups& silentGroups() { return silentGroups_; }
+  const SilentGroups& silentGroups() const { return silentGroups_; }
   ServingReadiness& serving() { return serving_; }
   const ServingReadiness& serving() const { return serving_; }
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
@@ -148,6 +155,13 @@
   /// Notes that the back end of a flow answered. @param backend that of the flow.
   void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
   void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
+  void noteAnswerOfDomain(BackendId backend, Time now);
+  /// Takes back what was believed of back ends where this daemon was cut off from all.
+  void noteReach();
+  /// @return the back end where it takes new flows, else null.
+  const PlacementCandidate* findCandidate(BackendId backend);
+  /// @return all of a group that take new flows.
+  std::vector<BackendId> membersOf(const BackendGroup& group);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
@@ -163,6 +177,8 @@
   TokenFlows flows_;
   BackendHealth health_;
   ServingReadiness serving_;
+  bool wasServing_ = true;
+  SilentGroups silentGroups_;
   OpeningPacer pacer_;
   WarmUpBudget warmUps_;
   std::unordered_map<Endpoint, Time, EndpointHash> emptySince_;  ///< Routes without back ends.
--- a/src/daemon/backend_prober.cc
+++ b/src/daemon/backend_prober.cc
@@ -4,7 +4,6 @@
 #include <asio/steady_timer.hpp>
 #include <memory>
 
-#include "core/constants.h"
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
@@ -27,7 +26,7 @@
       handler_(backend, result);
     }
   };
-  attempt->timer.expires_after(core::kProbeTimeout);
+  attempt->timer.expires_after(patience_);
   attempt->timer.async_wait([finish](const asio::error_code& error) {
     if (!error) {
       finish(core::ProbeResult::kTimedOut);
--- a/src/daemon/backend_prober.h
+++ b/src/daemon/backend_prober.h
@@ -14,8 +14,9 @@
  public:
   using Handler = std::function<void(const core::BackendAddress&, core::ProbeResult)>;
 
-  BackendProber(asio::io_context& context, Handler handler)
-      : context_(context), handler_(std::move(handler)) {}
+  /// @param patience how long a probe waits for a connection.
+  BackendProber(asio::io_context& context, core::Duration patience, Handler handler)
+      : context_(context), patience_(patience), handler_(std::move(handler)) {}
 
   /// Starts a probe; the handler is called once with its result.
   void probe(const core::BackendAddress& backend);
@@ -24,6 +25,7 @@
   struct Attempt;
 
   asio::io_context& context_;
+  core::Duration patience_;
   Handler handler_;
 };
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -57,8 +57,9 @@
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
   core::Endpoint readinessListen;
+  bool silentGroups = true;  ///< Back ends of a zone that are gone together come last together.
   bool requireReach = true;  ///< Ready only where some back end is reached.
-  std::string policyFile;  ///< Empty: all back ends are weighed alike.
+  std::string policyFile;    ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
 };
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -27,7 +27,8 @@
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
          flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "readiness-require-reach" || flag == "platform-address" || flag == "cluster-seeds";
+         flag == "readiness-require-reach" || flag == "steering-silent-groups" ||
+         flag == "platform-address" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -140,6 +141,11 @@
   return text == "hash" || text == "address";
 }
 
+bool assignSilentGroups(Settings& settings, const std::string& text) {
+  settings.silentGroups = text == "true";
+  return text == "true" || text == "false";
+}
+
 bool assignRequireReach(Settings& settings, const std::string& text) {
   settings.requireReach = text == "true";
   return text == "true" || text == "false";
@@ -212,6 +218,10 @@
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
                                  &Settings::readinessListen));
+  fields.push_back(field("steering", "silent_groups",
+                         "Whether back ends of a zone that are gone together come last together "
+                         "(token)",
+                         "true or false", assignSilentGroups));
   fields.push_back(field("readiness", "require_reach",
                          "Whether a daemon that reaches none of the back ends that its callers "
                          "need says that it is not ready (token)",
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -66,12 +66,19 @@
       peers_(context_, settings_, {steering_, updater_, reader_, changes_}, random_,
              [this](core::Time now, bool changed) { onPeers(now, changed); }),
       packets_(context_, *formats_.packets, steering_),
-      prober_(context_, [this](const core::BackendAddress& backend,
-                               core::ProbeResult result) { onProbe(backend, result); }),
-      reachProber_(context_,
+      prober_(context_, core::kProbeTimeout,
+              [this](const core::BackendAddress& backend, core::ProbeResult result) {
+                onProbe(backend, result);
+              }),
+      reachProber_(context_, core::kReachPatience,
                    [this](const core::BackendAddress& backend, core::ProbeResult result) {
                      steering_.onReachProbe(backend.id, result, bootTime());
-                     carryOutReadiness(bootTime());
+                     carryOutDomains(bootTime());
+                   }),
+      groupProber_(context_, core::kProbeTimeout,
+                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
+                     steering_.onGroupProbe(backend.id, result, bootTime());
+                     carryOutDomains(bootTime());
                    }),
       readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
       admin_(context_, [this](const std::string& path) { return answerAdmin(path); }),
@@ -106,6 +113,7 @@
   }
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.serving().SetRequired(settings_.requireReach);
+  steering_.silentGroups().SetEnabled(settings_.silentGroups);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
   waitForSignal();
@@ -181,7 +189,8 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_, peers_, packets_, latencies_, isReady()};
+  const TokenMetricSources sources{steering_,  reader_,   peers_,    packets_,
+                                   latencies_, isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -229,13 +238,19 @@
     packets_.refuse(reset.flow, reset.acknowledgement);
     logReset(reset, reader_.revision());
   }
-  carryOutReadiness(now);
+  carryOutDomains(now);
 }
 
-void TokenDaemon::carryOutReadiness(core::Time now) {
+void TokenDaemon::carryOutDomains(core::Time now) {
   for (const core::BackendAddress& backend : steering_.takeReachProbes(now)) {
     reachProber_.probe(backend);
   }
+  for (const core::BackendAddress& backend : steering_.takeGroupProbes(now)) {
+    groupProber_.probe(backend);
+  }
+  for (const core::BackendGroup& group : steering_.silentGroups().TakeFound()) {
+    logSilentGroup(group, steering_.silentGroups().CountSilent(now), reader_.revision());
+  }
   for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
     logServingChange(change, reader_.revision());
   }
@@ -347,6 +362,7 @@
   setLogLevel(settings_.logLevel);
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.serving().SetRequired(settings_.requireReach);
+  steering_.silentGroups().SetEnabled(settings_.silentGroups);
   const bool policyTaken = loadPolicy();
   if (policyTaken) {
     steering_.backends().reweigh();
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -48,8 +48,8 @@
   /// Starts the probes and sends the resets that the steering wants.
   void carryOutHealth(core::Time now);
   void onProbe(const core::BackendAddress& backend, core::ProbeResult result);
-  /// Starts the probes that tell whether any back end is reached, and logs what they show.
-  void carryOutReadiness(core::Time now);
+  /// Starts the probes that tell which failure domains are gone, and logs what they show.
+  void carryOutDomains(core::Time now);
   void onTick();
   void scheduleTick();
   void noticeSuspension(core::Time now);
@@ -82,6 +82,7 @@
   PacketPort packets_;
   BackendProber prober_;
   BackendProber reachProber_;
+  BackendProber groupProber_;
   std::unique_ptr<StoreLink> store_;
   net::HttpServer readiness_;
   net::HttpServer admin_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -160,6 +160,15 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logSilentGroup(const core::BackendGroup& group, std::size_t silent,
+                    core::Revision viewRevision) {
+  logEvent(LogLevel::kWarning, "group_silent",
+           {{"service", std::to_string(static_cast<std::uint32_t>(group.Service))},
+            {"zone", std::to_string(static_cast<std::uint32_t>(group.Zone))},
+            {"silent_groups", std::to_string(silent)},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 void logOutlier(core::BackendId backend, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "outlier_found",
            {{"backend", hex(backend)},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -30,6 +30,10 @@
 /// This daemon began or ceased to ask for packets, by what it reaches.
 void logServingChange(const core::ServingChange& change, core::Revision viewRevision);
 
+/// All back ends of a group come last for new flows. @param silent how many groups do.
+void logSilentGroup(const core::BackendGroup& group, std::size_t silent,
+                    core::Revision viewRevision);
+
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -142,8 +142,20 @@
          return std::vector<MetricSample>{{"out", static_cast<double>(counters.Left)},
                                           {"in", static_cast<double>(counters.Returned)}};
        }},
-      {"cobaltgauge_reach_probes_total", "Connections opened to learn whether any back end is reached",
+      {"cobaltgauge_groups_silent", "Groups whose back ends come last together", nullptr,
+       MetricType::Gauge,
+       [](const Sources& s) { return single(s.steering.silentGroups().CountSilent(s.now)); }},
+      {"cobaltgauge_groups_found_silent_total", "Groups found silent by this daemon", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.silentGroups().GetCounters().Found); }},
+      {"cobaltgauge_groups_ended_total", "Silent groups that an answer or a connection ended",
+       nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.silentGroups().GetCounters().Ended); }},
+      {"cobaltgauge_group_probes_total", "Connections opened to neighbours of silent back ends",
        nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.silentGroups().GetCounters().Probes); }},
+      {"cobaltgauge_reach_probes_total",
+       "Connections opened to learn whether any back end is reached", nullptr, MetricType::Counter,
        [](const Sources& s) { return single(s.steering.serving().GetCounters().Probes); }}};
   return kDefinitions;
 }
--- a/tests/core/domains/cut_zone_test.cc
+++ b/tests/core/domains/cut_zone_test.cc
@@ -24,8 +24,8 @@
 
   void TakeOutNear()
   {
-    this->steering.backends().putEvacuation("evacuations/1", "near",
-                                            ++this->revision);
+    this->steering.backends().putEvacuation(
+      "evacuations/1", "near", ++this->revision);
   }
 
   static bool IsFar(BackendId backend)
@@ -52,12 +52,20 @@
 
   std::size_t Probe(bool healed)
   {
+    for (const auto& backend : this->steering.takeProbes(this->now)) {
+      const bool reached = healed || !IsFar(backend.id);
+      this->steering.onProbe(backend.id,
+                             reached ? ProbeResult::kConnected
+                                     : ProbeResult::kTimedOut,
+                             this->now);
+    }
     const auto probes = this->steering.takeReachProbes(this->now);
     for (const core::BackendAddress& backend : probes) {
       const bool reached = healed || !IsFar(backend.id);
-      this->steering.onReachProbe(
-        backend.id,
-        reached ? ProbeResult::kConnected : ProbeResult::kTimedOut, this->now);
+      this->steering.onReachProbe(backend.id,
+                                  reached ? ProbeResult::kConnected
+                                          : ProbeResult::kTimedOut,
+                                  this->now);
     }
     return probes.size();
   }
@@ -102,6 +110,33 @@
   BOOST_TEST(!this->IsServing());
 }
 
+// Its callers' flows may have been opened at other daemons meanwhile.
+BOOST_AUTO_TEST_CASE(
+  after_the_heal_it_refuses_no_flow_of_a_back_end_that_lives)
+{
+  this->TakeOutNear();
+  this->OpenWhileCut(2s);
+  BOOST_REQUIRE(!this->IsServing());
+  this->now += core::kServingProbeEvery;
+  this->Probe(true);
+  BOOST_REQUIRE(this->IsServing());
+  for (std::uint8_t id = 1; id <= 3; ++id) {
+    const core::Verdict verdict =
+      this->send(9000 + id, BackendId{ id }, 1, 10);
+    BOOST_TEST((this->backendOf(verdict) == BackendId{ id }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(cut_off_it_resets_no_flow)
+{
+  this->TakeOutNear();
+  this->OpenWhileCut(2s);
+  BOOST_REQUIRE(!this->IsServing());
+  this->steering.takeResets();
+  this->OpenWhileCut(5s);
+  BOOST_TEST(this->steering.takeResets().empty());
+}
+
 // It has no say in what reaches it, where most of its zone is out.
 BOOST_AUTO_TEST_CASE(an_opening_that_comes_all_the_same_is_sent_on)
 {
--- a/tests/core/domains/serving_readiness_test.cc
+++ b/tests/core/domains/serving_readiness_test.cc
@@ -42,13 +42,14 @@
 
   /// Let callers open each 50 ms, to a back end each.
   /// \return the probes that were made.
-  std::size_t Open(core::Duration during, ProbeResult result,
+  std::size_t Open(core::Duration during,
+                   ProbeResult result,
                    ServiceId service = kFirst)
   {
     std::size_t probes = 0;
     for (const core::Time end = this->Now + during; this->Now < end;) {
-      this->Readiness.OnOpening(BackendId{ 1 + this->Opened++ }, service,
-                                this->Now);
+      this->Readiness.OnOpening(
+        BackendId{ 1 + this->Opened++ }, service, this->Now);
       this->Tick(50ms);
       probes += this->Probe(result);
     }
@@ -93,20 +94,22 @@
 }
 
 // All back ends of one service are dead, and callers want no other just now.
-BOOST_AUTO_TEST_CASE(a_service_that_is_dead_is_no_reason_while_another_connects)
+BOOST_AUTO_TEST_CASE(
+  a_service_that_is_dead_is_no_reason_while_another_connects)
 {
   this->Readiness.OnOpening(BackendId{ 500 }, kSecond, this->Now);
   this->Tick(10ms);
   this->Readiness.OnAnswer(this->Now);
   for (int turn = 0; turn < 40; ++turn) {
-    this->Readiness.OnOpening(BackendId{ 1 + this->Opened++ }, kFirst,
-                              this->Now);
+    this->Readiness.OnOpening(
+      BackendId{ 1 + this->Opened++ }, kFirst, this->Now);
     this->Tick(50ms);
     for (const ServiceId service : this->Readiness.TakeProbes(this->Now)) {
       const bool dead = service == kFirst;
-      this->Readiness.OnProbe(
-        BackendId{ ++this->Drawn },
-        dead ? ProbeResult::kTimedOut : ProbeResult::kConnected, this->Now);
+      this->Readiness.OnProbe(BackendId{ ++this->Drawn },
+                              dead ? ProbeResult::kTimedOut
+                                   : ProbeResult::kConnected,
+                              this->Now);
     }
   }
   BOOST_TEST(this->Readiness.GetCounters().Left == 0U);
