--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -75,6 +75,7 @@
                        route.route.priority},
                       now);
   health_.onOpening(choice.Id, now);
+  serving_.OnOpening(choice.Id, backends_.find(choice.Id)->service, now);
   pacer_.onOpening(choice.Id, choice.Capacity, now);
   if (choice.Cold) {
     warmUps_.OnOpening(choice.Id, now);
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -33,6 +33,7 @@
       chooser_({backends_, routes_, flows_, pacer_, warmUps_, answerTimes_, random, spill_}) {
   chooser_.AddDemotion(suspectDemotion_);
   chooser_.AddDemotion(outlierDemotion_);
+  chooser_.AddDemotion(silentGroups_);
 }
 
 Verdict TokenSteering::onPacket(const PacketSummary& packet, Time now) {
@@ -109,6 +110,7 @@
 
 void TokenSteering::noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now) {
   health_.onAnswer(flow.backend, now);
+  noteAnswerOfDomain(flow.backend, now);
   if (outliers_ != nullptr && !flow.dataAnswered) {
     outliers_->OnAnswered();
   }
@@ -163,6 +165,8 @@
 }
 
 void TokenSteering::onResume() {
+  serving_.OnResume();
+  silentGroups_.OnResume();
   deadlines_.Clear();
   outcomes_.Clear();
   openingsAreStale_ = true;
@@ -171,7 +175,8 @@
 
 std::vector<BackendAddress> TokenSteering::takeProbes(Time now) {
   std::vector<BackendAddress> probes;
-  if (!health_.hasSuspects()) {
+  // Cut off, it would find every back end dead, and reset flows that live.
+  if (!health_.hasSuspects() || !serving_.IsServing()) {
     return probes;
   }
   for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
@@ -185,6 +190,11 @@
 }
 
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
+  onGroupProbe(backend, result, now);
+  if (!serving_.IsServing() && result != ProbeResult::kConnected) {
+    health_.onProbe(backend, ProbeResult::kRefused, now);
+    return;
+  }
   if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
@@ -213,6 +223,7 @@
 void TokenSteering::onTick(Time now) {
   noteLateAnswers(now);
   outcomes_.OnTick(now);
+  serving_.OnTick(now);
   if (now < nextMaintenance_) {
     return;
   }
@@ -221,6 +232,7 @@
   health_.expire(now);
   pacer_.expire(now);
   warmUps_.Expire(now);
+  silentGroups_.Expire(now);
   answerTimes_.Expire(now);
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
