Wire placement by room: setting, metrics, log lines, this daemon's own estimate

steering.spill (auto, off; taken while running), cobaltgauge_openings_spilled_total, cobaltgauge_zone_kept_share by zone, spill_began and spill_ended with their inputs and age. Sources: SeenRoom alone, the fleet's figures are not there yet.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -329,4 +329,19 @@
   return count;
 }
 
+std::map<ZoneId, std::string> BackendRegistry::zoneNames() const {
+  std::map<ZoneId, std::string> names;
+  for (const auto& [key, entry] : entries_) {
+    names.try_emplace(zoneIdOf(entry.registration.zone), entry.registration.zone);
+  }
+  return names;
+}
+
+std::string BackendRegistry::serviceName(ServiceId service) const {
+  const auto keys = services_.find(service);
+  return keys == services_.end() || keys->second.empty()
+             ? std::string()
+             : entries_.at(*keys->second.begin()).registration.service;
+}
+
 }  // namespace cobaltgauge::core
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -114,6 +114,10 @@
   std::vector<StoreChange> contents() const;
   std::size_t size() const { return entries_.size(); }
   std::size_t activeCount() const;
+  /// @return names of the zones that registrations name; looks at all of them.
+  std::map<ZoneId, std::string> zoneNames() const;
+  /// @return the name of a service that has registrations; empty where it has none.
+  std::string serviceName(ServiceId service) const;
 
  private:
   struct Entry {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -57,6 +57,7 @@
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
   core::Endpoint readinessListen;
+  bool spill = true;       ///< Openings leave zones without room.
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -26,8 +26,8 @@
 /// @return true for settings that take effect while the daemon runs (token steering).
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
-         flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "platform-address" || flag == "cluster-seeds";
+         flag == "steering-policy-file" || flag == "steering-spill" ||
+         flag == "daemon-regions-of-zones" || flag == "platform-address" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -135,6 +135,11 @@
   return text == "token" || text == "recorded";
 }
 
+bool assignSpill(Settings& settings, const std::string& text) {
+  settings.spill = text == "auto";
+  return text == "auto" || text == "off";
+}
+
 bool assignTokenForm(Settings& settings, const std::string& text) {
   settings.tokenForm = text == "hash" ? TokenForm::kHash : TokenForm::kAddress;
   return text == "hash" || text == "address";
@@ -181,6 +186,10 @@
                          "What tokens hold: a back end's address, by which a daemon without a view "
                          "reaches it, or a hash of its id",
                          "address or hash", assignTokenForm));
+  fields.push_back(field("steering", "spill",
+                         "Whether openings leave the zone that the policy prefers while it has too "
+                         "little room (token)",
+                         "auto or off", assignSpill));
   fields.push_back(numberField("steering", "longest_flow_seconds",
                                "Age that no flow exceeds; departed back ends are kept as long",
                                &Settings::longestFlow, 1, 86'400));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -102,6 +102,9 @@
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
+  steering_.addOpeningListener(&seenRoom_);
+  steering_.spill().AddSource(seenRoom_);
+  steering_.spill().SetEnabled(settings_.spill);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -236,6 +239,9 @@
   peers_.OnTick(now);
   steering_.setFleet(peers_.GetRelay().CountFleet(now));
   carryOutHealth(now);
+  for (const core::SpillChange& change : steering_.spill().TakeChanges()) {
+    logSpill(change, steering_.backends(), reader_.revision());
+  }
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
     if (settingsWatch_.hasChanged()) {
@@ -331,6 +337,7 @@
   if (policyTaken) {
     steering_.backends().reweigh();
   }
+  steering_.spill().SetEnabled(settings_.spill);
   peers_.SetSeeds(settings_);
   if (settings_.platform != storeBefore) {
     connectStore();
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "core/placement/seen_room.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_updater.h"
@@ -72,6 +73,7 @@
   net::EdgeFormats formats_;
   PolicyWeights weights_;
   core::TokenSteering steering_;
+  core::SeenRoom seenRoom_;
   core::ChangeLog changes_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -51,6 +51,7 @@
             {"candidates", std::to_string(decision.candidates)},
             {"slow", std::to_string(decision.slowCandidates)},
             {"cold", std::to_string(decision.coldCandidates)},
+            {"spilled", decision.spilled ? "yes" : "no"},
             {"version", std::to_string(decision.version)},
             {"revision", std::to_string(viewRevision)}});
 }
@@ -151,6 +152,20 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
+              core::Revision viewRevision) {
+  const auto zones = backends.zoneNames();
+  const auto zone = zones.find(change.Zone);
+  logEvent(LogLevel::kWarning, change.Began ? "spill_began" : "spill_ended",
+           {{"service", backends.serviceName(change.Service)},
+            {"zone", zone == zones.end() ? "none" : zone->second},
+            {"kept", std::to_string(change.Kept)},
+            {"demand", std::to_string(change.Demand)},
+            {"least_demand", std::to_string(change.Least)},
+            {"age_ms", std::to_string(change.Age / std::chrono::milliseconds(1))},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 void logOutlier(core::BackendId backend, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "outlier_found",
            {{"backend", hex(backend)},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -30,4 +30,8 @@
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
+/// Openings of a service begin or cease to leave a zone for want of room.
+void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
+              core::Revision viewRevision);
+
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -15,6 +15,16 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
                                                              0.1,   0.2,   0.5,   1.0,  2.0,  5.0};
 
+std::vector<MetricSample> keptShares(const core::TokenSteering& steering) {
+  std::vector<MetricSample> samples;
+  const auto kept = steering.spill().GetKeptByZone();
+  for (const auto& [id, name] : steering.backends().zoneNames()) {
+    const auto found = kept.find(id);
+    samples.push_back({name, found == kept.end() ? 1.0 : found->second});
+  }
+  return samples;
+}
+
 double seconds(core::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 const std::vector<Definition>& definitions() {
@@ -121,6 +131,13 @@
        [](const Sources& s) {
          return single(s.steering.backends().evacuations().GetZones().size());
        }},
+      {"cobaltgauge_openings_spilled_total",
+       "Openings placed outside the zone that the policy prefers, which had too little room",
+       nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.spill().CountSpilled()); }},
+      {"cobaltgauge_zone_kept_share",
+       "Share of a zone's openings that stays there, of the service that keeps least", "zone",
+       MetricType::Gauge, [](const Sources& s) { return keptShares(s.steering); }},
       {"cobaltgauge_peer_streams_given_up_total",
        "Connections between daemons that did not carry their message in time", nullptr,
        MetricType::Counter,
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -117,6 +117,15 @@
   BOOST_TEST(bad.reason.find("500") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(SpillIsAutoOrOff) {
+  BOOST_TEST(load(kValid, {}).settings->spill);
+  BOOST_TEST(load(kValid, {"--steering-spill=auto"}).settings->spill);
+  BOOST_TEST(!load(kValid, {"--steering-spill=off"}).settings->spill);
+  const Outcome bad = load(kValid, {"--steering-spill=on"});
+  BOOST_TEST(!bad.settings.has_value());
+  BOOST_TEST(bad.reason.find("auto or off") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ZonesAndTheirEvacuationAreRead) {
   const Outcome good = load(kValid, {"--daemon-regions-of-zones=hall-1=west,hall-2=east",
                                      "--steering-evacuate-within-ms=2000"});
