--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -48,6 +48,7 @@
     entry.warmUntil = now + registration.warmUpLeft;
     entry.weight = weights_.weightOf(registration);
   }
+  zoneNames_.try_emplace(entry.address.zone, registration.zone);
   keys_[registration.id] = key;
   tokens_.AddBackend(registration.id);
   services_[entry.address.service].insert(key);
@@ -227,6 +228,28 @@
   return list->second;
 }
 
+std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> BackendRegistry::countSlots(Time now) {
+  std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> slots;
+  for (const auto& [service, keys] : services_) {
+    for (const PlacementCandidate& candidate : candidates(service)) {
+      const bool isIdle = now < candidate.warmUntil || candidate.weight == 0;
+      slots[{service, candidate.zone}] += isIdle ? 0 : candidate.capacity;
+    }
+  }
+  return slots;
+}
+
+std::string BackendRegistry::nameOf(ServiceId service) const {
+  const auto keys = services_.find(service);
+  const bool isKnown = keys != services_.end() && !keys->second.empty();
+  return isKnown ? entries_.at(*keys->second.begin()).registration.service : "";
+}
+
+std::string BackendRegistry::nameOf(ZoneId zone) const {
+  const auto name = zoneNames_.find(zone);
+  return name == zoneNames_.end() ? "" : name->second;
+}
+
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
                                                                Time since) const {
   return collect(service, [this, since](const std::string&, const Entry& entry) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -98,6 +98,13 @@
   /// @return back ends of a service that may be given new flows.
   const std::vector<PlacementCandidate>& candidates(ServiceId service);
 
+  /// @return slots of back ends that may be given new flows and are not cold, by service and zone;
+  /// zero where others are there.
+  std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> countSlots(Time now);
+  /// @return the name of a service or zone that was ever registered; else an empty one.
+  std::string nameOf(ServiceId service) const;
+  std::string nameOf(ZoneId zone) const;
+
   /// @return back ends of a service that vanished after `since` without having announced it.
   std::vector<PlacementCandidate> vanishedSince(ServiceId service, Time since) const;
 
@@ -154,6 +161,7 @@
   std::unordered_map<ServiceId, Time> lastDeparture_;
   ZoneEvacuations evacuations_;
   std::map<std::string, RegionId> regions_;  ///< By zone.
+  std::unordered_map<ZoneId, std::string> zoneNames_;
   /// Collected when asked for; a change of a service drops its list.
   std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
 };
--- /dev/null
+++ b/src/core/load/fleet_load.cc
@@ -0,0 +1,309 @@
+#include "core/load/fleet_load.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/load/load_limits.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Crossings kept until they are taken; one for each zone at most.
+constexpr std::size_t kMostCrossings = kMostLoadsTold;
+
+std::uint32_t ToMs(Duration duration)
+{
+  constexpr Duration kLongest = 1h;
+  const Duration bounded = std::clamp(duration, Duration{}, kLongest);
+  return static_cast<std::uint32_t>(bounded / 1ms);
+}
+
+std::uint32_t CountOpenings(const std::vector<ZoneLoad>& loads)
+{
+  std::uint32_t openings = 0;
+  for (const ZoneLoad& load : loads) {
+    openings += load.OpeningsInSecond;
+  }
+  return openings;
+}
+
+} // namespace
+
+FleetLoad::FleetLoad(const Endpoint& self,
+                     LoadMeter& meter,
+                     SlotCounter countSlots)
+  : Self(self)
+  , Meter(meter)
+  , CountSlots(std::move(countSlots))
+{
+}
+
+void FleetLoad::SetEnabled(bool enabled)
+{
+  this->Enabled = enabled;
+  if (!enabled) {
+    this->Parts.clear();
+    this->KnownAsOf.reset();
+    this->HasNews = false;
+  }
+}
+
+void FleetLoad::OnTick(const TreePlace& place, Time now)
+{
+  this->Meter.OnTick(now);
+  if (place.Upstream != this->Place.Upstream) {
+    this->ClockLead.reset();
+    this->UpstreamLevel.reset();
+    this->SummarySentAtUs = 0;
+  }
+  this->Place = place;
+  if (!this->Enabled) {
+    return;
+  }
+  std::erase_if(this->Parts,
+                [now](const auto& item) { return item.second.Ends <= now; });
+  this->Slots = this->CountSlots(now);
+  if (place.IsRoot) {
+    this->KnowOwnTree(now);
+  }
+  this->NoteNeed(now);
+  this->NoteCrossings(now);
+  if (place.IsRoot && now >= this->NextAt) {
+    this->SetNext(now);
+    this->HasNews = true;
+  }
+}
+
+std::optional<std::uint32_t> FleetLoad::GetLevel() const
+{
+  if (this->Place.IsRoot) {
+    return 0;
+  }
+  return this->UpstreamLevel && *this->UpstreamLevel < kMostLevels
+    ? std::optional(*this->UpstreamLevel + 1)
+    : std::nullopt;
+}
+
+FleetLoad::Sum FleetLoad::AddUp(std::uint32_t level, Time now) const
+{
+  Sum sum;
+  sum.AsOf = now;
+  sum.Loads.Add(this->Meter.GetLoads(now), 1);
+  for (const auto& [follower, part] : this->Parts) {
+    // Who follows each other for a moment would count the other's sum.
+    if (part.Ends > now && part.Report.level > level &&
+        follower != this->Place.Upstream) {
+      sum.Loads.Add(part.Report.loads, part.Report.daemons);
+      sum.AsOf = std::min(
+        sum.AsOf, part.SentAt - std::chrono::milliseconds(part.Report.ageMs));
+    }
+  }
+  return sum;
+}
+
+void FleetLoad::KnowOwnTree(Time now)
+{
+  Sum sum = this->AddUp(0, now);
+  this->Known = std::move(sum.Loads);
+  this->KnownAsOf = sum.AsOf;
+}
+
+double FleetLoad::GetUtilization(const LoadKey& key, std::uint32_t slots) const
+{
+  const double inFlight = this->Known.Get(key).InFlight;
+  // Without a slot there is no idle one.
+  return slots == 0 ? std::max(inFlight, 1.0) : inFlight / slots;
+}
+
+void FleetLoad::NoteNeed(Time now)
+{
+  const bool isKnown = this->KnownAsOf.has_value();
+  const bool isUsed = isKnown &&
+    std::any_of(this->Slots.begin(),
+                this->Slots.end(),
+                [this](const auto& item) {
+                  return item.second != 0 &&
+                    this->GetUtilization(item.first, item.second) > kBusyFrom;
+                });
+  const std::vector<ZoneLoad> own = this->Meter.GetLoads(now);
+  const bool isRejected =
+    std::any_of(own.begin(), own.end(), [](const ZoneLoad& load) {
+      return load.RejectedInSecond != 0;
+    });
+  const bool hasJumped =
+    CountOpenings(own) > 2 * this->OpeningsTold + kOpeningsJump;
+  if (!isUsed && !isRejected && !hasJumped) {
+    return;
+  }
+  if (now >= this->BusyUntil) {
+    this->NextAt = now;
+  }
+  this->BusyUntil = now + kBusyFor;
+}
+
+void FleetLoad::SetNext(Time now)
+{
+  // Ticks that come late do not add up.
+  const Duration interval = this->GetInterval(now);
+  this->NextAt =
+    now - this->NextAt < interval ? this->NextAt + interval : now + interval;
+}
+
+Duration FleetLoad::GetInterval(Time now) const
+{
+  return now < this->BusyUntil ? kBusyReportEvery : kCalmReportEvery;
+}
+
+void FleetLoad::NoteCrossings(Time now)
+{
+  if (!this->IsUsable(now)) {
+    return;
+  }
+  for (const auto& [key, slots] : this->Slots) {
+    bool& isBusy = this->BusyZones[key];
+    const double utilization = this->GetUtilization(key, slots);
+    const bool turns =
+      isBusy ? utilization < kBusyUntil : utilization > kBusyFrom;
+    if (turns && this->Crossings.size() < kMostCrossings) {
+      isBusy = !isBusy;
+      this->Crossings.push_back(
+        { key, isBusy, this->Known.Get(key), slots, *this->GetAge(now) });
+    }
+  }
+  std::erase_if(this->BusyZones, [this](const auto& item) {
+    return this->Slots.count(item.first) == 0;
+  });
+}
+
+std::vector<LoadCrossing> FleetLoad::TakeCrossings()
+{
+  return std::exchange(this->Crossings, {});
+}
+
+void FleetLoad::OnUpstreamClock(std::uint64_t clockUs, Time now)
+{
+  this->ClockLead = static_cast<std::int64_t>(clockUs) - now.count();
+}
+
+void FleetLoad::OnReport(const LoadReport& report, Time now)
+{
+  const Time sentAt{ static_cast<std::int64_t>(report.sentAtUs) };
+  const Duration next = std::min<Duration>(
+    std::chrono::milliseconds(report.nextMs), kCalmReportEvery);
+  const Time ends = sentAt + next + kReportSlack;
+  const auto known = this->Parts.find(report.replyTo);
+  const bool isOlder =
+    known != this->Parts.end() && sentAt <= known->second.SentAt;
+  if (!this->Enabled || sentAt > now || sentAt < Time{} || ends <= now ||
+      isOlder) {
+    ++this->Counters.ReportsIgnored;
+    return;
+  }
+  ++this->Counters.ReportsTaken;
+  this->Parts[report.replyTo] = { report, sentAt, ends };
+}
+
+bool FleetLoad::OnSummary(const LoadSummary& summary, Time sentAt)
+{
+  if (!this->Enabled || this->Place.IsRoot ||
+      this->Place.Upstream != summary.sender ||
+      summary.sentAtUs <= this->SummarySentAtUs) {
+    return false;
+  }
+  ++this->Counters.SummariesTaken;
+  this->SummarySentAtUs = summary.sentAtUs;
+  this->UpstreamLevel = summary.level;
+  this->Known = LoadSum{};
+  this->Known.Add(summary.loads, summary.daemons);
+  this->KnownAsOf = sentAt - std::chrono::milliseconds(summary.ageMs);
+  this->HasNews = true;
+  return true;
+}
+
+void FleetLoad::OnResume()
+{
+  this->Meter.Clear();
+  this->Parts.clear();
+  this->KnownAsOf.reset();
+}
+
+std::optional<LoadReport> FleetLoad::TakeReport(Time now)
+{
+  const std::optional<std::uint32_t> level = this->GetLevel();
+  const bool isCountedElsewhere =
+    this->ReportedTo != this->Place.Upstream && now < this->CountedUntil;
+  if (!this->Enabled || !this->Place.Upstream || !this->ClockLead || !level ||
+      now < this->NextAt || isCountedElsewhere) {
+    return std::nullopt;
+  }
+  const Sum sum = this->AddUp(*level, now);
+  const Duration interval = this->GetInterval(now);
+  this->SetNext(now);
+  this->ReportedTo = this->Place.Upstream;
+  this->CountedUntil = std::max(this->CountedUntil,
+                                now + interval + kReportSlack +
+                                  (*level - 1) * kLongestReportHolds);
+  this->OpeningsTold = CountOpenings(this->Meter.GetLoads(now));
+  ++this->Counters.ReportsSent;
+  LoadReport report;
+  report.replyTo = this->Self;
+  report.sentAtUs = static_cast<std::uint64_t>(now.count() + *this->ClockLead);
+  report.nextMs = ToMs(interval);
+  report.ageMs = ToMs(now - sum.AsOf);
+  report.level = *level;
+  report.daemons = sum.Loads.CountDaemons();
+  report.loads = sum.Loads.GetLargest();
+  return report;
+}
+
+std::optional<LoadSummary> FleetLoad::TakeSummary(Time now)
+{
+  const std::optional<std::uint32_t> level = this->GetLevel();
+  if (!std::exchange(this->HasNews, false) || !this->KnownAsOf || !level) {
+    return std::nullopt;
+  }
+  LoadSummary summary;
+  summary.sender = this->Self;
+  summary.sentAtUs = static_cast<std::uint64_t>(now.count());
+  summary.ageMs = ToMs(now - *this->KnownAsOf);
+  summary.level = *level;
+  summary.daemons = this->Known.CountDaemons();
+  summary.loads = this->Known.GetLargest();
+  return summary;
+}
+
+std::optional<Duration> FleetLoad::GetAge(Time now) const
+{
+  return this->KnownAsOf ? std::optional<Duration>(now - *this->KnownAsOf)
+                         : std::nullopt;
+}
+
+bool FleetLoad::IsUsable(Time now) const
+{
+  const std::optional<Duration> age = this->GetAge(now);
+  return this->Enabled && age && *age <= kLoadFor &&
+    this->Known.CountDaemons() * kDaemonsPerCounted >= this->Place.Daemons;
+}
+
+std::optional<ZoneRoom> FleetLoad::GetRoom(ServiceId service,
+                                           ZoneId zone,
+                                           Time now) const
+{
+  if (!this->IsUsable(now)) {
+    return std::nullopt;
+  }
+  const LoadKey key{ service, zone };
+  const auto slots = this->Slots.find(key);
+  const ZoneLoad load = this->Known.Get(key);
+  ZoneRoom room;
+  room.Utilization =
+    this->GetUtilization(key, slots == this->Slots.end() ? 0 : slots->second);
+  room.RejectedShare = load.OpeningsInSecond == 0
+    ? 0
+    : std::min(1.0,
+               static_cast<double>(load.RejectedInSecond) /
+                 load.OpeningsInSecond);
+  return room;
+}
+
+} // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/load/fleet_load.h
@@ -0,0 +1,148 @@
+/// @file
+/// The load that the whole fleet sees, as far as this daemon has heard.  See
+/// docs/design/008-scarce-room.md.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/load/load_figures.h"
+#include "core/load/load_meter.h"
+#include "core/load/load_sum.h"
+
+namespace cobaltgauge::core {
+
+/// Slots of the back ends of a service in a zone that take openings; zero
+/// where they are all cold.
+using ZoneSlots = std::map<LoadKey, std::uint32_t>;
+
+/// Where a daemon stands in the tree of followers.
+struct TreePlace
+{
+  std::optional<Endpoint> Upstream;
+  bool IsRoot = false;       ///< Its tree is the fleet that it can reach.
+  std::uint32_t Daemons = 0; ///< In the whole tree; zero: not known.
+};
+
+/// Counters of a FleetLoad; see docs/METRICS.md.
+struct FleetLoadCounters
+{
+  std::uint64_t ReportsSent = 0;
+  std::uint64_t ReportsTaken = 0;
+  std::uint64_t ReportsIgnored = 0; ///< Late, repeated or impossible.
+  std::uint64_t SummariesTaken = 0;
+};
+
+/// A zone has become busy for a service, or is no longer.
+struct LoadCrossing
+{
+  LoadKey Key;
+  bool IsBusy = false;
+  ZoneLoad Load;
+  std::uint32_t Slots = 0;
+  Duration Age{};
+};
+
+/** \class FleetLoad
+ * \brief Add up the loads of a tree of followers, and say how much room is.
+ *
+ * Each daemon tells the one that it follows the sum of its own load and of
+ * its followers' reports that still hold; the root's sum travels down.  No
+ * daemon is counted twice: a report holds until a time on its receiver's
+ * clock, however late it arrives, and who begins to follow another daemon
+ * tells that one nothing until what it told the one before is counted on no
+ * level above.  So the receiver adds up only reports of those who know that
+ * they are that far below the root.
+ */
+class FleetLoad : public RoomView
+{
+public:
+  using SlotCounter = std::function<ZoneSlots(Time now)>;
+
+  /// \param self where this daemon takes peer messages.
+  /// \param meter outlives this object.
+  FleetLoad(const Endpoint& self, LoadMeter& meter, SlotCounter countSlots);
+
+  /// Off: nothing is told or known.
+  void SetEnabled(bool enabled);
+  bool IsEnabled() const { return this->Enabled; }
+
+  void OnTick(const TreePlace& place, Time now);
+  /// Note the clock of the daemon that is followed.
+  void OnUpstreamClock(std::uint64_t clockUs, Time now);
+  void OnReport(const LoadReport& report, Time now);
+  /// \param sentAt on this daemon's clock; not later than it was.
+  /// \return true where it is news for the followers.
+  bool OnSummary(const LoadSummary& summary, Time sentAt);
+  /// Call after the process was suspended.
+  void OnResume();
+
+  /// Take the report that is due to the daemon that is followed.
+  std::optional<LoadReport> TakeReport(Time now);
+  /// Take the summary that is due to the followers.
+  std::optional<LoadSummary> TakeSummary(Time now);
+  std::vector<LoadCrossing> TakeCrossings();
+
+  std::optional<ZoneRoom> GetRoom(ServiceId service,
+                                  ZoneId zone,
+                                  Time now) const override;
+  /// Get how old the figures are; nothing where there are none.
+  std::optional<Duration> GetAge(Time now) const;
+  ZoneLoad GetLoad(const LoadKey& key) const { return this->Known.Get(key); }
+  const ZoneSlots& GetSlots() const { return this->Slots; }
+  std::uint32_t CountDaemons() const { return this->Known.CountDaemons(); }
+  const FleetLoadCounters& GetCounters() const { return this->Counters; }
+
+private:
+  struct Part
+  {
+    LoadReport Report;
+    Time SentAt{}; ///< On this daemon's clock.
+    Time Ends{};
+  };
+  struct Sum
+  {
+    LoadSum Loads;
+    Time AsOf{}; ///< Of the oldest part.
+  };
+
+  std::optional<std::uint32_t> GetLevel() const;
+  Sum AddUp(std::uint32_t level, Time now) const;
+  /// Make the sum of this daemon's tree what is known of the fleet.
+  void KnowOwnTree(Time now);
+  void NoteNeed(Time now);
+  bool HasJumped(Time now) const;
+  void NoteCrossings(Time now);
+  /// Tell whether the figures are fresh, and hold enough daemons.
+  bool IsUsable(Time now) const;
+  /// Set when the next report or summary is due.
+  void SetNext(Time now);
+  double GetUtilization(const LoadKey& key, std::uint32_t slots) const;
+  Duration GetInterval(Time now) const;
+
+  Endpoint Self;
+  LoadMeter& Meter;
+  SlotCounter CountSlots;
+  bool Enabled = true;
+  TreePlace Place;
+  std::optional<std::int64_t> ClockLead; ///< Upstream's clock less this one.
+  std::optional<std::uint32_t> UpstreamLevel;
+  std::map<Endpoint, Part> Parts; ///< By follower.
+  ZoneSlots Slots;
+  LoadSum Known;
+  std::optional<Time> KnownAsOf;
+  std::uint64_t SummarySentAtUs = 0; ///< Of the one known.
+  bool HasNews = false;              ///< For the followers.
+  std::uint32_t OpeningsTold = 0;
+  Time NextAt{}; ///< Of the report or summary.
+  std::optional<Endpoint> ReportedTo;
+  Time CountedUntil{}; ///< What was told may be, on some level above.
+  Time BusyUntil{};
+  std::map<LoadKey, bool> BusyZones;
+  std::vector<LoadCrossing> Crossings;
+  FleetLoadCounters Counters;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/load/load_figures.h
+++ b/src/core/load/load_figures.h
@@ -59,14 +59,22 @@
 /// tree of followers to the daemon that reads the store.
 struct LoadReport
 {
-  Endpoint replyTo; ///< The sender, as in its subscription.
-  std::vector<ZoneLoad> loads;
+  Endpoint replyTo;            ///< The sender, as in its subscription.
+  std::uint64_t sentAtUs = 0;  ///< By the receiver's clock; errs early.
+  std::uint32_t nextMs = 0;    ///< When to expect the next one.
+  std::uint32_t ageMs = 0;     ///< Of the oldest part.
+  std::uint32_t level = 0;     ///< Of the sender below the root.
+  std::uint32_t daemons = 0;   ///< Whose load this is.
+  std::vector<ZoneLoad> loads; ///< The largest ones.
 };
 
 /// Load that the whole tree has seen; on its way down.
 struct LoadSummary
 {
-  std::uint32_t ageMs = 0; ///< Of the oldest part.
+  Endpoint sender;
+  std::uint64_t sentAtUs = 0; ///< By the sender's clock.
+  std::uint32_t ageMs = 0;    ///< Of the oldest part.
+  std::uint32_t level = 0;    ///< Of the sender below the root.
   std::uint32_t daemons = 0;
   std::vector<ZoneLoad> loads;
 };
--- a/src/core/load/load_limits.h
+++ b/src/core/load/load_limits.h
@@ -19,6 +19,10 @@
 /// A short answer that nothing follows for this long is whole; the callers'
 /// time until they send again.
 inline constexpr Duration kAnswerWholeAfter = 200ms;
+/// A request without an answer for so many times the usual time, and for
+/// kAnswerLate, was reset: its caller shows nothing after that.  A full queue
+/// makes answers five times as late.
+inline constexpr std::uint32_t kAnswerTimesPerReset = 6;
 /// A watched flow without a packet for this long is forgotten, its caller has
 /// gone elsewhere: longer than callers wait for an answer.
 inline constexpr Duration kWatchForgottenAfter = 15s;
@@ -30,18 +34,70 @@
 /// before any counts as short.
 inline constexpr std::size_t kAnswersRemembered = 32;
 inline constexpr std::size_t kAnswersBeforeShort = 16;
-/// An answer is short where the usual one is this many times as long: of
-/// lengths with a spread as wide as their mean one in 200 is that short.
-inline constexpr std::uint32_t kUsualPerShort = 8;
+/// An answer is short where the usual one is this many times as long: one with
+/// content has the headers of a rejection, and as much again twice.
+inline constexpr std::uint32_t kUsualPerShort = 3;
 /// Longest answer that only says "not run": a status line and a few headers.
-inline constexpr std::uint32_t kLongestRejection = 512;
+/// Of lengths around 2,000 that are spread widely, one in 1,000 is as short.
+inline constexpr std::uint32_t kLongestRejection = 256;
 /// Lengths of a route are not stable where more than one in so many lies
 /// between what is short and twice that.
-inline constexpr std::size_t kAnswersPerNearShort = 4;
+inline constexpr std::size_t kAnswersPerNearShort = 8;
 /// One short answer in so many is remembered: a route keeps its usual length
 /// until all but one in 25 answers are short, and learns a new one then.
 inline constexpr std::uint32_t kShortPerRemembered = 8;
 /// Routes whose lengths are remembered.
 inline constexpr std::size_t kMostRoutesMeasured = 1024;
 
+/// A request that is not answered after so many times the usual time counts as
+/// in flight no more: it was reset, its caller has gone, or its packets pass
+/// another daemon.  Of times spread as widely as their mean one in 20 is that
+/// long.
+inline constexpr std::uint32_t kAnswerTimesPerFade = 3;
+/// Bounds of that; where no usual time is known, the longer one holds.
+inline constexpr Duration kFadesEarliest = 150ms;
+inline constexpr Duration kFadesLatest = 2000ms;
+/// A late answer still tells the usual time up to here.
+inline constexpr Duration kRequestForgottenAfter = 10s;
+/// Weight of the latest answer in the usual time.
+inline constexpr double kLatestAnswerWeight = 0.1;
+/// The same for an opening: reset, unless it is sent again.
+inline constexpr Duration kOpeningFades = kResetSeenAfter;
+inline constexpr std::size_t kMostRequestsCounted = 8192;
+/// Parts of the second that slides; a tick of the daemon each.
+inline constexpr std::size_t kLoadSecondParts = 5;
+
+/// Time between two reports, while a zone is more than half used and while
+/// none is: half a second of work is a twentieth of the shortest burst that
+/// lasts, and calm days cost few bytes.
+inline constexpr Duration kBusyReportEvery = 500ms;
+inline constexpr Duration kCalmReportEvery = 2000ms;
+/// Figures older than this count as missing: shorter than a burst of several
+/// seconds, longer than two busy reports over two levels.
+inline constexpr Duration kLoadFor = 2000ms;
+/// A report holds until the next one is due, and for this, a tick and a delay.
+/// Of a daemon whose report is lost the load is missing for a moment; holding
+/// it for longer would make all figures old.
+inline constexpr Duration kReportSlack = 400ms;
+inline constexpr Duration kLongestReportHolds =
+  kCalmReportEvery + kReportSlack;
+/// Levels of followers; three carry the largest fleet.
+inline constexpr std::uint32_t kMostLevels = 6;
+/// Figures count as missing where they hold fewer of the tree's daemons than
+/// one in so many, as while a tree grows.
+inline constexpr std::uint32_t kDaemonsPerCounted = 2;
+/// A zone counts as busy from this utilization on, until it is below the
+/// other one.
+inline constexpr double kBusyFrom = 0.5;
+inline constexpr double kBusyUntil = 0.4;
+/// Reports stay frequent for this long after the last sign of need.
+inline constexpr Duration kBusyFor = 3000ms;
+/// A daemon whose openings of a second are twice those it told, and this many
+/// more, tells at once: no chance of a few openings gives that.
+inline constexpr std::uint32_t kOpeningsJump = 4;
+/// Services times zones in one message, 15 bytes each; the largest go first.
+inline constexpr std::size_t kMostLoadsTold = 64;
+/// What one daemon may claim: more than any machine carries.
+inline constexpr std::uint32_t kMostOfOneDaemon = 8192;
+
 } // namespace cobaltgauge::core
--- /dev/null
+++ b/src/core/load/load_sum.cc
@@ -0,0 +1,58 @@
+#include "core/load/load_sum.h"
+
+#include <algorithm>
+
+#include "core/constants.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// What the whole of the largest fleet may claim.
+constexpr std::uint32_t kMost = kLargestFleet * kMostOfOneDaemon;
+
+} // namespace
+
+void LoadSum::Add(const std::vector<ZoneLoad>& loads, std::uint32_t daemons)
+{
+  const std::uint32_t bounded = std::min(daemons, kLargestFleet);
+  const std::uint32_t most = bounded * kMostOfOneDaemon;
+  const auto add = [most](std::uint32_t& sum, std::uint32_t claimed) {
+    sum = std::min(sum + std::min(claimed, most), kMost);
+  };
+  const std::size_t count = std::min(loads.size(), kMostLoadsTold);
+  for (std::size_t i = 0; i < count; ++i) {
+    const ZoneLoad& load = loads[i];
+    ZoneLoad& sum = this->Loads[{ load.Service, load.Zone }];
+    sum.Service = load.Service;
+    sum.Zone = load.Zone;
+    add(sum.InFlight, load.InFlight);
+    add(sum.OpeningsInSecond, load.OpeningsInSecond);
+    add(sum.RejectedInSecond, load.RejectedInSecond);
+  }
+  this->Daemons = std::min(this->Daemons + bounded, kLargestFleet);
+}
+
+ZoneLoad LoadSum::Get(const LoadKey& key) const
+{
+  const auto found = this->Loads.find(key);
+  return found == this->Loads.end() ? ZoneLoad{ key.first, key.second }
+                                    : found->second;
+}
+
+std::vector<ZoneLoad> LoadSum::GetLargest() const
+{
+  std::vector<ZoneLoad> largest;
+  for (const auto& [key, load] : this->Loads) {
+    largest.push_back(load);
+  }
+  std::stable_sort(largest.begin(),
+                   largest.end(),
+                   [](const ZoneLoad& left, const ZoneLoad& right) {
+                     return left.InFlight + left.OpeningsInSecond >
+                       right.InFlight + right.OpeningsInSecond;
+                   });
+  largest.resize(std::min(largest.size(), kMostLoadsTold));
+  return largest;
+}
+
+} // namespace cobaltgauge::core
--- a/src/core/load/opening_outcomes.cc
+++ b/src/core/load/opening_outcomes.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/constants.h"
 #include "core/load/load_limits.h"
 
 namespace cobaltgauge::core {
@@ -27,7 +28,7 @@
   watch.OpenedAt = now;
   watch.LastAt = now;
   this->Watched.insert_or_assign(flow, watch);
-  this->Unanswered.push_back({ now + kResetSeenAfter, now, flow });
+  this->Opened.push_back({ now + kResetSeenAfter, now, flow });
 }
 
 void OpeningOutcomes::OnCopy(FlowFingerprint flow, Time now)
@@ -59,12 +60,13 @@
   Watch& watch = found->second;
   watch.LastAt = now;
   watch.IsOpen = true;
-  if (!watch.HasAsked) {
+  const bool hasAsked = watch.AskedAt != Time{};
+  if (!hasAsked) {
     watch.Before = packet.acknowledgement;
   }
   const std::uint32_t length = packet.acknowledgement - watch.Before;
   const bool isNewer = static_cast<std::int32_t>(length - watch.Length) > 0;
-  if (watch.HasAsked && isNewer) {
+  if (hasAsked && isNewer) {
     watch.Length = length;
     this->OnAnswer(flow, watch, now);
   }
@@ -73,17 +75,22 @@
     return;
   }
   if (packet.dataLength != 0) {
-    watch.HasAsked = true;
+    if (!hasAsked) {
+      watch.AskedAt = now;
+      this->Asked.push_back({ now + kAnswerLate, watch.OpenedAt, flow });
+    }
     watch.DataEnd = packet.sequence + packet.dataLength;
   }
 }
 
 void OpeningOutcomes::OnAnswer(FlowFingerprint flow, Watch& watch, Time now)
 {
+  RouteAnswers& usual = this->GetAnswers(watch.Opening.Route);
   if (watch.AnsweredAt == Time{}) {
     watch.AnsweredAt = now;
+    usual.Time.OnAnswer(now - watch.AskedAt);
   }
-  if (this->GetLengths(watch.Opening.Route).IsShort(watch.Length)) {
+  if (usual.Lengths.IsShort(watch.Length)) {
     this->Short.push_back({ now + kAnswerWholeAfter, watch.OpenedAt, flow });
   } else {
     this->Tell(watch, OpeningOutcome::kServed, watch.AnsweredAt);
@@ -94,7 +101,7 @@
 {
   Watch& ended = watch->second;
   if (ended.AnsweredAt != Time{}) {
-    AnswerLengths& lengths = this->GetLengths(ended.Opening.Route);
+    AnswerLengths& lengths = this->GetAnswers(ended.Opening.Route).Lengths;
     this->Tell(ended,
                lengths.IsShort(ended.Length) ? OpeningOutcome::kTurnedAway
                                              : OpeningOutcome::kServed,
@@ -103,8 +110,8 @@
   } else {
     // A caller that asked nothing was served; one that left was not.
     this->Tell(ended,
-               ended.HasAsked ? OpeningOutcome::kSilent
-                              : OpeningOutcome::kServed,
+               ended.AskedAt != Time{} ? OpeningOutcome::kSilent
+                                       : OpeningOutcome::kServed,
                now);
   }
   this->Watched.erase(watch);
@@ -134,39 +141,82 @@
   }
 }
 
-AnswerLengths& OpeningOutcomes::GetLengths(const Endpoint& route)
+OpeningOutcomes::RouteAnswers& OpeningOutcomes::GetAnswers(
+  const Endpoint& route)
 {
-  if (this->Lengths.size() >= kMostRoutesMeasured &&
-      this->Lengths.count(route) == 0) {
-    this->Lengths.clear();
+  if (this->Answers.size() >= kMostRoutesMeasured &&
+      this->Answers.count(route) == 0) {
+    this->Answers.clear();
   }
-  return this->Lengths[route];
+  return this->Answers[route];
 }
 
-void OpeningOutcomes::TakeDue(std::deque<Look>& looks, bool isOpen, Time now)
+std::optional<OpeningOutcomes::Watches::iterator> OpeningOutcomes::TakeDue(
+  std::deque<Look>& looks,
+  Time now)
 {
   while (!looks.empty() && looks.front().Due <= now) {
     const Look look = looks.front();
     looks.pop_front();
     const auto found = this->Watched.find(look.Flow);
-    if (found == this->Watched.end() ||
-        found->second.OpenedAt != look.OpenedAt ||
-        found->second.IsOpen != isOpen) {
+    if (found != this->Watched.end() &&
+        found->second.OpenedAt == look.OpenedAt) {
+      return found;
+    }
+  }
+  return std::nullopt;
+}
+
+void OpeningOutcomes::EndReset(Time now)
+{
+  while (const auto due = this->TakeDue(this->Opened, now)) {
+    const Watches::iterator watch = *due;
+    if (!watch->second.IsOpen) {
+      this->Tell(watch->second, OpeningOutcome::kReset, now);
+      this->Watched.erase(watch);
+    }
+  }
+}
+
+void OpeningOutcomes::EndUnanswered(Time now)
+{
+  while (const auto due = this->TakeDue(this->Asked, now)) {
+    const Watches::iterator watch = *due;
+    Watch& asked = watch->second;
+    if (asked.AnsweredAt != Time{} || asked.IsTold) {
       continue;
     }
-    if (!isOpen) {
-      this->Tell(found->second, OpeningOutcome::kReset, now);
-      this->Watched.erase(found);
-    } else if (found->second.LastAt + kAnswerWholeAfter <= look.Due) {
-      this->Finish(found, now);
+    const AnswerTime& usual = this->GetAnswers(asked.Opening.Route).Time;
+    const bool isLate = usual.IsKnown() &&
+      now - asked.AskedAt >= usual.Get() * kAnswerTimesPerReset;
+    if (!isLate) {
+      this->Asked.push_back(
+        { now + kAnswerLate, asked.OpenedAt, watch->first });
+      continue;
+    }
+    // It is watched on, since a late answer tells what is usual.
+    const bool wasSentAgain = asked.LastAt - asked.AskedAt >= kFirstCopyAfter;
+    this->Tell(asked,
+               wasSentAgain ? OpeningOutcome::kSilent : OpeningOutcome::kReset,
+               now);
+  }
+}
+
+void OpeningOutcomes::EndShort(Time now)
+{
+  while (const auto due = this->TakeDue(this->Short, now)) {
+    const Watches::iterator watch = *due;
+    if (now - watch->second.LastAt >= kAnswerWholeAfter) {
+      this->Finish(watch, now);
     }
   }
 }
 
 void OpeningOutcomes::OnTick(Time now)
 {
-  this->TakeDue(this->Unanswered, false, now);
-  this->TakeDue(this->Short, true, now);
+  this->EndReset(now);
+  this->EndUnanswered(now);
+  this->EndShort(now);
   if (now >= this->NextSweep) {
     this->NextSweep = now + kIdleSweepEvery;
     this->ForgetIdle(now);
@@ -189,7 +239,8 @@
     this->Counters.Forgotten += watch.IsTold ? 0U : 1U;
   }
   this->Watched.clear();
-  this->Unanswered.clear();
+  this->Opened.clear();
+  this->Asked.clear();
   this->Short.clear();
 }
 
--- a/src/core/load/opening_outcomes.h
+++ b/src/core/load/opening_outcomes.h
@@ -7,10 +7,12 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
 #include "core/load/answer_lengths.h"
+#include "core/load/answer_time.h"
 #include "core/load/load_figures.h"
 #include "core/route_table.h"
 #include "core/types.h"
@@ -71,17 +73,24 @@
   const OutcomeCounters& GetCounters() const { return this->Counters; }
 
 private:
+  /// What is usual on a route.
+  struct RouteAnswers
+  {
+    AnswerLengths Lengths;
+    AnswerTime Time;
+  };
+
   struct Watch
   {
     PlacedOpening Opening;
     Time OpenedAt{};
-    Time AnsweredAt{};         ///< Zero: no answer to the data yet.
+    Time AskedAt{};            ///< When the request began; zero: not yet.
+    Time AnsweredAt{};         ///< Zero: no answer to the request yet.
     Time LastAt{};             ///< When the last packet passed.
     std::uint32_t Before = 0;  ///< Acknowledged before the answer.
     std::uint32_t Length = 0;  ///< Of the answer so far.
     std::uint32_t DataEnd = 0; ///< Sequence number after the request.
     bool IsOpen = false;       ///< The back end took the opening.
-    bool HasAsked = false;     ///< The caller has sent data.
     bool IsTold = false;
   };
   using Watches = std::unordered_map<FlowFingerprint, Watch>;
@@ -99,14 +108,19 @@
   /// The whole answer is known, or the caller has gone.
   void Finish(Watches::iterator watch, Time now);
   void Tell(Watch& watch, OpeningOutcome outcome, Time now);
-  AnswerLengths& GetLengths(const Endpoint& route);
-  void TakeDue(std::deque<Look>& looks, bool isOpen, Time now);
+  RouteAnswers& GetAnswers(const Endpoint& route);
+  /// Take the next look that is due.
+  std::optional<Watches::iterator> TakeDue(std::deque<Look>& looks, Time now);
+  void EndReset(Time now);
+  void EndUnanswered(Time now);
+  void EndShort(Time now);
   void ForgetIdle(Time now);
 
   Watches Watched;
-  std::deque<Look> Unanswered;
+  std::deque<Look> Opened;
+  std::deque<Look> Asked;
   std::deque<Look> Short;
-  std::unordered_map<Endpoint, AnswerLengths, EndpointHash> Lengths;
+  std::unordered_map<Endpoint, RouteAnswers, EndpointHash> Answers;
   std::vector<OpeningListener*> Listeners;
   OutcomeCounters Counters;
   Time NextSweep{};
--- a/src/core/relay/follower_leases.h
+++ b/src/core/relay/follower_leases.h
@@ -34,6 +34,10 @@
   void Expire(Time now);
   void Clear() { this->Leases.clear(); }
 
+  bool Contains(const Endpoint& daemon) const
+  {
+    return this->Leases.count(daemon) != 0;
+  }
   std::size_t Count() const { return this->Leases.size(); }
   /// Count this daemon and all that follow it, directly or not.
   std::uint32_t CountTree() const;
--- a/src/core/relay/peer_clocks.cc
+++ b/src/core/relay/peer_clocks.cc
@@ -20,12 +20,19 @@
 std::optional<Time> PeerClocks::GetConfirmation(const ViewUpdate& update,
                                                 Time now) const
 {
-  const auto clock = this->Relations.find(update.sender);
+  return this->ToOwn(update.sender, update.confirmedUs, now);
+}
+
+std::optional<Time> PeerClocks::ToOwn(const Endpoint& peer,
+                                      std::uint64_t timeUs,
+                                      Time now) const
+{
+  const auto clock = this->Relations.find(peer);
   if (clock == this->Relations.end()) {
     return std::nullopt;
   }
-  const auto confirmed = static_cast<std::int64_t>(update.confirmedUs);
-  return std::min(now, Time(confirmed + clock->second.OffsetUs));
+  const auto time = static_cast<std::int64_t>(timeUs);
+  return std::min(now, Time(time + clock->second.OffsetUs));
 }
 
 void PeerClocks::Expire(Time now)
--- a/src/core/relay/peer_clocks.h
+++ b/src/core/relay/peer_clocks.h
@@ -30,6 +30,12 @@
   std::optional<Time> GetConfirmation(const ViewUpdate& update,
                                       Time now) const;
 
+  /// Turn a time of a peer's clock into this daemon's; errs early.
+  /// \return nothing where the peer's clock is unknown.
+  std::optional<Time> ToOwn(const Endpoint& peer,
+                            std::uint64_t timeUs,
+                            Time now) const;
+
   void Forget(const Endpoint& peer) { this->Relations.erase(peer); }
 
   /// Forget clocks that were not heard for kClockMemory.
--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -5,6 +5,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/load/fleet_load.h"
 #include "core/relay/nearness.h"
 #include "core/route_table.h"
 #include "core/view_conversion.h"
@@ -131,6 +132,7 @@
   }
   this->ActivateReader();
   this->ReportOutliers(now);
+  this->ShareLoad(peers, now);
   if (now < this->NextAskAt || this->Leaving) {
     return;
   }
@@ -259,6 +261,9 @@
     this->Outliers.Adopt(update.outliers, now);
   }
   this->Clocks.Note(update, now);
+  if (this->Load != nullptr && this->Upstream == update.sender) {
+    this->Load->OnUpstreamClock(update.clockUs, now);
+  }
   const std::optional<Time> confirmed =
     this->Clocks.GetConfirmation(update, now);
   if (!confirmed || update.revision == 0) {
@@ -354,6 +359,9 @@
 void ViewRelay::OnResume()
 {
   this->ReadWanted = true;
+  if (this->Load != nullptr) {
+    this->Load->OnResume();
+  }
   this->StopFollowing();
   this->ActivateReader();
 }
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/load/load_figures.h"
 #include "core/outlier/outlier_detector.h"
 #include "core/random.h"
 #include "core/relay/change_log.h"
@@ -28,11 +29,18 @@
 
 namespace cobaltgauge::core {
 
+class FleetLoad;
+
 /// One message on its way to some peers.
 struct OutgoingRelay
 {
   std::vector<Endpoint> Destinations;
-  std::variant<ViewSubscription, ViewUpdate, OutlierReport> Message;
+  std::variant<ViewSubscription,
+               ViewUpdate,
+               OutlierReport,
+               LoadReport,
+               LoadSummary>
+    Message;
 };
 
 /// What became of an update.
@@ -93,6 +101,12 @@
   /// Take what another daemon has observed; seeds decide by it.
   void OnReport(const OutlierReport& report, Time now);
 
+  /// \param load told of the tree of followers, and what it tells is passed
+  /// on; outlives the relay.  Null: none.
+  void SetLoad(FleetLoad* load) { this->Load = load; }
+  void OnLoadReport(const LoadReport& report, Time now);
+  void OnLoadSummary(const LoadSummary& summary, Time now);
+
   /// Take the back ends that this daemon has found to be outliers, for logs.
   std::vector<BackendId> TakeFoundOutliers();
 
@@ -141,6 +155,9 @@
   void Push(Time now);
   void ReportOutliers(Time now);
   bool IsDecider(const Endpoint& sender) const;
+  /// Tell the daemon that is followed, and the followers, what is due.
+  void ShareLoad(const std::vector<Endpoint>& peers, Time now);
+  void PassLoadOn(Time now);
 
   Endpoint Self;
   StoreReader& Reader;
@@ -160,6 +177,7 @@
   FollowerLeases Followers;
   FleetCount Fleet;
   PeerClocks Clocks;
+  FleetLoad* Load = nullptr;
   Time NextAskAt{};
   Time MissingAskedAt{};
   Revision MissingAskedFrom = 0;
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -54,7 +54,11 @@
   decision_.backend = flow.backend;
   decision_.openFlows = flows_.openOn(flow.backend);
   flows_.touch(flow, now);
-  return forward(*backends_.find(flow.backend), RouteReason::kRepeated);
+  const BackendAddress& backend = *backends_.find(flow.backend);
+  if (load_ != nullptr) {
+    load_->OnOpening(flow.fingerprint, {backend.service, backend.zone}, now);
+  }
+  return forward(backend, RouteReason::kRepeated);
 }
 
 Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry& route,
@@ -73,10 +77,12 @@
   decision_.openFlows = flows_.openOn(choice.id);
   flows_.put(flow, now);
   const BackendAddress& backend = *backends_.find(choice.id);
-  outcomes_.OnOpening(flow.fingerprint,
-                      {route.route.endpoint, backend.id, backend.service, backend.zone,
-                       route.route.priority},
-                      now);
+  outcomes_.OnOpening(
+      flow.fingerprint,
+      {route.route.endpoint, backend.id, backend.service, backend.zone, route.route.priority}, now);
+  if (load_ != nullptr) {
+    load_->OnOpening(flow.fingerprint, {backend.service, backend.zone}, now);
+  }
   health_.onOpening(choice.id, now);
   pacer_.onOpening(choice.id, choice.capacity, now);
   if (choice.cold) {
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -79,6 +79,7 @@
   outcomes_.OnPacket(fingerprint, packet, now);
   TokenFlow* flow = flows_.find(fingerprint);
   if (packet.kind == PacketKind::kClosing) {
+    noteGone(fingerprint);
     if (flow != nullptr) {
       flows_.close(*flow);
     }
@@ -91,7 +92,7 @@
     TokenFlow learned{fingerprint, packet.flow, backend.id};
     learned.acknowledgement = packet.acknowledgement;
     learned.answered = true;
-    noteData(packet, flows_.put(learned, now), now);
+    noteData(packet, flows_.put(learned, now), backend, now);
     return;
   }
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
@@ -99,7 +100,7 @@
     noteAnswer(*flow, backend, now);
     flow->acknowledgement = packet.acknowledgement;
   }
-  noteData(packet, *flow, now);
+  noteData(packet, *flow, backend, now);
   flows_.touch(*flow, now);
 }
 
@@ -116,11 +117,21 @@
   if (!flow.dataAnswered) {
     answerTimes_.OnAnswer(backend.id, backend.service, now - flow.dataSentAt, now);
   }
+  if (load_ != nullptr && (!flow.answered || !flow.dataAnswered)) {
+    load_->OnAnswered(flow.fingerprint, now);
+  }
   flow.answered = true;
   flow.dataAnswered = true;
 }
 
-void TokenSteering::noteData(const PacketSummary& packet, TokenFlow& flow, Time now) {
+void TokenSteering::noteGone(FlowFingerprint flow) {
+  if (load_ != nullptr) {
+    load_->OnGone(flow);
+  }
+}
+
+void TokenSteering::noteData(const PacketSummary& packet, TokenFlow& flow,
+                             const BackendAddress& backend, Time now) {
   if (packet.dataLength == 0) {
     return;
   }
@@ -130,6 +141,9 @@
     flow.dataEnd = end;
     flow.dataSentAt = now;
     flow.dataAnswered = false;
+    if (load_ != nullptr) {
+      load_->OnRequest(flow.fingerprint, {backend.service, backend.zone}, now);
+    }
     // Of a flow that was opened elsewhere it is not known what was sent before.
     if (outliers_ != nullptr && flow.openedAt != Time{}) {
       deadlines_.Expect(flow.fingerprint, flow.dataEnd, now);
@@ -192,6 +206,7 @@
 void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
   for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
     outcomes_.Forget(flow.fingerprint);
+    noteGone(flow.fingerprint);
     resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
   }
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -18,6 +18,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/load/load_meter.h"
 #include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
@@ -100,6 +101,11 @@
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
 
+  /// Told of requests, openings and their ends. Outlives the steering.
+  void setLoadMeter(LoadMeter* load) {
+    load_ = load;
+    addOpeningListener(load);
+  }
   /// Told of the end of each opening that was placed here. Outlives the steering.
   void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
 
@@ -165,7 +171,11 @@
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   /// Notes that the back end of a flow answered. @param backend that of the flow.
   void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
-  void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
+  /// @param backend that of the flow.
+  void noteData(const PacketSummary& packet, TokenFlow& flow, const BackendAddress& backend,
+                Time now);
+  /// Notes that nothing is in flight on a flow any more.
+  void noteGone(FlowFingerprint flow);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
   /// @return true where outliers among the candidates are to come last.
@@ -191,6 +201,7 @@
   OutlierDetector* outliers_ = nullptr;
   AnswerDeadlines deadlines_;
   OpeningOutcomes outcomes_;
+  LoadMeter* load_ = nullptr;
   AnswerTimes answerTimes_;
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
--- /dev/null
+++ b/src/daemon/load_page.cc
@@ -0,0 +1,31 @@
+#include "daemon/load_page.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cobaltgauge::daemon {
+
+std::string loadPage(const core::FleetLoad& load, const core::BackendRegistry& backends,
+                     core::Time now) {
+  nlohmann::json zones = nlohmann::json::array();
+  for (const auto& [key, slots] : load.GetSlots()) {
+    const core::ZoneLoad known = load.GetLoad(key);
+    const std::optional<core::ZoneRoom> room = load.GetRoom(key.first, key.second, now);
+    nlohmann::json zone{{"service", backends.nameOf(key.first)},
+                        {"zone", backends.nameOf(key.second)},
+                        {"in_flight", known.InFlight},
+                        {"slots", slots},
+                        {"openings_in_second", known.OpeningsInSecond},
+                        {"rejected_in_second", known.RejectedInSecond}};
+    zone["utilization"] = room ? nlohmann::json(room->Utilization) : nlohmann::json();
+    zones.push_back(std::move(zone));
+  }
+  const std::optional<core::Duration> age = load.GetAge(now);
+  const nlohmann::json page{
+      {"reports", load.IsEnabled()},
+      {"daemons", load.CountDaemons()},
+      {"age_ms", age ? nlohmann::json(*age / std::chrono::milliseconds(1)) : nlohmann::json()},
+      {"load", std::move(zones)}};
+  return page.dump(2) + "\n";
+}
+
+}  // namespace cobaltgauge::daemon
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -27,6 +27,11 @@
              random,
              &view.Changes)
   , Outliers(static_cast<std::uint64_t>(core::memberIdOf(settings.name)))
+  , Load(this->Self,
+         this->Meter,
+         [this](core::Time now) {
+           return this->View.Steering.backends().countSlots(now);
+         })
   , Relay(this->Self,
           view.Reader,
           view.Updater,
@@ -40,6 +45,8 @@
                      core::memberIdOf(settings.name)),
       [this](const net::ReceivedFrame& received) { this->OnFrame(received); })
 {
+  this->SetLoadReports(settings.loadReports);
+  this->Relay.SetLoad(&this->Load);
   this->Relay.SetTiming(core::RelayTiming::Within(std::min(
     { settings.applyWithin, settings.drainWithin, settings.evacuateWithin })));
 }
@@ -66,6 +73,7 @@
   this->Relay.OnTick(this->Exchange.peers(), now);
   this->LogUpstream(now);
   this->LogOutliers();
+  this->LogLoad();
   this->Send();
   this->OnHeard(now, false);
 }
@@ -101,6 +109,10 @@
   } else if (const auto* report = std::get_if<core::OutlierReport>(&frame)) {
     this->Relay.OnReport(*report, now);
     this->LogOutliers();
+  } else if (const auto* load = std::get_if<core::LoadReport>(&frame)) {
+    this->Relay.OnLoadReport(*load, now);
+  } else if (const auto* sum = std::get_if<core::LoadSummary>(&frame)) {
+    this->Relay.OnLoadSummary(*sum, now);
   }
   this->Send();
   this->OnHeard(now, changed);
@@ -156,6 +168,14 @@
   }
 }
 
+void PeerLink::LogLoad()
+{
+  const core::BackendRegistry& backends = this->View.Steering.backends();
+  for (const core::LoadCrossing& crossing : this->Load.TakeCrossings()) {
+    logLoadCrossing(crossing, backends, this->Load.CountDaemons());
+  }
+}
+
 void PeerLink::Send()
 {
   for (const core::OutgoingView& outgoing : this->Exchange.takeMessages()) {
--- a/src/daemon/peers/peer_link.h
+++ b/src/daemon/peers/peer_link.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "core/load/fleet_load.h"
 #include "core/outlier/outlier_detector.h"
 #include "core/relay/view_relay.h"
 #include "core/token_steering.h"
@@ -52,6 +53,9 @@
   /// Take the seeds of the settings, which may have changed.
   void SetSeeds(const Settings& settings);
 
+  /// Take the setting, which may have changed.
+  void SetLoadReports(bool enabled) { this->Load.SetEnabled(enabled); }
+
   void Start(core::Time now) { this->Exchange.start(now); }
   void OnTick(core::Time now);
   /// Call after the reader took an answer of the store.
@@ -67,6 +71,8 @@
   {
     return this->Peers.counters();
   }
+  core::LoadMeter& GetLoadMeter() { return this->Meter; }
+  const core::FleetLoad& GetLoad() const { return this->Load; }
   core::OutlierDetector& GetOutliers() { return this->Outliers; }
   const core::OutlierDetector& GetOutliers() const { return this->Outliers; }
 
@@ -76,6 +82,7 @@
   bool TakeUpdate(const core::ViewUpdate& update, core::Time now);
   void LogUpstream(core::Time now);
   void LogOutliers();
+  void LogLoad();
   void Send();
 
   core::Endpoint Self;
@@ -83,6 +90,8 @@
   Listener OnHeard;
   core::ViewExchange Exchange;
   core::OutlierDetector Outliers;
+  core::LoadMeter Meter;
+  core::FleetLoad Load;
   core::ViewRelay Relay;
   net::PeerTransport Peers;
   std::optional<core::Endpoint> LoggedUpstream;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,6 +56,7 @@
   std::chrono::milliseconds applyWithin{3000};
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
+  bool loadReports = true;  ///< Daemons tell each other of the load they see.
   core::Endpoint readinessListen;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
@@ -72,6 +73,7 @@
   /// Parses and stores a value. @return false where the value is not allowed.
   std::function<bool(Settings&, const std::string&)> assign;
   bool reloadable = false;  ///< Takes effect while the daemon runs.
+  bool isSwitch = false;    ///< Its values are true and false.
 
   /// @return the flag's name without dashes, "section-key" with '-' for '_'.
   std::string flag() const;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -27,7 +27,7 @@
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
          flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "platform-address" || flag == "cluster-seeds";
+         flag == "platform-address" || flag == "load-reports" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -77,6 +77,17 @@
                });
 }
 
+SettingField switchField(const char* section, const char* key, const char* documentation,
+                         bool Settings::*member) {
+  SettingField item = field(section, key, documentation, "true or false",
+                            [member](Settings& settings, const std::string& text) {
+                              settings.*member = text == "true";
+                              return text == "true" || text == "false";
+                            });
+  item.isSwitch = true;
+  return item;
+}
+
 bool assignLogLevel(Settings& settings, const std::string& text) {
   const std::vector<std::pair<const char*, LogLevel>> levels{{"debug", LogLevel::kDebug},
                                                              {"info", LogLevel::kInfo},
@@ -203,6 +214,9 @@
         settings.policyFile = text;
         return true;
       }));
+  fields.push_back(switchField("load", "reports",
+                               "Daemons tell each other of the load they see (token)",
+                               &Settings::loadReports));
   fields.push_back(endpointField("readiness", "listen",
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -33,13 +33,18 @@
 }
 
 /// @return the value as text; only texts and whole numbers are settings.
-std::optional<std::string> valueText(const toml::node& node) {
+/// @param takesSwitch true and false are values of the field.
+std::optional<std::string> valueText(const toml::node& node, bool takesSwitch) {
   if (const auto text = node.value_exact<std::string>()) {
     return *text;
   }
   if (const auto number = node.value_exact<std::int64_t>()) {
     return std::to_string(*number);
   }
+  const auto on = node.value_exact<bool>();
+  if (takesSwitch && on) {
+    return *on ? "true" : "false";
+  }
   return std::nullopt;
 }
 
@@ -162,7 +167,7 @@
              ": unknown field; see --help");
         return false;
       }
-      const std::optional<std::string> value = valueText(node);
+      const std::optional<std::string> value = valueText(node, field->isSwitch);
       if (!value || !field->assign(settings, *value)) {
         fail(position(path, node) + ": " + complaint(*field, value.value_or("another type")));
         return false;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -7,6 +7,7 @@
 #include "core/constants.h"
 #include "core/hashing.h"
 #include "daemon/clock.h"
+#include "daemon/load_page.h"
 #include "daemon/log.h"
 #include "daemon/token_log.h"
 #include "daemon/zone_page.h"
@@ -102,6 +103,7 @@
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
+  steering_.setLoadMeter(&peers_.GetLoadMeter());
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -169,10 +171,14 @@
     return {200, "application/json",
             zonePage(steering_.backends().evacuations(), reader_.revision())};
   }
+  if (path == "/load") {
+    return {200, "application/json", loadPage(peers_.GetLoad(), steering_.backends(), bootTime())};
+  }
   if (path != "/metrics") {
-    return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
+    return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_, peers_, packets_, latencies_, isReady()};
+  const TokenMetricSources sources{steering_,  reader_,   peers_,    packets_,
+                                   latencies_, isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -332,6 +338,7 @@
     steering_.backends().reweigh();
   }
   peers_.SetSeeds(settings_);
+  peers_.SetLoadReports(settings_.loadReports);
   if (settings_.platform != storeBefore) {
     connectStore();
   }
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -158,4 +158,17 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logLoadCrossing(const core::LoadCrossing& crossing, const core::BackendRegistry& backends,
+                     std::uint32_t daemons) {
+  logEvent(LogLevel::kInfo, crossing.IsBusy ? "zone_busy" : "zone_calm",
+           {{"service", backends.nameOf(crossing.Key.first)},
+            {"zone", backends.nameOf(crossing.Key.second)},
+            {"in_flight", std::to_string(crossing.Load.InFlight)},
+            {"slots", std::to_string(crossing.Slots)},
+            {"openings", std::to_string(crossing.Load.OpeningsInSecond)},
+            {"rejected", std::to_string(crossing.Load.RejectedInSecond)},
+            {"age_ms", std::to_string(crossing.Age / std::chrono::milliseconds(1))},
+            {"daemons", std::to_string(daemons)}});
+}
+
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -3,6 +3,7 @@
 /// of what the daemon believes. The flow's key is its id.
 #pragma once
 
+#include "core/load/fleet_load.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_updater.h"
@@ -30,4 +31,9 @@
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
+/// Back ends of a service in a zone are more than half used, or no longer. @param daemons whose
+/// load it is.
+void logLoadCrossing(const core::LoadCrossing& crossing, const core::BackendRegistry& backends,
+                     std::uint32_t daemons);
+
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -17,6 +17,19 @@
 
 double seconds(core::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+/// @return a sample for each service and zone with a value, labelled SERVICE/ZONE.
+template <typename Value>
+std::vector<MetricSample> byZone(const Sources& sources, Value valueOf) {
+  const core::BackendRegistry& backends = sources.steering.backends();
+  std::vector<MetricSample> samples;
+  for (const auto& [key, slots] : sources.peers.GetLoad().GetSlots()) {
+    if (const std::optional<double> value = valueOf(key, slots)) {
+      samples.push_back({backends.nameOf(key.first) + "/" + backends.nameOf(key.second), *value});
+    }
+  }
+  return samples;
+}
+
 const std::vector<Definition>& definitions() {
   static const std::vector<Definition> kDefinitions{
       {"cobaltgauge_packets_received_total", "Datagrams that arrived at the data socket", nullptr,
@@ -116,6 +129,62 @@
       {"cobaltgauge_outliers_found_total", "Outliers found by this daemon", nullptr,
        MetricType::Counter,
        [](const Sources& s) { return single(s.peers.GetOutliers().GetCounters().Found); }},
+      {"cobaltgauge_opening_ends_total", "Ends of openings that were placed here", "outcome",
+       MetricType::Counter,
+       [](const Sources& s) {
+         std::vector<MetricSample> samples;
+         const auto& ended = s.steering.outcomes().GetCounters().Ended;
+         for (std::size_t i = 0; i < ended.size(); ++i) {
+           samples.push_back({core::ToString(static_cast<core::OpeningOutcome>(i)),
+                              static_cast<double>(ended.at(i))});
+         }
+         return samples;
+       }},
+      {"cobaltgauge_opening_ends_unseen_total", "Openings placed here whose end was not seen",
+       nullptr, MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.outcomes().GetCounters().Forgotten); }},
+      {"cobaltgauge_load_in_flight", "Requests in flight in the fleet, by service/zone", "zone",
+       MetricType::Gauge,
+       [](const Sources& s) {
+         return byZone(s, [&s](const core::LoadKey& key, std::uint32_t) {
+           return std::optional<double>(s.peers.GetLoad().GetLoad(key).InFlight);
+         });
+       }},
+      {"cobaltgauge_load_slots", "Slots of back ends that take openings, by service/zone", "zone",
+       MetricType::Gauge,
+       [](const Sources& s) {
+         return byZone(s, [](const core::LoadKey&, std::uint32_t slots) {
+           return std::optional<double>(slots);
+         });
+       }},
+      {"cobaltgauge_load_utilization", "In flight for each slot, by service/zone; none where old",
+       "zone", MetricType::Gauge,
+       [](const Sources& s) {
+         return byZone(s, [&s](const core::LoadKey& key, std::uint32_t) -> std::optional<double> {
+           const auto room = s.peers.GetLoad().GetRoom(key.first, key.second, s.now);
+           return room ? std::optional(room->Utilization) : std::nullopt;
+         });
+       }},
+      {"cobaltgauge_load_age_milliseconds", "Age of the oldest part of the load figures", nullptr,
+       MetricType::Gauge,
+       [](const Sources& s) {
+         const std::optional<core::Duration> age = s.peers.GetLoad().GetAge(s.now);
+         return age ? single(static_cast<std::uint64_t>(*age / std::chrono::milliseconds(1)))
+                    : std::vector<MetricSample>{};
+       }},
+      {"cobaltgauge_load_daemons", "Daemons whose load the figures hold", nullptr,
+       MetricType::Gauge,
+       [](const Sources& s) { return single(s.peers.GetLoad().CountDaemons()); }},
+      {"cobaltgauge_load_messages_total", "Reports and summaries of load, by what became of them",
+       "kind", MetricType::Counter,
+       [](const Sources& s) {
+         const core::FleetLoadCounters& counters = s.peers.GetLoad().GetCounters();
+         return std::vector<MetricSample>{
+             {"report_sent", static_cast<double>(counters.ReportsSent)},
+             {"report_taken", static_cast<double>(counters.ReportsTaken)},
+             {"report_ignored", static_cast<double>(counters.ReportsIgnored)},
+             {"summary_taken", static_cast<double>(counters.SummariesTaken)}};
+       }},
       {"cobaltgauge_zones_evacuated", "Zones whose back ends get no new flow", nullptr,
        MetricType::Gauge,
        [](const Sources& s) {
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -42,6 +42,7 @@
   const PacketPort& packets;
   const LatencyHistograms& latencies;
   bool ready = false;
+  core::Time now{};
 };
 
 /// @return all metrics as text.
--- a/tests/core/load/opening_outcomes_test.cc
+++ b/tests/core/load/opening_outcomes_test.cc
@@ -164,6 +164,44 @@
   BOOST_TEST(Is(this->TakeOnly(), OpeningOutcome::kSilent));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_request_that_nothing_follows_was_reset, WatchFixture)
+{
+  this->AskMany(core::kAnswersBeforeShort, kUsual);
+  this->Heard.Results.clear();
+  this->Open(1);
+  this->Send(1, 0, 1, kRequest);
+  this->Wait(500ms);
+  BOOST_TEST(this->Heard.Results.empty());
+  this->Wait(200ms);
+  BOOST_TEST(Is(this->TakeOnly(), OpeningOutcome::kReset));
+  // Though its answer were only late.
+  this->Send(1, kUsual, 1 + kRequest, 0, core::PacketKind::kClosing);
+  BOOST_TEST(this->Heard.Results.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_is_sent_again_met_silence, WatchFixture)
+{
+  this->AskMany(core::kAnswersBeforeShort, kUsual);
+  this->Heard.Results.clear();
+  this->Open(1);
+  this->Send(1, 0, 1, kRequest);
+  this->Wait(200ms);
+  this->Send(1, 0, 1, kRequest);
+  this->Wait(500ms);
+  BOOST_TEST(Is(this->TakeOnly(), OpeningOutcome::kSilent));
+}
+
+BOOST_FIXTURE_TEST_CASE(long_work_is_no_reset, WatchFixture)
+{
+  for (std::uint64_t caller = 1; caller < 100; ++caller) {
+    this->Open(caller);
+    this->Send(caller, 0, 1, kRequest);
+    this->Wait(2s);
+    this->Send(caller, kUsual, 1 + kRequest, 0, core::PacketKind::kClosing);
+  }
+  BOOST_TEST(this->Count(OpeningOutcome::kServed) == 99U);
+}
+
 BOOST_FIXTURE_TEST_CASE(short_answers_are_rejections_once_others_are_known,
                         WatchFixture)
 {
--- a/tests/core/relay/relay_fixture.h
+++ b/tests/core/relay/relay_fixture.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/constants.h"
+#include "core/load/fleet_load.h"
 #include "core/relay/view_relay.h"
 #include "core/view_updater.h"
 #include "support/token_fixtures.h"
@@ -41,6 +42,10 @@
   core::OutlierDetector Outliers{ 0 };
   core::ViewRelay Relay{ this->Address, this->Reader,   this->Updater,
                          this->Log,     this->Outliers, this->Random };
+  core::LoadMeter Meter;
+  core::FleetLoad Load{ this->Address, this->Meter, [this](core::Time now) {
+                         return this->Backends.countSlots(now);
+                       } };
   std::optional<core::StoreRead> Pending;
   core::Time AskedAt{};
   std::uint64_t Calls = 0;
@@ -55,6 +60,7 @@
     , Random(host)
     , Outliers(host)
   {
+    this->Relay.SetLoad(&this->Load);
   }
 
   core::Time Clock(core::Time now) const { return now + this->ClockOffset; }
@@ -63,8 +69,7 @@
 struct Message
 {
   core::Endpoint Destination;
-  std::variant<core::ViewSubscription, core::ViewUpdate, core::OutlierReport>
-    Content;
+  decltype(core::OutgoingRelay::Message) Content;
 };
 
 /// A fleet whose first three daemons are everyone's seeds.
@@ -171,6 +176,12 @@
       } else if (const auto* report =
                    std::get_if<core::OutlierReport>(&message.Content)) {
         node->Relay.OnReport(*report, clock);
+      } else if (const auto* load =
+                   std::get_if<core::LoadReport>(&message.Content)) {
+        node->Relay.OnLoadReport(*load, clock);
+      } else if (const auto* sum =
+                   std::get_if<core::LoadSummary>(&message.Content)) {
+        node->Relay.OnLoadSummary(*sum, clock);
       } else {
         node->Relay.OnUpdate(std::get<core::ViewUpdate>(message.Content),
                              clock);
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -151,6 +151,19 @@
   BOOST_TEST(load(kValid, {"stray"}).reason == "stray: unexpected argument; see --help");
 }
 
+BOOST_AUTO_TEST_CASE(SwitchesAreRead) {
+  BOOST_TEST(load(kValid).settings->loadReports);
+  BOOST_TEST(!load(kValid, {"--load-reports=false"}).settings->loadReports);
+  const std::string text = std::string(kValid) + "[load]\nreports = ";
+  BOOST_TEST(!load(text + "false\n").settings->loadReports);
+  BOOST_TEST(load(text + "true\n").settings->loadReports);
+  for (const char* wrong : {"1", "\"yes\""}) {
+    const Outcome outcome = load(text + wrong + "\n");
+    BOOST_TEST(!outcome.settings.has_value());
+    BOOST_TEST(outcome.reason.find("allowed is true or false") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HelpNamesEverySetting) {
   const char* arguments[] = {"cobaltgauged", "--help", nullptr};
   SettingsLoader loader;
--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -2,6 +2,7 @@
 /// libFuzzer target: a peer message whose authenticator is right, and what the core does with it.
 #include "core/balancer.h"
 #include "core/constants.h"
+#include "core/load/fleet_load.h"
 #include "core/relay/view_relay.h"
 #include "core/view_exchange.h"
 #include "core/view_updater.h"
@@ -25,8 +26,14 @@
   core::ViewExchange exchange{self, steering, updater, reader, random, &log};
   core::OutlierDetector outliers{1};
   core::ViewRelay relay{self, reader, updater, log, outliers, random};
+  core::LoadMeter meter;
+  core::FleetLoad load{self, meter, [this](core::Time now) {
+                         return steering.backends().countSlots(now);
+                       }};
 
   void begin(core::Time now) {
+    relay.SetLoad(&load);
+    steering.setLoadMeter(&meter);
     relay.SetSeeds({self});
     reader.nextRead(now);
     core::StoreReply listing;
@@ -46,6 +53,15 @@
   }
   void take(const core::ViewUpdate& message, core::Time now) { relay.OnUpdate(message, now); }
   void take(const core::OutlierReport& message, core::Time now) { relay.OnReport(message, now); }
+  void take(const core::LoadReport& message, core::Time now) {
+    core::ViewSubscription subscription;
+    subscription.replyTo = message.replyTo;
+    relay.OnSubscription(subscription, now);
+    relay.OnLoadReport(message, now);
+  }
+  void take(const core::LoadSummary& message, core::Time now) {
+    relay.OnLoadSummary(message, now);
+  }
 };
 
 /// Lets a daemon that steers by tokens take a message of a peer.
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -61,6 +61,8 @@
                                       core::ViewSubscription{},
                                       core::ViewUpdate{},
                                       core::OutlierReport{},
+                                      core::LoadReport{},
+                                      core::LoadSummary{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
@@ -70,6 +72,44 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LoadSurvivesTheWire) {
+  const std::vector<core::ZoneLoad> loads{
+      {core::serviceIdOf("web"), core::zoneIdOf("a"), 1, 2, UINT32_MAX}, {}};
+  core::LoadReport report;
+  report.replyTo.port = 7720;
+  report.sentAtUs = UINT64_MAX;
+  report.nextMs = 500;
+  report.ageMs = 3;
+  report.level = 8;
+  report.daemons = 4;
+  report.loads = loads;
+  core::LoadSummary summary;
+  summary.sender.port = 7721;
+  summary.sentAtUs = 5;
+  summary.ageMs = 6;
+  summary.level = 9;
+  summary.daemons = 7;
+  summary.loads = loads;
+  const auto up = codec().decode(codec().encode(report));
+  const auto down = codec().decode(codec().encode(summary));
+  BOOST_TEST_REQUIRE((up.has_value() && down.has_value()));
+  const auto& sent = std::get<core::LoadReport>(up->frame);
+  BOOST_TEST((sent.replyTo == report.replyTo));
+  BOOST_TEST(sent.sentAtUs == report.sentAtUs);
+  BOOST_TEST(sent.nextMs == report.nextMs);
+  BOOST_TEST(sent.ageMs == report.ageMs);
+  BOOST_TEST(sent.level == report.level);
+  BOOST_TEST(sent.daemons == report.daemons);
+  BOOST_TEST((sent.loads == loads));
+  const auto& told = std::get<core::LoadSummary>(down->frame);
+  BOOST_TEST((told.sender == summary.sender));
+  BOOST_TEST(told.sentAtUs == summary.sentAtUs);
+  BOOST_TEST(told.ageMs == summary.ageMs);
+  BOOST_TEST(told.level == summary.level);
+  BOOST_TEST(told.daemons == summary.daemons);
+  BOOST_TEST((told.loads == loads));
+}
+
 BOOST_AUTO_TEST_CASE(UpdatesOfTheViewSurviveTheWire) {
   core::ViewUpdate update;
   update.sender.port = 7720;
