--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -154,11 +154,9 @@
 
 void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
               core::Revision viewRevision) {
-  const auto zones = backends.zoneNames();
-  const auto zone = zones.find(change.Zone);
   logEvent(LogLevel::kWarning, change.Began ? "spill_began" : "spill_ended",
-           {{"service", backends.serviceName(change.Service)},
-            {"zone", zone == zones.end() ? "none" : zone->second},
+           {{"service", backends.nameOf(change.Service)},
+            {"zone", backends.nameOf(change.Zone)},
             {"kept", std::to_string(change.Kept)},
             {"demand", std::to_string(change.Demand)},
             {"least_demand", std::to_string(change.Least)},
@@ -173,4 +171,17 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logLoadCrossing(const core::LoadCrossing& crossing, const core::BackendRegistry& backends,
+                     std::uint32_t daemons) {
+  logEvent(LogLevel::kInfo, crossing.IsBusy ? "zone_busy" : "zone_calm",
+           {{"service", backends.nameOf(crossing.Key.first)},
+            {"zone", backends.nameOf(crossing.Key.second)},
+            {"in_flight", std::to_string(crossing.Load.InFlight)},
+            {"slots", std::to_string(crossing.Slots)},
+            {"openings", std::to_string(crossing.Load.OpeningsInSecond)},
+            {"rejected", std::to_string(crossing.Load.RejectedInSecond)},
+            {"age_ms", std::to_string(crossing.Age / std::chrono::milliseconds(1))},
+            {"daemons", std::to_string(daemons)}});
+}
+
 }  // namespace cobaltgauge::daemon
