--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -20,6 +20,7 @@
 #include "core/domains/serving_readiness.h"
 #include "core/domains/silent_groups.h"
 #include "core/flow_steering.h"
+#include "core/load/load_meter.h"
 #include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
@@ -125,6 +126,11 @@
   /// Adds a reason to put back ends last for new flows; outlives the steering.
   void addDemotion(Demotion& demotion) { chooser_.AddDemotion(demotion); }
 
+  /// Told of requests, openings and their ends. Outlives the steering.
+  void setLoadMeter(LoadMeter* load) {
+    load_ = load;
+    addOpeningListener(load);
+  }
   /// Told of the end of each opening that was placed here. Outlives the steering.
   void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
 
@@ -163,7 +169,6 @@
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   /// Notes that the back end of a flow answered. @param backend that of the flow.
   void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
-  void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
   void noteAnswerOfDomain(BackendId backend, Time now);
   /// Takes back what was believed of back ends where this daemon was cut off from all.
   void noteReach();
@@ -171,6 +176,11 @@
   const PlacementCandidate* findCandidate(BackendId backend);
   /// @return all of a group that take new flows.
   std::vector<BackendId> membersOf(const BackendGroup& group);
+  /// @param backend that of the flow.
+  void noteData(const PacketSummary& packet, TokenFlow& flow, const BackendAddress& backend,
+                Time now);
+  /// Notes that nothing is in flight on a flow any more.
+  void noteGone(FlowFingerprint flow);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
@@ -197,6 +207,7 @@
   OutlierDetector* outliers_ = nullptr;
   AnswerDeadlines deadlines_;
   OpeningOutcomes outcomes_;
+  LoadMeter* load_ = nullptr;
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
   OutlierDemotion outlierDemotion_;
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,9 +56,11 @@
   std::chrono::milliseconds applyWithin{3000};
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
+  bool loadReports = true;  ///< Daemons tell each other of the load they see.
   core::Endpoint readinessListen;
   bool silentGroups = true;  ///< Back ends of a zone that are gone together come last together.
   bool requireReach = true;  ///< Ready only where some back end is reached.
+  bool spill = true;         ///< Openings leave zones without room.
   std::string policyFile;    ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
@@ -74,6 +76,7 @@
   /// Parses and stores a value. @return false where the value is not allowed.
   std::function<bool(Settings&, const std::string&)> assign;
   bool reloadable = false;  ///< Takes effect while the daemon runs.
+  bool isSwitch = false;    ///< Its values are true and false.
 
   /// @return the flag's name without dashes, "section-key" with '-' for '_'.
   std::string flag() const;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -26,9 +26,10 @@
 /// @return true for settings that take effect while the daemon runs (token steering).
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
-         flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "readiness-require-reach" || flag == "steering-silent-groups" ||
-         flag == "platform-address" || flag == "cluster-seeds";
+         flag == "steering-policy-file" || flag == "steering-silent-groups" ||
+         flag == "steering-spill" || flag == "daemon-regions-of-zones" ||
+         flag == "readiness-require-reach" || flag == "platform-address" ||
+         flag == "load-reports" || flag == "cluster-seeds";
 }
 
 bool isName(const std::string& text) {
@@ -78,6 +79,17 @@
                });
 }
 
+SettingField switchField(const char* section, const char* key, const char* documentation,
+                         bool Settings::*member) {
+  SettingField item = field(section, key, documentation, "true or false",
+                            [member](Settings& settings, const std::string& text) {
+                              settings.*member = text == "true";
+                              return text == "true" || text == "false";
+                            });
+  item.isSwitch = true;
+  return item;
+}
+
 bool assignLogLevel(Settings& settings, const std::string& text) {
   const std::vector<std::pair<const char*, LogLevel>> levels{{"debug", LogLevel::kDebug},
                                                              {"info", LogLevel::kInfo},
@@ -136,6 +148,11 @@
   return text == "token" || text == "recorded";
 }
 
+bool assignSpill(Settings& settings, const std::string& text) {
+  settings.spill = text == "auto";
+  return text == "auto" || text == "off";
+}
+
 bool assignTokenForm(Settings& settings, const std::string& text) {
   settings.tokenForm = text == "hash" ? TokenForm::kHash : TokenForm::kAddress;
   return text == "hash" || text == "address";
@@ -192,6 +209,10 @@
                          "What tokens hold: a back end's address, by which a daemon without a view "
                          "reaches it, or a hash of its id",
                          "address or hash", assignTokenForm));
+  fields.push_back(field("steering", "spill",
+                         "Whether openings leave the zone that the policy prefers while it has too "
+                         "little room (token)",
+                         "auto or off", assignSpill));
   fields.push_back(numberField("steering", "longest_flow_seconds",
                                "Age that no flow exceeds; departed back ends are kept as long",
                                &Settings::longestFlow, 1, 86'400));
@@ -214,6 +235,9 @@
         settings.policyFile = text;
         return true;
       }));
+  fields.push_back(switchField("load", "reports",
+                               "Daemons tell each other of the load they see (token)",
+                               &Settings::loadReports));
   fields.push_back(endpointField("readiness", "listen",
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -7,6 +7,7 @@
 #include "core/constants.h"
 #include "core/hashing.h"
 #include "daemon/clock.h"
+#include "daemon/load_page.h"
 #include "daemon/log.h"
 #include "daemon/token_log.h"
 #include "daemon/zone_page.h"
@@ -116,6 +117,11 @@
   steering_.silentGroups().SetEnabled(settings_.silentGroups);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
+  steering_.setLoadMeter(&peers_.GetLoadMeter());
+  steering_.addOpeningListener(&seenRoom_);
+  steering_.spill().AddSource(peers_.GetLoad());
+  steering_.spill().AddSource(seenRoom_);
+  steering_.spill().SetEnabled(settings_.spill);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -186,8 +192,11 @@
             zonePage(steering_.backends().evacuations(), reader_.revision(), isReady(),
                      steering_.serving())};
   }
+  if (path == "/load") {
+    return {200, "application/json", loadPage(peers_.GetLoad(), steering_.backends(), bootTime())};
+  }
   if (path != "/metrics") {
-    return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
+    return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
   const TokenMetricSources sources{steering_,  reader_,   peers_,    packets_,
                                    latencies_, isReady(), bootTime()};
@@ -270,6 +279,9 @@
   peers_.OnTick(now);
   steering_.setFleet(peers_.GetRelay().CountFleet(now));
   carryOutHealth(now);
+  for (const core::SpillChange& change : steering_.spill().TakeChanges()) {
+    logSpill(change, steering_.backends(), reader_.revision());
+  }
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
     if (settingsWatch_.hasChanged()) {
@@ -367,7 +379,9 @@
   if (policyTaken) {
     steering_.backends().reweigh();
   }
+  steering_.spill().SetEnabled(settings_.spill);
   peers_.SetSeeds(settings_);
+  peers_.SetLoadReports(settings_.loadReports);
   if (settings_.platform != storeBefore) {
     connectStore();
   }
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -51,6 +51,7 @@
             {"candidates", std::to_string(decision.candidates)},
             {"slow", std::to_string(decision.slowCandidates)},
             {"cold", std::to_string(decision.coldCandidates)},
+            {"spilled", decision.spilled ? "yes" : "no"},
             {"version", std::to_string(decision.version)},
             {"revision", std::to_string(viewRevision)}});
 }
@@ -169,6 +170,18 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
+              core::Revision viewRevision) {
+  logEvent(LogLevel::kWarning, change.Began ? "spill_began" : "spill_ended",
+           {{"service", backends.nameOf(change.Service)},
+            {"zone", backends.nameOf(change.Zone)},
+            {"kept", std::to_string(change.Kept)},
+            {"demand", std::to_string(change.Demand)},
+            {"least_demand", std::to_string(change.Least)},
+            {"age_ms", std::to_string(change.Age / std::chrono::milliseconds(1))},
+            {"revision", std::to_string(viewRevision)}});
+}
+
 void logOutlier(core::BackendId backend, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "outlier_found",
            {{"backend", hex(backend)},
@@ -176,4 +189,17 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logLoadCrossing(const core::LoadCrossing& crossing, const core::BackendRegistry& backends,
+                     std::uint32_t daemons) {
+  logEvent(LogLevel::kInfo, crossing.IsBusy ? "zone_busy" : "zone_calm",
+           {{"service", backends.nameOf(crossing.Key.first)},
+            {"zone", backends.nameOf(crossing.Key.second)},
+            {"in_flight", std::to_string(crossing.Load.InFlight)},
+            {"slots", std::to_string(crossing.Slots)},
+            {"openings", std::to_string(crossing.Load.OpeningsInSecond)},
+            {"rejected", std::to_string(crossing.Load.RejectedInSecond)},
+            {"age_ms", std::to_string(crossing.Age / std::chrono::milliseconds(1))},
+            {"daemons", std::to_string(daemons)}});
+}
+
 }  // namespace cobaltgauge::daemon
