--- a/tests/core/domains/cut_zone_test.cc
+++ b/tests/core/domains/cut_zone_test.cc
@@ -9,15 +9,15 @@
 using core::BackendId;
 using core::ProbeResult;
 
-/// Back ends 1 to 3 are of zone "far"; "near" is the daemon's own.
+/// Back ends 1 to 8 are of zone "far"; "near" is the daemon's own.
 struct CutZoneFixture : TokenFixture
 {
   CutZoneFixture()
   {
-    for (std::uint8_t id = 1; id <= 3; ++id) {
+    for (std::uint8_t id = 1; id <= 8; ++id) {
       this->putInZone("far", id);
     }
-    for (std::uint8_t id = 4; id <= 6; ++id) {
+    for (std::uint8_t id = 9; id <= 12; ++id) {
       this->putInZone("near", id);
     }
   }
@@ -30,7 +30,7 @@
 
   static bool IsFar(BackendId backend)
   {
-    return static_cast<std::uint64_t>(backend) <= 3;
+    return static_cast<std::uint64_t>(backend) <= 8;
   }
 
   bool IsServing() const { return this->steering.serving().IsServing(); }
@@ -117,6 +117,7 @@
   this->TakeOutNear();
   this->OpenWhileCut(2s);
   BOOST_REQUIRE(!this->IsServing());
+  BOOST_REQUIRE(this->steering.health().counters().declaredDead > 1U);
   this->now += core::kServingProbeEvery;
   this->Probe(true);
   BOOST_REQUIRE(this->IsServing());
@@ -152,7 +153,7 @@
   this->TakeOutNear();
   this->OpenWhileCut(2s);
   BOOST_REQUIRE(!this->IsServing());
-  this->removeBackends();
+  this->steering.backends().retainOnly({}, ++this->revision, this->now);
   this->now += core::kServingProbeEvery;
   BOOST_TEST(this->Probe(false) == 0U);
   BOOST_TEST(this->IsServing());
