Have groups that one daemon found silent probed by its neighbours

Each daemon needed an opening of its own to meet a group that is gone. It now tells those next to it in the tree of views which groups its probes found silent (GroupNotice); they probe four members and go by what they see, and tell their own neighbours where it is the same. A notice moves nothing by itself, so lies, echoes and late ones cost a few connections.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -208,6 +208,10 @@
 /// probes may be lost.
 inline constexpr Duration kGroupProbeEvery = 500ms;
 inline constexpr Duration kGroupSilentFor = 1500ms;
+/// How often other daemons can have one group probed, and the groups of one notice: four
+/// connections a second for each, whoever asks.
+inline constexpr Duration kGroupNoticeEvery = 1000ms;
+inline constexpr std::size_t kMostGroupsNoticed = 16;
 
 // Following a peer; see docs/design/005-view-relay.md.
 
--- a/src/core/domains/silent_groups.cc
+++ b/src/core/domains/silent_groups.cc
@@ -69,6 +69,21 @@
     signs.Unconnected.size() >= kUnconnectedForGroup;
 }
 
+void SilentGroups::OnNotice(const BackendGroup& group, Time now)
+{
+  const auto noticed = this->NoticedAt.find(group);
+  const bool isEarly = noticed != this->NoticedAt.end() &&
+    now - noticed->second < kGroupNoticeEvery;
+  if (!this->Enabled || this->Groups.contains(group) || isEarly) {
+    return;
+  }
+  this->NoticedAt[group] = now;
+  ++this->Counters.Notices;
+  Signs& signs = this->Groups[group];
+  signs.Wanted = kUnconnectedForGroup;
+  signs.Until = now + kGroupSilentFor;
+}
+
 void SilentGroups::Mark(const BackendGroup& group,
                         const std::vector<BackendId>& members,
                         Time now)
@@ -106,6 +121,9 @@
 {
   std::erase_if(this->Groups,
                 [now](const auto& item) { return item.second.Until <= now; });
+  std::erase_if(this->NoticedAt, [now](const auto& item) {
+    return now - item.second >= kGroupNoticeEvery;
+  });
 }
 
 std::size_t SilentGroups::CountSilent(Time now) const
--- a/src/core/domains/silent_groups.h
+++ b/src/core/domains/silent_groups.h
@@ -3,27 +3,18 @@
 /// each has cost a caller its try.  See docs/design/011-failure-domains.md.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
 #include "core/backend_health.h"
+#include "core/domains/backend_group.h"
 #include "core/placement/demotion.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
 
-/// Back ends of one service in one zone.
-struct BackendGroup
-{
-  ServiceId Service{ 0 };
-  ZoneId Zone = kNoZone;
-
-  auto operator<=>(const BackendGroup&) const = default;
-};
-
 /// Probes that are wanted of a group.
 struct GroupProbes
 {
@@ -37,6 +28,7 @@
   std::uint64_t Found = 0;
   std::uint64_t Ended = 0; ///< By a connection or an answer.
   std::uint64_t Probes = 0;
+  std::uint64_t Notices = 0; ///< Of other daemons, that were followed.
 };
 
 /** \class SilentGroups
@@ -67,6 +59,10 @@
                ProbeResult result,
                Time now);
 
+  /// Another daemon found a group silent: members are probed, no more.  Takes
+  /// few notices, so that one that lies costs few connections.
+  void OnNotice(const BackendGroup& group, Time now);
+
   /// Put the members of a group last.
   void Mark(const BackendGroup& group,
             const std::vector<BackendId>& members,
@@ -103,6 +99,7 @@
 
   bool Enabled = true;
   std::map<BackendGroup, Signs> Groups;
+  std::map<BackendGroup, Time> NoticedAt;
   std::vector<BackendGroup> Found;
   SilentGroupCounters Counters;
 };
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -110,6 +110,8 @@
   const std::optional<Endpoint>& GetUpstream() const { return this->Upstream; }
   /// Get how many daemons there are; errs high.
   std::uint32_t CountFleet(Time now) const { return this->Fleet.Get(now); }
+  /// Get the daemons that follow this one, and the one that it follows.
+  std::vector<Endpoint> GetNeighbours() const;
   std::size_t CountFollowers() const { return this->Followers.Count(); }
   const ViewRelayCounters& GetCounters() const { return this->Counters; }
 
--- a/src/core/relay/view_relay_followers.cc
+++ b/src/core/relay/view_relay_followers.cc
@@ -51,6 +51,15 @@
   return update;
 }
 
+std::vector<Endpoint> ViewRelay::GetNeighbours() const
+{
+  std::vector<Endpoint> neighbours = this->Followers.List();
+  if (this->Upstream) {
+    neighbours.push_back(*this->Upstream);
+  }
+  return neighbours;
+}
+
 void ViewRelay::PushNews(Time now)
 {
   const bool isNews = this->Log.GetComplete() > this->LastPushed ||
--- a/src/core/token_domains.cc
+++ b/src/core/token_domains.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/constants.h"
 #include "core/token_steering.h"
 
 namespace cobaltgauge::core {
@@ -90,6 +91,15 @@
   return probes;
 }
 
+void TokenSteering::onGroupNotice(const GroupNotice& notice, Time now) {
+  const std::size_t count = std::min(notice.Groups.size(), kMostGroupsNoticed);
+  for (std::size_t index = 0; index < count; ++index) {
+    if (!membersOf(notice.Groups[index]).empty()) {
+      silentGroups_.OnNotice(notice.Groups[index], now);
+    }
+  }
+}
+
 void TokenSteering::onGroupProbe(BackendId backend, ProbeResult result, Time now) {
   const PlacementCandidate* candidate = findCandidate(backend);
   if (candidate == nullptr) {
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -107,6 +107,8 @@
   /// each by onGroupProbe().
   std::vector<BackendAddress> takeGroupProbes(Time now);
   void onGroupProbe(BackendId backend, ProbeResult result, Time now);
+  /// Takes what another daemon found of groups.
+  void onGroupNotice(const GroupNotice& notice, Time now);
   SilentGroups& silentGroups() { return silentGroups_; }
   const SilentGroups& silentGroups() const { return silentGroups_; }
   ServingReadiness& serving() { return serving_; }
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -77,6 +77,14 @@
   this->Send();
 }
 
+void PeerLink::Tell(const core::GroupNotice& notice)
+{
+  const std::vector<core::Endpoint> neighbours = this->Relay.GetNeighbours();
+  if (!notice.Groups.empty() && !neighbours.empty()) {
+    this->Peers.send(neighbours, notice);
+  }
+}
+
 void PeerLink::Leave()
 {
   this->Relay.Leave();
@@ -101,6 +109,8 @@
   } else if (const auto* report = std::get_if<core::OutlierReport>(&frame)) {
     this->Relay.OnReport(*report, now);
     this->LogOutliers();
+  } else if (const auto* notice = std::get_if<core::GroupNotice>(&frame)) {
+    this->View.Steering.onGroupNotice(*notice, now);
   }
   this->Send();
   this->OnHeard(now, changed);
--- a/src/daemon/peers/peer_link.h
+++ b/src/daemon/peers/peer_link.h
@@ -56,6 +56,9 @@
   void OnTick(core::Time now);
   /// Call after the reader took an answer of the store.
   void OnStoreAnswer(core::Time now);
+  /// Tell the daemons next to this one that groups were found silent; each
+  /// that finds the same passes it on.
+  void Tell(const core::GroupNotice& notice);
   /// Call after the process was suspended.
   void OnResume() { this->Relay.OnResume(); }
   /// Tell the peers that this daemon stops.
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -248,9 +248,11 @@
   for (const core::BackendAddress& backend : steering_.takeGroupProbes(now)) {
     groupProber_.probe(backend);
   }
-  for (const core::BackendGroup& group : steering_.silentGroups().TakeFound()) {
+  const core::GroupNotice found{steering_.silentGroups().TakeFound()};
+  for (const core::BackendGroup& group : found.Groups) {
     logSilentGroup(group, steering_.silentGroups().CountSilent(now), reader_.revision());
   }
+  peers_.Tell(found);
   for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
     logServingChange(change, reader_.revision());
   }
@@ -322,6 +324,7 @@
   if (changed || reader_.isComplete() != steering_.hasWholeView()) {
     onViewChanged(now);
   }
+  carryOutDomains(now);
   store_->start();
 }
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -154,6 +154,9 @@
       {"cobaltgauge_group_probes_total", "Connections opened to neighbours of silent back ends",
        nullptr, MetricType::Counter,
        [](const Sources& s) { return single(s.steering.silentGroups().GetCounters().Probes); }},
+      {"cobaltgauge_group_notices_total", "Notices of silent groups that were probed here", nullptr,
+       MetricType::Counter,
+       [](const Sources& s) { return single(s.steering.silentGroups().GetCounters().Notices); }},
       {"cobaltgauge_reach_probes_total",
        "Connections opened to learn whether any back end is reached", nullptr, MetricType::Counter,
        [](const Sources& s) { return single(s.steering.serving().GetCounters().Probes); }}};
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/domains/backend_group.h"
 #include "core/messages.h"
 #include "core/view_messages.h"
 
@@ -27,7 +28,7 @@
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
                  core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
                  core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate,
-                 core::OutlierReport>;
+                 core::OutlierReport, core::GroupNotice>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -113,6 +114,8 @@
   return std::tie(m.backend, m.reporter);
 }
 auto fieldsOf(IsMessage<core::OutlierReport> auto& m) { return std::tie(m.observations); }
+auto fieldsOf(IsMessage<core::BackendGroup> auto& m) { return std::tie(m.Service, m.Zone); }
+auto fieldsOf(IsMessage<core::GroupNotice> auto& m) { return std::tie(m.Groups); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
--- a/tests/core/domains/silent_groups_test.cc
+++ b/tests/core/domains/silent_groups_test.cc
@@ -2,6 +2,9 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
+
 #include <boost/test/unit_test.hpp>
 
 #include "core/constants.h"
@@ -152,6 +155,68 @@
   BOOST_TEST(this->Groups.IsEmpty());
 }
 
+BOOST_AUTO_TEST_CASE(a_notice_has_the_group_probed_and_no_more)
+{
+  this->Groups.OnNotice(kGroup, this->Now);
+  BOOST_TEST(!this->ComesLast(1));
+  BOOST_TEST(this->Probe(1, ProbeResult::kRefused) ==
+             core::kUnconnectedForGroup);
+  BOOST_TEST(this->ComesLast(40));
+}
+
+// A daemon that lies, or hears late what is over, moves no opening.
+BOOST_AUTO_TEST_CASE(a_notice_that_is_wrong_costs_a_few_connections)
+{
+  std::size_t probes = 0;
+  for (int turn = 0; turn < 1000; ++turn) {
+    this->Groups.OnNotice(kGroup, this->Now);
+    probes += this->Probe(1, ProbeResult::kConnected);
+    BOOST_TEST(!this->ComesLast(1));
+    this->Now += 10ms;
+  }
+  BOOST_TEST(probes <= 10 * core::kUnconnectedForGroup);
+}
+
+/// Daemons in a ring that tell each other what they found.
+bool FadesInARing(const std::vector<int>& deaths)
+{
+  std::array<GroupsFixture, 5> ring;
+  core::Time now = 100s;
+  const auto step = [&](ProbeResult result) {
+    now += 50ms;
+    for (std::size_t index = 0; index < ring.size(); ++index) {
+      ring[index].Now = now;
+      ring[index].Probe(1, result);
+      if (!ring[index].Groups.TakeFound().empty()) {
+        ring[(index + 1) % ring.size()].Groups.OnNotice(kGroup, now);
+        ring[(index + 4) % ring.size()].Groups.OnNotice(kGroup, now);
+      }
+      ring[index].Groups.Expire(now);
+    }
+  };
+  for (const int death : deaths) {
+    ring.at(static_cast<std::size_t>(death) % ring.size())
+      .OnProbe(static_cast<std::uint64_t>(death) + 1, ProbeResult::kRefused);
+    step(ProbeResult::kRefused);
+  }
+  // All are back; nobody is told.
+  for (int turn = 0; turn < 2s / 50ms; ++turn) {
+    step(ProbeResult::kConnected);
+  }
+  return std::all_of(
+    ring.begin(), ring.end(), [](const GroupsFixture& daemon) {
+      return daemon.Groups.IsEmpty();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(echoes_between_daemons_keep_nothing_alive)
+{
+  BOOST_TEST(rc::check("a ring forgets", [] {
+    RC_ASSERT(FadesInARing(*rc::gen::container<std::vector<int>>(
+      rc::gen::inRange(0, static_cast<int>(kMembers)))));
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(after_a_suspension_nothing_is_known)
 {
   this->FindGroup();
--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -45,6 +45,10 @@
     relay.OnSubscription(message, now);
   }
   void take(const core::ViewUpdate& message, core::Time now) { relay.OnUpdate(message, now); }
+  void take(const core::GroupNotice& message, core::Time now) {
+    steering.onGroupNotice(message, now);
+    steering.takeGroupProbes(now);
+  }
   void take(const core::OutlierReport& message, core::Time now) { relay.OnReport(message, now); }
 };
 
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -61,6 +61,7 @@
                                       core::ViewSubscription{},
                                       core::ViewUpdate{},
                                       core::OutlierReport{},
+                                      core::GroupNotice{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
@@ -70,6 +71,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(NoticesOfGroupsSurviveTheWire) {
+  const core::GroupNotice notice{{{core::ServiceId{7}, core::ZoneId{UINT32_MAX}}, {}}};
+  const auto received = codec().decode(codec().encode(notice));
+  BOOST_TEST_REQUIRE(received.has_value());
+  BOOST_TEST((std::get<core::GroupNotice>(received->frame).Groups == notice.Groups));
+}
+
 BOOST_AUTO_TEST_CASE(UpdatesOfTheViewSurviveTheWire) {
   core::ViewUpdate update;
   update.sender.port = 7720;
