--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -85,6 +85,14 @@
   this->Send();
 }
 
+void PeerLink::Tell(const core::GroupNotice& notice)
+{
+  const std::vector<core::Endpoint> neighbours = this->Relay.GetNeighbours();
+  if (!notice.Groups.empty() && !neighbours.empty()) {
+    this->Peers.send(neighbours, notice);
+  }
+}
+
 void PeerLink::Leave()
 {
   this->Relay.Leave();
@@ -113,6 +121,8 @@
     this->Relay.OnLoadReport(*load, now);
   } else if (const auto* sum = std::get_if<core::LoadSummary>(&frame)) {
     this->Relay.OnLoadSummary(*sum, now);
+  } else if (const auto* notice = std::get_if<core::GroupNotice>(&frame)) {
+    this->View.Steering.onGroupNotice(*notice, now);
   }
   this->Send();
   this->OnHeard(now, changed);
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/domains/backend_group.h"
 #include "core/load/load_figures.h"
 #include "core/messages.h"
 #include "core/view_messages.h"
@@ -28,7 +29,7 @@
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
                  core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
                  core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate,
-                 core::OutlierReport, core::LoadReport, core::LoadSummary>;
+                 core::OutlierReport, core::LoadReport, core::LoadSummary, core::GroupNotice>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -123,6 +124,8 @@
 auto fieldsOf(IsMessage<core::LoadSummary> auto& m) {
   return std::tie(m.sender, m.sentAtUs, m.ageMs, m.level, m.daemons, m.loads);
 }
+auto fieldsOf(IsMessage<core::BackendGroup> auto& m) { return std::tie(m.Service, m.Zone); }
+auto fieldsOf(IsMessage<core::GroupNotice> auto& m) { return std::tie(m.Groups); }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
 }
--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -52,6 +52,10 @@
     relay.OnSubscription(message, now);
   }
   void take(const core::ViewUpdate& message, core::Time now) { relay.OnUpdate(message, now); }
+  void take(const core::GroupNotice& message, core::Time now) {
+    steering.onGroupNotice(message, now);
+    steering.takeGroupProbes(now);
+  }
   void take(const core::OutlierReport& message, core::Time now) { relay.OnReport(message, now); }
   void take(const core::LoadReport& message, core::Time now) {
     core::ViewSubscription subscription;
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -63,6 +63,7 @@
                                       core::OutlierReport{},
                                       core::LoadReport{},
                                       core::LoadSummary{},
+                                      core::GroupNotice{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
@@ -110,6 +111,13 @@
   BOOST_TEST((told.loads == loads));
 }
 
+BOOST_AUTO_TEST_CASE(NoticesOfGroupsSurviveTheWire) {
+  const core::GroupNotice notice{{{core::ServiceId{7}, core::ZoneId{UINT32_MAX}}, {}}};
+  const auto received = codec().decode(codec().encode(notice));
+  BOOST_TEST_REQUIRE(received.has_value());
+  BOOST_TEST((std::get<core::GroupNotice>(received->frame).Groups == notice.Groups));
+}
+
 BOOST_AUTO_TEST_CASE(UpdatesOfTheViewSurviveTheWire) {
   core::ViewUpdate update;
   update.sender.port = 7720;
