Ask other services before a daemon without back ends for one counts as ready

A daemon that was out came back as soon as the one service it drew had no candidates, though it reached none of the others. It now forgets such a service, and is ready only where none is left.

--- a/src/core/domains/serving_readiness.cc
+++ b/src/core/domains/serving_readiness.cc
@@ -93,10 +93,13 @@
   return due;
 }
 
-void ServingReadiness::OnNoBackends(Time now)
+void ServingReadiness::OnNoBackends(ServiceId service, Time now)
 {
-  this->Change(true, ServingReason::kNoBackends, now);
-  this->Forget();
+  this->Services.erase(service);
+  if (this->Services.empty()) {
+    this->Change(true, ServingReason::kNoBackends, now);
+    this->Forget();
+  }
 }
 
 void ServingReadiness::OnProbe(BackendId backend, ProbeResult result, Time now)
--- a/src/core/domains/serving_readiness.h
+++ b/src/core/domains/serving_readiness.h
@@ -77,8 +77,8 @@
   /// result goes to OnProbe().
   std::vector<ServiceId> TakeProbes(Time now);
 
-  /// The services of TakeProbes() have no back ends.
-  void OnNoBackends(Time now);
+  /// A service of TakeProbes() has no back ends.
+  void OnNoBackends(ServiceId service, Time now);
 
   void OnProbe(BackendId backend, ProbeResult result, Time now);
 
--- a/src/core/token_domains.cc
+++ b/src/core/token_domains.cc
@@ -14,14 +14,13 @@
   const std::vector<ServiceId> services = serving_.TakeProbes(now);
   for (const ServiceId service : services) {
     const std::vector<PlacementCandidate>& candidates = backends_.candidates(service);
-    if (!candidates.empty()) {
+    if (candidates.empty()) {
+      serving_.OnNoBackends(service, now);
+    } else {
       probes.push_back(*backends_.find(candidates[random_.below(candidates.size())].id));
     }
   }
-  if (!services.empty() && probes.empty()) {
-    serving_.OnNoBackends(now);
-    noteReach();
-  }
+  noteReach();
   return probes;
 }
 
--- a/tests/core/domains/serving_readiness_test.cc
+++ b/tests/core/domains/serving_readiness_test.cc
@@ -196,10 +196,18 @@
 BOOST_AUTO_TEST_CASE(without_back_ends_to_ask_it_is_ready)
 {
   this->Leave();
-  this->Readiness.OnNoBackends(this->Now);
+  this->Readiness.OnNoBackends(kFirst, this->Now);
   BOOST_TEST(this->Readiness.IsServing());
 }
 
+BOOST_AUTO_TEST_CASE(one_service_without_back_ends_does_not_bring_it_back)
+{
+  this->Readiness.OnOpening(BackendId{ 500 }, kSecond, this->Now);
+  this->Leave();
+  this->Readiness.OnNoBackends(kSecond, this->Now);
+  BOOST_TEST(!this->Readiness.IsServing());
+}
+
 // Each daemon goes by what it sees: another one's trouble is not its own.
 BOOST_AUTO_TEST_CASE(one_daemons_trouble_takes_out_it_alone)
 {
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -135,6 +135,20 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FailureDomainsAreOnUnlessSwitchedOff) {
+  const auto byDefault = load(kValid).settings;
+  BOOST_REQUIRE(byDefault);
+  BOOST_TEST(byDefault->requireReach);
+  BOOST_TEST(byDefault->silentGroups);
+  const auto off =
+      load(kValid, {"--readiness-require-reach=false", "--steering-silent-groups=false"}).settings;
+  BOOST_REQUIRE(off);
+  BOOST_TEST(!off->requireReach);
+  BOOST_TEST(!off->silentGroups);
+  BOOST_TEST(load(kValid, {"--readiness-require-reach=maybe"}).reason.find("true or false") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(MissingFieldIsNamed) {
   BOOST_TEST(load("[daemon]\nname = \"x\"\n").reason ==
              "data.listen: missing; set it in the file or by --data-listen (ADDRESS:PORT or "
