Give flows up only on proof that a back end is dead

One connection of 300 ms without an answer was taken for death and reset every open flow of the back end. A lost packet, a full queue of connections, a full or cut link of this daemon and a process that was held up look the same.

A probe now begins up to three connections, 75 ms apart, and with the later ones others to two witnesses that answered lately. Death is proven only where both rounds of witnesses answered, the suspect answered none, and the verdict came in time; else the back end stays suspected. A death that is not proven again lapses after 3 s, and at a resumption. Of two registrations at one address one has ended only if the other first came after its last word, and who writes again has not ended: a write that the store takes seconds late no longer ends the back end that lives.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -4,18 +4,6 @@
 
 namespace cobaltgauge::core {
 
-const char* toString(ProbeResult result) {
-  switch (result) {
-    case ProbeResult::kConnected:
-      return "connected";
-    case ProbeResult::kRefused:
-      return "refused";
-    case ProbeResult::kTimedOut:
-      return "timed_out";
-  }
-  return "invalid";
-}
-
 void BackendHealth::ask(BackendId backend, Time since, Time now) {
   Signs& signs = signs_[backend];
   signs.lastSign = now;
@@ -34,6 +22,7 @@
 void BackendHealth::onAnswer(BackendId backend, Time now) {
   Signs& signs = signs_[backend];
   signs.lastSign = now;
+  signs.lastAnswer = now;
   signs.unansweredSince = Time{};
   counters_.revived += signs.dead ? 1U : 0U;
   signs.dead = false;
@@ -90,7 +79,12 @@
     return false;
   }
   const bool answeredMeanwhile = signs.unansweredSince == Time{};
-  if (result == ProbeResult::kRefused || answeredMeanwhile || signs.dead) {
+  if (result != ProbeResult::kTimedOut || answeredMeanwhile) {
+    counters_.unproven += result == ProbeResult::kUnproven ? 1U : 0U;
+    return false;
+  }
+  signs.provenDeadAt = now;
+  if (signs.dead) {
     return false;
   }
   signs.dead = true;
@@ -101,11 +95,26 @@
 void BackendHealth::onResume() {
   for (auto& [id, signs] : signs_) {
     signs.unansweredSince = Time{};
+    signs.dead = false;
   }
-  std::erase_if(open_, [this](BackendId id) { return !signs_.at(id).dead; });
+  open_.clear();
+}
+
+std::vector<std::pair<BackendId, Time>> BackendHealth::answering(Time now) const {
+  std::vector<std::pair<BackendId, Time>> found;
+  for (const auto& [id, signs] : signs_) {
+    if (signs.lastAnswer != Time{} && !isSuspected(id, now)) {
+      found.emplace_back(id, signs.lastAnswer);
+    }
+  }
+  return found;
 }
 
 void BackendHealth::expire(Time now) {
+  for (const BackendId id : open_) {
+    Signs& signs = signs_.at(id);
+    signs.dead = signs.dead && now - signs.provenDeadAt < kDeathHolds;
+  }
   std::erase_if(signs_, [this, now](const auto& item) {
     const bool forget = now - item.second.lastSign > kSignsMemory && !item.second.probing;
     if (forget) {
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -11,27 +11,19 @@
 
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
+#include "core/proof/death_trial.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
 
-/// How a probe of a back end ended.
-enum class ProbeResult : std::uint8_t {
-  kConnected,  ///< Something listens there.
-  kRefused,    ///< The machine answers, nothing listens. A back end that is about to end as planned
-               ///< stops listening before its last flows end, and a machine whose back end crashed
-               ///< resets the flows itself: no reason to give flows up.
-  kTimedOut,   ///< No answer: without power, or cut off.
-};
-
-const char* toString(ProbeResult result);
-
 /// Counters of a BackendHealth; see docs/METRICS.md.
 struct BackendHealthCounters {
   std::uint64_t probes = 0;
   std::uint64_t declaredDead = 0;
+  std::uint64_t unproven = 0;  ///< Probes without an answer that prove nothing.
   std::uint64_t revived = 0;
 };
 
@@ -53,12 +45,17 @@
   /// @param known how many back ends there are.
   /// @return back ends to be probed now; each must be answered by onProbe().
   std::vector<BackendId> takeProbes(std::size_t known, Time now);
-  /// Takes the result of a probe. @return true where the back end is dead from now on.
+  /// Takes the result of a probe. @return true where the back end is dead from now on, until an
+  /// answer, or until kDeathHolds has passed without another such result.
   bool onProbe(BackendId backend, ProbeResult result, Time now);
 
-  /// Call after the process was suspended: what is unanswered since before means nothing.
+  /// @return back ends that were heard last and answer, with the time; none that is suspected.
+  std::vector<std::pair<BackendId, Time>> answering(Time now) const;
+
+  /// Call after the process was suspended: what is unanswered since before means nothing, and who
+  /// was dead then may live again.
   void onResume();
-  /// Forgets back ends without recent signs.
+  /// Forgets back ends without recent signs, and deaths that were not proven again.
   void expire(Time now);
 
   const BackendHealthCounters& counters() const { return counters_; }
@@ -66,6 +63,8 @@
  private:
   struct Signs {
     Time lastSign{};         ///< Of either kind; for forgetting.
+    Time lastAnswer{};       ///< Zero: none.
+    Time provenDeadAt{};     ///< By the last probe that did.
     Time unansweredSince{};  ///< When the first unanswered thing was sent; zero: all answered.
     Time nextProbe{};
     bool probing = false;
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -42,7 +42,9 @@
   entry.registration = registration;
   entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0};
   entry.revision = revision;
+  entry.firstRevision = isNew ? revision : entry.firstRevision;
   entry.present = true;
+  entry.ended = false;
   if (!sameContent) {
     entry.warmUntil = now + registration.warmUpLeft;
     entry.weight = weights_.weightOf(registration);
@@ -67,13 +69,12 @@
 }
 
 void BackendRegistry::markEnded(const Endpoint& endpoint) {
-  // Of all that registered at an address only the last one can be there. A listing gives them in
-  // any order.
+  // A listing gives the back ends of an address in any order.
   const std::set<std::string>& keys = endpoints_[endpoint];
   Revision last = 0;
   for (const std::string& key : keys) {
     const Entry& entry = entries_.at(key);
-    last = std::max(last, entry.present ? entry.revision : 0);
+    last = std::max(last, entry.present ? entry.firstRevision : 0);
   }
   for (const std::string& key : keys) {
     Entry& entry = entries_.at(key);
@@ -151,6 +152,11 @@
   return key == keys_.end() ? nullptr : &entries_.at(key->second).address;
 }
 
+const Registration* BackendRegistry::registrationOf(BackendId id) const {
+  const auto key = keys_.find(id);
+  return key == keys_.end() ? nullptr : &entries_.at(key->second).registration;
+}
+
 bool BackendRegistry::hasEnded(BackendId id) const {
   const auto key = keys_.find(id);
   return key != keys_.end() && entries_.at(key->second).ended;
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -90,7 +90,11 @@
   bool knows(const std::string& key) const { return entries_.contains(key); }
   /// @return the back end, gone or not, or null.
   const BackendAddress* find(BackendId id) const;
-  /// @return true where another back end was registered later at the same address: it has ended.
+  /// @return what the back end last said of itself, or null.
+  const Registration* registrationOf(BackendId id) const;
+  /// @return true where another back end was registered at the same address after this one's last
+  /// word: it has ended. Of two that each wrote after the other came, as where the store takes a
+  /// write seconds late, neither is said to have.
   bool hasEnded(BackendId id) const;
   /// @return true where the back end may be given new flows.
   bool takesNewFlows(BackendId id) const;
@@ -120,8 +124,9 @@
     Registration registration;
     BackendAddress address;
     Revision revision = 0;
-    bool present = true;  ///< Its item is in the store.
-    bool ended = false;   ///< Its address belongs to a later back end.
+    Revision firstRevision = 0;  ///< Of its first item that is known.
+    bool present = true;         ///< Its item is in the store.
+    bool ended = false;          ///< Its address belongs to a later back end.
     Time removedAt{};
     Time warmUntil{};
     std::uint32_t weight = kDefaultPlacementWeight;
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -78,9 +78,12 @@
 /// A back end that leaves an opening or repeated data unanswered for this long is suspected. Below
 /// the callers' first repetition (200 ms), above any answer of a back end that listens.
 inline constexpr Duration kAnswerPatience = 150ms;
-/// How long a probe waits for a connection, and the time between two probes of one back end.
-inline constexpr Duration kProbeTimeout = 300ms;
+/// The time between two probes of one back end.
 inline constexpr Duration kProbeAgainAfter = 1000ms;
+/// How long a back end counts as dead after it was proven: until two more probes, 0.3 s each, have
+/// ended. A verdict that nothing renews, as where this daemon is held up, must not outlive the end
+/// of what caused it.
+inline constexpr Duration kDeathHolds = 3000ms;
 /// How long signs of a back end are remembered.
 inline constexpr Duration kSignsMemory = 15s;
 /// Back ends of one service that are compared for one opening, drawn at random where there are
--- /dev/null
+++ b/src/core/proof/death_trial.h
@@ -0,0 +1,105 @@
+/// @file
+/// Whether a silent back end is dead, from connections to it and, beside them,
+/// to others.  See docs/design/011-failure-domains.md.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// How a probe of a back end ended.
+enum class ProbeResult : std::uint8_t
+{
+  kConnected, ///< Something listens there.
+  /// The machine answers, nothing listens.  A back end that is about to end as
+  /// planned stops listening before its last flows end, and a machine whose
+  /// back end crashed resets the flows itself: no reason to give flows up.
+  kRefused,
+  kTimedOut, ///< No answer to any try, while others answered: it is dead.
+  kUnproven, ///< No answer, but nobody else answered, or the time was not
+             ///< kept.
+};
+
+const char* toString(ProbeResult result);
+
+/// How one connection of a trial ended.
+enum class ConnectOutcome : std::uint8_t
+{
+  kConnected,
+  kRefused, ///< Its machine answered.
+  kFailed,  ///< By this machine's own doing; says nothing.
+};
+
+/** \class DeathTrial
+ * \brief Find a back end dead only where nothing else explains its silence.
+ *
+ * Several connections are begun one after another, so that one lost packet or
+ * a queue that was full for a moment proves nothing.  With all but the first
+ * others are begun to witnesses, back ends that answered lately: where these
+ * stay silent too, this machine or its link is the cause.  A last look takes
+ * what had arrived when time was up.  Where that was late, as after a
+ * suspension, nothing is proven.
+ */
+class DeathTrial
+{
+public:
+  static constexpr std::size_t kTries = 3;
+  static constexpr std::size_t kMostWitnesses = 2;
+  /// Between two tries; a full queue of connections is worked off meanwhile.
+  static constexpr Duration kTryGap{ 75'000 };
+  /// How long the last try and its witnesses have; over ten times the longest
+  /// way between regions and back.
+  static constexpr Duration kAnswerTime{ 150'000 };
+  /// Between the end of that and the verdict: a turn of the event loop.
+  static constexpr Duration kLastLook{ 20'000 };
+  /// A timer that is later than this was held up: what arrived meanwhile may
+  /// not have been read.  Twice a scheduler's period of a limited processor.
+  static constexpr Duration kTimerSlack{ 50'000 };
+
+  /// What is to be begun at a step.
+  struct Step
+  {
+    bool TriesSuspect = false;
+    /// By number, which of the witnesses are connected to.
+    std::array<bool, kMostWitnesses> AsksWitness{};
+  };
+
+  /// \param witnesses how many there are, kMostWitnesses at most.
+  DeathTrial(std::size_t witnesses, Time now);
+
+  /// Get when TakeStep() is to be called next.
+  Time GetNextStep() const { return this->NextStep; }
+  /// Say what is to be begun now.
+  Step TakeStep(Time now);
+
+  /// Take how a connection to the back end ended.
+  void OnSuspect(ConnectOutcome outcome);
+  /// Take how a connection to a witness ended.
+  /// \param step the number of the step that began it, from 0.
+  void OnWitness(std::size_t witness,
+                 std::size_t step,
+                 ConnectOutcome outcome);
+  /// Get the number of the step that was taken last.
+  std::size_t GetStep() const { return this->Steps - 1; }
+
+  /// Get the result, once there is one.
+  std::optional<ProbeResult> GetResult() const { return this->Result; }
+
+private:
+  Step BeginTry(Time now);
+  void Judge();
+
+  std::size_t Witnesses;
+  std::size_t Steps = 0;
+  Time NextStep;
+  bool FailedHere = false;
+  /// Witnesses that answered, by step.
+  std::array<std::array<bool, kMostWitnesses>, kTries> Answered{};
+  std::optional<ProbeResult> Result;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -7,6 +7,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/proof/witnesses.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -178,6 +179,10 @@
   return probes;
 }
 
+std::vector<Endpoint> TokenSteering::witnessesFor(BackendId suspect, Time now) {
+  return ChooseWitnesses(suspect, health_, backends_, random_, now);
+}
+
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
   if (health_.onProbe(backend, result, now)) {
     if (outliers_ != nullptr) {
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -95,6 +95,8 @@
   /// @return back ends whose address should be connected to; answer each by onProbe().
   std::vector<BackendAddress> takeProbes(Time now);
   void onProbe(BackendId backend, ProbeResult result, Time now);
+  /// @return addresses to be connected to beside a back end that is probed.
+  std::vector<Endpoint> witnessesFor(BackendId suspect, Time now);
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
   /// null for none.
   void setOutliers(OutlierDetector* outliers) { outliers_ = outliers; }
--- a/src/daemon/backend_prober.cc
+++ b/src/daemon/backend_prober.cc
@@ -2,47 +2,100 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <memory>
+#include <list>
+#include <utility>
 
-#include "core/constants.h"
+#include "daemon/clock.h"
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
+namespace {
 
-struct BackendProber::Attempt {
-  explicit Attempt(asio::io_context& context) : socket(context), timer(context) {}
+core::ConnectOutcome outcomeOf(const asio::error_code& error) {
+  if (!error) {
+    return core::ConnectOutcome::kConnected;
+  }
+  const bool answered =
+      error == asio::error::connection_refused || error == asio::error::connection_reset;
+  return answered ? core::ConnectOutcome::kRefused : core::ConnectOutcome::kFailed;
+}
+
+}  // namespace
+
+struct BackendProber::Trial {
+  Trial(asio::io_context& context, const core::BackendAddress& suspect,
+        std::vector<core::Endpoint> others)
+      : backend(suspect),
+        witnesses(std::move(others)),
+        proof(witnesses.size(), bootTime()),
+        timer(context) {}
 
-  asio::ip::tcp::socket socket;
+  core::BackendAddress backend;
+  std::vector<core::Endpoint> witnesses;
+  core::DeathTrial proof;
   asio::steady_timer timer;
+  std::list<asio::ip::tcp::socket> sockets;
   bool finished = false;
 };
 
-void BackendProber::probe(const core::BackendAddress& backend) {
-  const auto attempt = std::make_shared<Attempt>(context_);
-  const auto finish = [this, attempt, backend](core::ProbeResult result) {
-    if (!std::exchange(attempt->finished, true)) {
-      attempt->timer.cancel();
-      asio::error_code ignored;
-      attempt->socket.close(ignored);
-      handler_(backend, result);
+void BackendProber::probe(const core::BackendAddress& backend,
+                          std::vector<core::Endpoint> witnesses) {
+  takeStep(std::make_shared<Trial>(context_, backend, std::move(witnesses)));
+}
+
+void BackendProber::takeStep(const std::shared_ptr<Trial>& trial) {
+  const core::DeathTrial::Step step = trial->proof.TakeStep(bootTime());
+  const std::size_t number = trial->proof.GetStep();
+  if (step.TriesSuspect) {
+    connect(trial, trial->backend.endpoint, [this, trial](core::ConnectOutcome outcome) {
+      trial->proof.OnSuspect(outcome);
+      finishIfDone(trial);
+    });
+  }
+  for (std::size_t i = 0; i < trial->witnesses.size() && i < step.AsksWitness.size(); ++i) {
+    if (step.AsksWitness[i]) {
+      connect(trial, trial->witnesses[i], [trial, i, number](core::ConnectOutcome outcome) {
+        trial->proof.OnWitness(i, number, outcome);
+      });
     }
-  };
-  attempt->timer.expires_after(core::kProbeTimeout);
-  attempt->timer.async_wait([finish](const asio::error_code& error) {
-    if (!error) {
-      finish(core::ProbeResult::kTimedOut);
+  }
+  finishIfDone(trial);
+  if (trial->finished) {
+    return;
+  }
+  trial->timer.expires_after(trial->proof.GetNextStep() - bootTime());
+  trial->timer.async_wait([this, trial](const asio::error_code& error) {
+    if (!error && !trial->finished) {
+      takeStep(trial);
     }
   });
-  attempt->socket.async_connect(net::toTcp(backend.endpoint), [finish](
-                                                                  const asio::error_code& error) {
-    if (!error) {
-      finish(core::ProbeResult::kConnected);
-    } else if (error == asio::error::connection_refused || error == asio::error::connection_reset) {
-      finish(core::ProbeResult::kRefused);
-    } else {
-      finish(core::ProbeResult::kTimedOut);
+}
+
+void BackendProber::connect(const std::shared_ptr<Trial>& trial, const core::Endpoint& endpoint,
+                            ConnectHandler handler) {
+  asio::ip::tcp::socket& socket = trial->sockets.emplace_back(context_);
+  socket.async_connect(net::toTcp(endpoint), [trial, &socket, handler = std::move(handler)](
+                                                 const asio::error_code& error) {
+    if (trial->finished) {
+      return;
     }
+    asio::error_code ignored;
+    socket.close(ignored);
+    handler(outcomeOf(error));
   });
 }
 
+void BackendProber::finishIfDone(const std::shared_ptr<Trial>& trial) {
+  const std::optional<core::ProbeResult> result = trial->proof.GetResult();
+  if (!result || std::exchange(trial->finished, true)) {
+    return;
+  }
+  trial->timer.cancel();
+  for (asio::ip::tcp::socket& socket : trial->sockets) {
+    asio::error_code ignored;
+    socket.close(ignored);
+  }
+  handler_(trial->backend, *result);
+}
+
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/backend_prober.h
+++ b/src/daemon/backend_prober.h
@@ -1,12 +1,14 @@
 /// @file
-/// Probes back ends by opening a connection and closing it again, on the daemon's event loop.
+/// Probes back ends by opening connections and closing them again, on the daemon's event loop.
 #pragma once
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <memory>
+#include <vector>
 
-#include "core/backend_health.h"
 #include "core/configuration.h"
+#include "core/proof/death_trial.h"
 
 namespace cobaltgauge::daemon {
 
@@ -18,10 +20,18 @@
       : context_(context), handler_(std::move(handler)) {}
 
   /// Starts a probe; the handler is called once with its result.
-  void probe(const core::BackendAddress& backend);
+  /// @param witnesses are connected to beside a back end that does not answer at once.
+  void probe(const core::BackendAddress& backend, std::vector<core::Endpoint> witnesses);
 
  private:
-  struct Attempt;
+  struct Trial;
+  using ConnectHandler = std::function<void(core::ConnectOutcome)>;
+
+  void takeStep(const std::shared_ptr<Trial>& trial);
+  void connect(const std::shared_ptr<Trial>& trial, const core::Endpoint& endpoint,
+               ConnectHandler handler);
+  /// Tells the result and ends the trial, once there is one.
+  void finishIfDone(const std::shared_ptr<Trial>& trial);
 
   asio::io_context& context_;
   Handler handler_;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -214,7 +214,7 @@
 
 void TokenDaemon::carryOutHealth(core::Time now) {
   for (const core::BackendAddress& backend : steering_.takeProbes(now)) {
-    prober_.probe(backend);
+    prober_.probe(backend, steering_.witnessesFor(backend.id, now));
   }
   for (const core::FlowReset& reset : steering_.takeResets()) {
     packets_.refuse(reset.flow, reset.acknowledgement);
--- a/tests/core/backend_health_test.cc
+++ b/tests/core/backend_health_test.cc
@@ -80,6 +80,54 @@
   BOOST_TEST(health.takeProbes(4, now).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_probe_that_proves_nothing_leaves_it_suspected_and_no_more) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  health.takeProbes(kKnown, now);
+  BOOST_TEST(!health.onProbe(kFirst, ProbeResult::kUnproven, now));
+  BOOST_TEST(!health.isDead(kFirst));
+  BOOST_TEST(health.isSuspected(kFirst, now));
+  BOOST_TEST(health.counters().unproven == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_death_that_is_not_proven_again_lapses) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  health.takeProbes(kKnown, now);
+  BOOST_TEST(health.onProbe(kFirst, ProbeResult::kTimedOut, now));
+  const core::Time proven = now;
+  now += core::kProbeAgainAfter;
+  health.takeProbes(kKnown, now);
+  health.onProbe(kFirst, ProbeResult::kUnproven, now);
+  health.expire(proven + core::kDeathHolds - 1ms);
+  BOOST_TEST(health.isDead(kFirst));
+  health.expire(proven + core::kDeathHolds);
+  BOOST_TEST(!health.isDead(kFirst));
+  BOOST_TEST(health.isSuspected(kFirst, proven + core::kDeathHolds));
+}
+
+BOOST_AUTO_TEST_CASE(a_death_that_is_proven_again_holds) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  health.takeProbes(kKnown, now);
+  BOOST_TEST(health.onProbe(kFirst, ProbeResult::kTimedOut, now));
+  now += core::kProbeAgainAfter;
+  health.takeProbes(kKnown, now);
+  BOOST_TEST(!health.onProbe(kFirst, ProbeResult::kTimedOut, now));
+  health.expire(now + core::kDeathHolds - 1ms);
+  BOOST_TEST(health.isDead(kFirst));
+}
+
+BOOST_AUTO_TEST_CASE(who_was_dead_before_a_suspension_is_not_after_it) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  health.takeProbes(kKnown, now);
+  health.onProbe(kFirst, ProbeResult::kTimedOut, now);
+  health.onResume();
+  BOOST_TEST(!health.isDead(kFirst));
+  BOOST_TEST(!health.hasSuspects());
+}
+
 BOOST_AUTO_TEST_CASE(what_was_unanswered_before_a_suspension_means_nothing) {
   health.onOpening(kFirst, now);
   now += 5s;
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -77,6 +77,35 @@
   BOOST_TEST(!registry.hasEnded(BackendId{1}));
 }
 
+// A write that the store took seconds late named a crashed back end after the one that had taken its
+// address; that one was given up for good.
+BOOST_AUTO_TEST_CASE(a_late_word_of_the_one_before_does_not_end_the_one_that_lives) {
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
+  BOOST_TEST(registry.hasEnded(BackendId{1}));
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 30, now);
+  BOOST_TEST(!registry.hasEnded(BackendId{2}));
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 40, now);
+  BOOST_TEST(!registry.hasEnded(BackendId{2}));
+}
+
+// A listing with both shows the late word alone; the next word of the living one corrects that.
+BOOST_AUTO_TEST_CASE(who_writes_again_has_not_ended) {
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 30, now);
+  BOOST_TEST(registry.hasEnded(BackendId{2}));
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 40, now);
+  BOOST_TEST(!registry.hasEnded(BackendId{2}));
+  BOOST_TEST(registry.takesNewFlows(BackendId{2}));
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_ends_nobody) {
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
+  registry.retainOnly({"servers/b"}, 30, now);
+  BOOST_TEST(!registry.hasEnded(BackendId{2}));
+}
+
 BOOST_AUTO_TEST_CASE(departed_back_ends_are_forgotten_in_time) {
   registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
   registry.remove("servers/1", 2, now);
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -89,6 +89,30 @@
   BOOST_TEST((refusalOf(send(2, backend, 7, 10)) == RefuseReason::kBackendDead));
 }
 
+BOOST_AUTO_TEST_CASE(flows_stay_where_a_probe_proves_nothing) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 200ms;
+  send(1, backend, 1, 100);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kUnproven, now);
+  BOOST_TEST(steering.takeResets().empty());
+  BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
+}
+
+BOOST_AUTO_TEST_CASE(packets_pass_again_after_a_suspension_of_this_daemon) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 200ms;
+  send(1, backend, 1, 100);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST((refusalOf(send(2, backend, 7, 10)) == RefuseReason::kBackendDead));
+  now += 5s;
+  steering.onResume();
+  BOOST_TEST((backendOf(send(2, backend, 7, 10)) == backend));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_back_end_that_takes_connections_keeps_its_flows) {
   const BackendId backend = openAndAnswer(1);
   send(1, backend, 1, 100);
--- /dev/null
+++ b/tests/daemon/backend_prober_test.cc
@@ -0,0 +1,93 @@
+#include "daemon/backend_prober.h"
+
+#include <asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <list>
+#include <optional>
+
+#include "net/address.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using asio::ip::tcp;
+using core::ProbeResult;
+
+/// A listener on loopback; filled up, it leaves openings unanswered as a dead machine does.
+struct Listener {
+  tcp::acceptor acceptor;
+  std::list<tcp::socket> fillers;
+
+  explicit Listener(asio::io_context& context) : acceptor(context) {
+    acceptor.open(tcp::v4());
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.listen(0);
+  }
+
+  core::Endpoint endpoint() const {
+    return *net::parseEndpoint("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+  }
+
+  /// Fills the queue of connections.
+  void fill(asio::io_context& context) {
+    constexpr int kMoreThanItTakes = 4;
+    for (int i = 0; i < kMoreThanItTakes; ++i) {
+      tcp::socket& filler = fillers.emplace_back(context);
+      filler.async_connect(acceptor.local_endpoint(), [](const asio::error_code&) {});
+    }
+  }
+};
+
+struct ProberFixture {
+  asio::io_context context;
+  std::optional<ProbeResult> result;
+  daemon::BackendProber prober{context, [this](const core::BackendAddress&, ProbeResult found) {
+                                 BOOST_TEST(!result.has_value());
+                                 result = found;
+                                 suspect.fillers.clear();
+                                 witness.fillers.clear();
+                               }};
+  Listener suspect{context};
+  Listener witness{context};
+
+  ProbeResult probe(std::vector<core::Endpoint> witnesses) {
+    core::BackendAddress backend;
+    backend.endpoint = suspect.endpoint();
+    prober.probe(backend, std::move(witnesses));
+    context.run();
+    return result.value_or(ProbeResult::kUnproven);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(BackendProberTest, ProberFixture)
+
+BOOST_AUTO_TEST_CASE(one_that_listens_is_connected_to) {
+  BOOST_TEST((probe({witness.endpoint()}) == ProbeResult::kConnected));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_stopped_listening_refuses) {
+  const core::Endpoint gone = suspect.endpoint();
+  suspect.acceptor.close();
+  core::BackendAddress backend;
+  backend.endpoint = gone;
+  prober.probe(backend, {});
+  context.run();
+  BOOST_TEST((result == ProbeResult::kRefused));
+}
+
+BOOST_AUTO_TEST_CASE(one_that_is_silent_beside_a_witness_that_answers_is_dead) {
+  suspect.fill(context);
+  witness.acceptor.listen();
+  BOOST_TEST((probe({witness.endpoint()}) == ProbeResult::kTimedOut));
+}
+
+BOOST_AUTO_TEST_CASE(where_the_witness_is_silent_too_nothing_is_proven) {
+  suspect.fill(context);
+  witness.fill(context);
+  BOOST_TEST((probe({witness.endpoint()}) == ProbeResult::kUnproven));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
