Let operators leave flows of dead back ends to their callers

reset_dead_flows = 0 keeps a proof of death to new flows, for the case that one is found wrong. What the proof rests on is written down in docs/design/011.

--- a/src/core/proof/death_trial.cc
+++ b/src/core/proof/death_trial.cc
@@ -4,7 +4,7 @@
 
 namespace cobaltgauge::core {
 
-const char* toString(ProbeResult result)
+const char* ToString(ProbeResult result)
 {
   switch (result) {
     case ProbeResult::kConnected:
--- a/src/core/proof/death_trial.h
+++ b/src/core/proof/death_trial.h
@@ -24,7 +24,7 @@
              ///< kept.
 };
 
-const char* toString(ProbeResult result);
+const char* ToString(ProbeResult result);
 
 /// How one connection of a trial ended.
 enum class ConnectOutcome : std::uint8_t
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -51,7 +51,7 @@
     resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
     return refuse(RefuseReason::kBackendEnded, RefusalCertainty::kOutcomeUnknown);
   }
-  if (health_.isDead(backend->id)) {
+  if (options_.resetDeadFlows && health_.isDead(backend->id)) {
     return refuse(RefuseReason::kBackendDead, RefusalCertainty::kOutcomeUnknown);
   }
   noteSigns(packet, *backend, now);
@@ -188,7 +188,9 @@
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
     }
-    resetFlowsOf(backend, RefuseReason::kBackendDead);
+    if (options_.resetDeadFlows) {
+      resetFlowsOf(backend, RefuseReason::kBackendDead);
+    }
   }
 }
 
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -37,6 +37,7 @@
   Duration flowIdleTimeout = std::chrono::seconds(15);
   Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
   std::uint64_t daemon = 0;                         ///< Tells daemons apart.
+  bool resetDeadFlows = true;  ///< Else a proof of death steers new flows only.
   /// An address of this daemon; tokens hold addresses that lie near it. None: tokens are hashes.
   std::optional<IpAddress> home;
 };
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -56,6 +56,7 @@
   std::chrono::milliseconds applyWithin{3000};
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
+  bool resetDeadFlows = true;
   core::Endpoint readinessListen;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -197,6 +197,9 @@
       numberField("steering", "evacuate_within_ms",
                   "Time after which a zone that is taken out must get no new flow (token)",
                   &Settings::evacuateWithin, 500, 600'000));
+  fields.push_back(numberField("steering", "reset_dead_flows",
+                               "1: open flows of a back end that is proven dead are reset (token)",
+                               &Settings::resetDeadFlows, 0, 1));
   fields.push_back(field(
       "steering", "policy_file", "Policy program that weighs back ends for new flows (token)",
       "the path of a Lua file; empty: all alike", [](Settings& settings, const std::string& text) {
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -41,6 +41,7 @@
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
   options.flowEntries = settings.flowTableEntries;
   options.longestFlow = settings.longestFlow;
+  options.resetDeadFlows = settings.resetDeadFlows;
   options.daemon = static_cast<std::uint64_t>(core::memberIdOf(settings.name));
   if (settings.tokenForm == TokenForm::kAddress) {
     options.home = settings.dataListen.address;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -98,7 +98,7 @@
   logEvent(LogLevel::kInfo, "backend_probed",
            {{"backend", hex(backend.id)},
             {"address", net::formatEndpoint(backend.endpoint)},
-            {"result", toString(result)}});
+            {"result", core::ToString(result)}});
 }
 
 void logViewChange(const core::ViewChange& change, core::Duration viewAge) {
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -100,6 +100,25 @@
   BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_told_to_leave_flows_alone_steers_new_ones_only) {
+  core::TokenSteeringOptions options;
+  options.resetDeadFlows = false;
+  core::TokenSteering careful(options, weights, random);
+  careful.routes().offer(makeRoutes(1, {{1, "web"}}), now);
+  careful.backends().put(keyOf(1), makeRegistration(1, "web", 1, 1), 1, now);
+  careful.backends().put(keyOf(2), makeRegistration(2, "web", 1, 2), 2, now);
+  careful.setViewState(true, true);
+  const BackendId silent = backendOf(careful.onPacket(packet(1, core::PacketKind::kOpening), now));
+  now += core::kAnswerPatience + 1ms;
+  BOOST_REQUIRE(careful.takeProbes(now).size() == 1U);
+  careful.onProbe(silent, ProbeResult::kTimedOut, now);
+  BOOST_TEST(careful.takeResets().empty());
+  core::PacketSummary open = packet(1, core::PacketKind::kContinuing);
+  open.token = core::HashTokenOf(silent);
+  BOOST_TEST((backendOf(careful.onPacket(open, now)) == silent));
+  BOOST_TEST((backendOf(careful.onPacket(packet(2, core::PacketKind::kOpening), now)) != silent));
+}
+
 BOOST_AUTO_TEST_CASE(packets_pass_again_after_a_suspension_of_this_daemon) {
   const BackendId backend = openAndAnswer(1);
   send(1, backend, 1, 100);
