--- a/src/core/domains/serving_readiness.cc
+++ b/src/core/domains/serving_readiness.cc
@@ -107,7 +107,7 @@
   if (result == ProbeResult::kConnected) {
     this->Change(true, ServingReason::kConnected, now);
     this->Forget();
-  } else if (result == ProbeResult::kTimedOut &&
+  } else if (result != ProbeResult::kRefused &&
              this->TimedOut.size() < kMostUnansweredKept) {
     this->TimedOut.insert(backend);
     this->Judge(now);
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -7,6 +7,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/proof/witnesses.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -55,7 +56,7 @@
     resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
     return refuse(RefuseReason::kBackendEnded, RefusalCertainty::kOutcomeUnknown);
   }
-  if (health_.isDead(backend->id)) {
+  if (options_.resetDeadFlows && health_.isDead(backend->id)) {
     return refuse(RefuseReason::kBackendDead, RefusalCertainty::kOutcomeUnknown);
   }
   noteSigns(packet, *backend, now);
@@ -203,6 +204,10 @@
   return probes;
 }
 
+std::vector<Endpoint> TokenSteering::witnessesFor(BackendId suspect, Time now) {
+  return ChooseWitnesses(suspect, health_, backends_, random_, now);
+}
+
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
   onGroupProbe(backend, result, now);
   if (!serving_.IsServing() && result != ProbeResult::kConnected) {
@@ -213,7 +218,9 @@
     if (outliers_ != nullptr) {
       outliers_->OnLate(backend);
     }
-    resetFlowsOf(backend, RefuseReason::kBackendDead);
+    if (options_.resetDeadFlows) {
+      resetFlowsOf(backend, RefuseReason::kBackendDead);
+    }
   }
 }
 
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -43,6 +43,7 @@
   Duration flowIdleTimeout = std::chrono::seconds(15);
   Duration longestFlow = std::chrono::seconds(60);  ///< No flow gets older.
   std::uint64_t daemon = 0;                         ///< Tells daemons apart.
+  bool resetDeadFlows = true;  ///< Else a proof of death steers new flows only.
   /// An address of this daemon; tokens hold addresses that lie near it. None: tokens are hashes.
   std::optional<IpAddress> home;
 };
@@ -116,6 +117,8 @@
   const SilentGroups& silentGroups() const { return silentGroups_; }
   ServingReadiness& serving() { return serving_; }
   const ServingReadiness& serving() const { return serving_; }
+  /// @return addresses to be connected to beside a back end that is probed.
+  std::vector<Endpoint> witnessesFor(BackendId suspect, Time now);
   /// Told of answers and of late ones, and asked which back ends come last. Outlives the steering;
   /// null for none.
   void setOutliers(OutlierDetector* outliers) {
--- a/src/daemon/backend_prober.h
+++ b/src/daemon/backend_prober.h
@@ -1,12 +1,14 @@
 /// @file
-/// Probes back ends by opening a connection and closing it again, on the daemon's event loop.
+/// Probes back ends by opening connections and closing them again, on the daemon's event loop.
 #pragma once
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <memory>
+#include <vector>
 
-#include "core/backend_health.h"
 #include "core/configuration.h"
+#include "core/proof/death_trial.h"
 
 namespace cobaltgauge::daemon {
 
@@ -14,18 +16,24 @@
  public:
   using Handler = std::function<void(const core::BackendAddress&, core::ProbeResult)>;
 
-  /// @param patience how long a probe waits for a connection.
-  BackendProber(asio::io_context& context, core::Duration patience, Handler handler)
-      : context_(context), patience_(patience), handler_(std::move(handler)) {}
+  BackendProber(asio::io_context& context, Handler handler)
+      : context_(context), handler_(std::move(handler)) {}
 
   /// Starts a probe; the handler is called once with its result.
-  void probe(const core::BackendAddress& backend);
+  /// @param witnesses are connected to beside a back end that does not answer at once.
+  void probe(const core::BackendAddress& backend, std::vector<core::Endpoint> witnesses);
 
  private:
-  struct Attempt;
+  struct Trial;
+  using ConnectHandler = std::function<void(core::ConnectOutcome)>;
+
+  void takeStep(const std::shared_ptr<Trial>& trial);
+  void connect(const std::shared_ptr<Trial>& trial, const core::Endpoint& endpoint,
+               ConnectHandler handler);
+  /// Tells the result and ends the trial, once there is one.
+  void finishIfDone(const std::shared_ptr<Trial>& trial);
 
   asio::io_context& context_;
-  core::Duration patience_;
   Handler handler_;
 };
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -57,6 +57,7 @@
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
   bool loadReports = true;  ///< Daemons tell each other of the load they see.
+  bool resetDeadFlows = true;  ///< Of back ends that are proven dead.
   core::Endpoint readinessListen;
   bool silentGroups = true;  ///< Back ends of a zone that are gone together come last together.
   bool requireReach = true;  ///< Ready only where some back end is reached.
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -42,6 +42,7 @@
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
   options.flowEntries = settings.flowTableEntries;
   options.longestFlow = settings.longestFlow;
+  options.resetDeadFlows = settings.resetDeadFlows;
   options.daemon = static_cast<std::uint64_t>(core::memberIdOf(settings.name));
   if (settings.tokenForm == TokenForm::kAddress) {
     options.home = settings.dataListen.address;
@@ -67,7 +68,7 @@
       peers_(context_, settings_, {steering_, updater_, reader_, changes_}, random_,
              [this](core::Time now, bool changed) { onPeers(now, changed); }),
       packets_(context_, *formats_.packets, steering_),
-      prober_(context_, core::kProbeTimeout,
+      prober_(context_,
               [this](const core::BackendAddress& backend, core::ProbeResult result) {
                 onProbe(backend, result);
               }),
@@ -76,7 +77,7 @@
                      steering_.onReachProbe(backend.id, result, bootTime());
                      carryOutDomains(bootTime());
                    }),
-      groupProber_(context_, core::kProbeTimeout,
+      groupProber_(context_, core::kGroupPatience,
                    [this](const core::BackendAddress& backend, core::ProbeResult result) {
                      steering_.onGroupProbe(backend.id, result, bootTime());
                      carryOutDomains(bootTime());
@@ -241,7 +242,7 @@
 
 void TokenDaemon::carryOutHealth(core::Time now) {
   for (const core::BackendAddress& backend : steering_.takeProbes(now)) {
-    prober_.probe(backend);
+    prober_.probe(backend, steering_.witnessesFor(backend.id, now));
   }
   for (const core::FlowReset& reset : steering_.takeResets()) {
     packets_.refuse(reset.flow, reset.acknowledgement);
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -14,6 +14,7 @@
 #include "core/token_steering.h"
 #include "core/view_updater.h"
 #include "daemon/backend_prober.h"
+#include "daemon/connect_prober.h"
 #include "daemon/packet_port.h"
 #include "daemon/peers/peer_link.h"
 #include "daemon/policy_weights.h"
@@ -83,8 +84,8 @@
   LatencyHistograms latencies_;
   PacketPort packets_;
   BackendProber prober_;
-  BackendProber reachProber_;
-  BackendProber groupProber_;
+  ConnectProber reachProber_;
+  ConnectProber groupProber_;
   std::unique_ptr<StoreLink> store_;
   net::HttpServer readiness_;
   net::HttpServer admin_;
--- a/tests/core/token_steering_test.cc
+++ b/tests/core/token_steering_test.cc
@@ -89,6 +89,49 @@
   BOOST_TEST((refusalOf(send(2, backend, 7, 10)) == RefuseReason::kBackendDead));
 }
 
+BOOST_AUTO_TEST_CASE(flows_stay_where_a_probe_proves_nothing) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 200ms;
+  send(1, backend, 1, 100);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kUnproven, now);
+  BOOST_TEST(steering.takeResets().empty());
+  BOOST_TEST((backendOf(send(1, backend, 1, 100)) == backend));
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_told_to_leave_flows_alone_steers_new_ones_only) {
+  core::TokenSteeringOptions options;
+  options.resetDeadFlows = false;
+  core::TokenSteering careful(options, weights, random);
+  careful.routes().offer(makeRoutes(1, {{1, "web"}}), now);
+  careful.backends().put(keyOf(1), makeRegistration(1, "web", 1, 1), 1, now);
+  careful.backends().put(keyOf(2), makeRegistration(2, "web", 1, 2), 2, now);
+  careful.setViewState(true, true);
+  const BackendId silent = backendOf(careful.onPacket(packet(1, core::PacketKind::kOpening), now));
+  now += core::kAnswerPatience + 1ms;
+  BOOST_REQUIRE(careful.takeProbes(now).size() == 1U);
+  careful.onProbe(silent, ProbeResult::kTimedOut, now);
+  BOOST_TEST(careful.takeResets().empty());
+  core::PacketSummary open = packet(1, core::PacketKind::kContinuing);
+  open.token = core::HashTokenOf(silent);
+  BOOST_TEST((backendOf(careful.onPacket(open, now)) == silent));
+  BOOST_TEST((backendOf(careful.onPacket(packet(2, core::PacketKind::kOpening), now)) != silent));
+}
+
+BOOST_AUTO_TEST_CASE(packets_pass_again_after_a_suspension_of_this_daemon) {
+  const BackendId backend = openAndAnswer(1);
+  send(1, backend, 1, 100);
+  now += 200ms;
+  send(1, backend, 1, 100);
+  BOOST_REQUIRE(steering.takeProbes(now).size() == 1U);
+  steering.onProbe(backend, ProbeResult::kTimedOut, now);
+  BOOST_TEST((refusalOf(send(2, backend, 7, 10)) == RefuseReason::kBackendDead));
+  now += 5s;
+  steering.onResume();
+  BOOST_TEST((backendOf(send(2, backend, 7, 10)) == backend));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_back_end_that_takes_connections_keeps_its_flows) {
   const BackendId backend = openAndAnswer(1);
   send(1, backend, 1, 100);
