Refuse openings of the lowest rank first while back ends are full

Full back ends rejected four in ten arrivals and took requests of all ranks alike: a route's priority was read and decided nothing, and each rejection cost its caller one of three tries.

RankAdmission counts, for each service, what was wanted, let in, served and rejected in the last 0.4 to 2 s, and limits openings to what was served and some headroom. A token bucket gives them out; each lower rank leaves more of it untouched, and a least share is kept for the lower ones. Refusals are "not run" and only for openings of which no copy was sent on. A limit begins only where rejections are spread over back ends as chance would, and the fleet's figures, where they are known, tell of no idle slot and of rejections; idle slots or five calm steps end it.

Settings admission.order and admission.least_share, metrics by service and rank, one line where a limit begins, changes by much or ends. Nothing tells it of results yet: that is part of core/load.

--- /dev/null
+++ b/src/core/admission/opening_counts.h
@@ -0,0 +1,85 @@
+/// @file
+/// Openings of one service in the last two seconds, and what became of them.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <vector>
+
+#include "core/load/load_figures.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+/// Counts of a span of time that ends now.
+struct OpeningFigures
+{
+  double Seconds = 0;
+  std::map<std::uint32_t, double> Wanted; ///< By rank.
+  std::uint32_t Served = 0;
+  std::uint32_t Rejected = 0; ///< Turned away or reset.
+  double Unheard = 1;         ///< Openings for each result, of all steps.
+
+  std::uint32_t CountResults() const { return this->Served + this->Rejected; }
+  double CountWanted() const;
+  /// Get the rejected among the results, 0 to 1.
+  double GetRejectedShare() const;
+  /// Get how many were served, also where results are lost.
+  double EstimateServed() const { return this->Served * this->Unheard; }
+};
+
+/// How rejections spread over back ends.
+struct RejectionSpread
+{
+  std::uint32_t Rejections = 0;
+  std::uint32_t Backends = 0; ///< That rejected.
+  double Expected = 0;        ///< Of them, if chance alone chose.
+
+  /// Tell whether a few sick back ends would show.
+  bool IsTelling() const;
+  bool IsEven() const;
+};
+
+/** \class OpeningCounts
+ * \brief Count by steps, so that old ones fade.
+ */
+class OpeningCounts
+{
+public:
+  /// \param part of the opening that is this service's, above 0 to 1; routes
+  /// with several services split their openings.
+  void OnWanted(std::uint32_t rank, double part, Time now);
+  void OnLetIn(double part, Time now);
+  void OnResult(const OpeningResult& result, Time now);
+
+  /// Forget what is older than kAdmissionSteps.
+  void Expire(Time now);
+
+  /// Get the counts of the last steps: at least so many, and as many as give
+  /// kEnoughResults.
+  OpeningFigures GetFigures(std::size_t fewestSteps, Time now) const;
+
+  /// Compare the back ends that rejected with what chance would give.
+  RejectionSpread GetSpread() const;
+
+private:
+  struct Result
+  {
+    BackendId Backend = kNoBackend;
+    bool Rejected = false;
+  };
+  struct Step
+  {
+    std::int64_t Number = 0;
+    std::map<std::uint32_t, double> Wanted;
+    double LetIn = 0;
+    std::vector<Result> Results;
+  };
+
+  Step& GetStep(Time now);
+
+  std::deque<Step> Steps; ///< Oldest first; steps without openings are absent.
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -51,6 +51,9 @@
 
 Verdict TokenSteering::placeOpening(const PacketSummary& packet, RouteEntry& route,
                                     RouteReason reason, BackendId avoided, Time now) {
+  if (!mayOpen(packet, route.route, reason, now)) {
+    return refuse(RefuseReason::kNoRoom, RefusalCertainty::kNotRun);
+  }
   const PlacementChoice choice = chooser_.Choose(route, avoided, now);
   decision_.candidates = choice.Candidates;
   decision_.slowCandidates = choice.SlowCandidates;
@@ -75,6 +78,13 @@
   return forward(*backends_.find(choice.Id), reason);
 }
 
+bool TokenSteering::mayOpen(const PacketSummary& packet, const Route& route, RouteReason reason,
+                            Time now) {
+  // A later copy may follow one that another daemon sent on. A stale view may lack back ends.
+  const bool isFirst = packet.openingCopy == 0 && reason == RouteReason::kPlaced;
+  return admission_ == nullptr || !isFirst || admission_->Admit(route, now) || !viewCurrent_;
+}
+
 Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
                                       RouteReason reason, Time now) {
   if (!viewCurrent_) {
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -218,6 +218,9 @@
   pacer_.expire(now);
   warmUps_.Expire(now);
   answerTimes_.Expire(now);
+  if (admission_ != nullptr) {
+    admission_->Expire(now);
+  }
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/admission/rank_admission.h"
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
@@ -106,6 +107,10 @@
   /// Adds a reason to put back ends last for new flows; outlives the steering.
   void addDemotion(Demotion& demotion) { chooser_.AddDemotion(demotion); }
 
+  /// Asked which openings are refused while back ends are full. Outlives the steering; null for
+  /// none.
+  void setAdmission(RankAdmission* admission) { admission_ = admission; }
+
   /// @return the port of the back ends where it was found out since the last call: packets with
   /// unknown tokens may be decided again.
   std::optional<std::uint16_t> takeFoundPort();
@@ -135,6 +140,8 @@
   /// @return what an opening gets where no back end of its route takes flows.
   Verdict withoutBackend(const PacketSummary& packet, const Route& route, RouteReason reason,
                          Time now);
+  /// @return false for an opening that is to be refused, of which no copy was ever sent on.
+  bool mayOpen(const PacketSummary& packet, const Route& route, RouteReason reason, Time now);
   /// @return true where operators have taken out zones of the route's back ends.
   bool isEvacuated(const Route& route) const;
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
@@ -162,6 +169,7 @@
   VerdictCounters counters_;
   OpeningDecision decision_;
   OutlierDetector* outliers_ = nullptr;
+  RankAdmission* admission_ = nullptr;
   AnswerDeadlines deadlines_;
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -96,6 +96,8 @@
       return "backend_ended";
     case RefuseReason::kEvacuated:
       return "evacuated";
+    case RefuseReason::kNoRoom:
+      return "no_room";
     case RefuseReason::kWarmingUp:
       return "warming_up";
     case RefuseReason::kBackendDead:
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -54,8 +54,9 @@
   kBackendDead,   ///< The flow's back end was silent and failed a probe.
   kEvacuated,     ///< Every back end's zone was taken out by operators.
   kWarmingUp,     ///< Every back end is cold and was given what it bears.
+  kNoRoom,        ///< The back ends are full, and openings of higher rank go first.
 };
-inline constexpr std::size_t kRefuseReasons = 10;
+inline constexpr std::size_t kRefuseReasons = 11;
 
 /// Whether a refused request can have been executed.
 enum class RefusalCertainty : std::uint8_t {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/admission/rank_admission.h"
 #include "core/types.h"
 
 namespace cobaltgauge::daemon {
@@ -57,6 +58,7 @@
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
   core::Endpoint readinessListen;
+  core::RankAdmissionOptions admission;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -17,6 +17,8 @@
 constexpr std::uint64_t kMaxVni = (1U << 24U) - 1;
 constexpr std::uint64_t kMaxFlowEntries = 1U << 26U;
 constexpr std::uint64_t kMaxRate = 10'000'000;
+/// With more, lower ranks would no longer come after the higher ones.
+constexpr double kMostLeastShare = 0.5;
 
 SettingField field(const char* section, const char* key, const char* documentation,
                    std::string allowed, Assign assign, bool required = false) {
@@ -27,7 +29,8 @@
 bool isReloadable(const std::string& flag) {
   return flag == "log-level" || flag == "steering-stop-grace-ms" ||
          flag == "steering-policy-file" || flag == "daemon-regions-of-zones" ||
-         flag == "platform-address" || flag == "cluster-seeds";
+         flag == "platform-address" || flag == "cluster-seeds" || flag == "admission-order" ||
+         flag == "admission-least-share";
 }
 
 bool isName(const std::string& text) {
@@ -140,6 +143,19 @@
   return text == "hash" || text == "address";
 }
 
+bool assignAdmissionOrder(Settings& settings, const std::string& text) {
+  settings.admission.Enabled = text == "rank";
+  return text == "rank" || text == "off";
+}
+
+bool assignLeastShare(Settings& settings, const std::string& text) {
+  double share = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, share, std::chars_format::fixed);
+  settings.admission.LeastShare = share;
+  return error == std::errc{} && stop == end && share >= 0 && share <= kMostLeastShare;
+}
+
 bool assignKey(Settings& settings, const std::string& text) {
   settings.clusterKey = text;
   return text.size() >= kMinKeyBytes && text.size() <= kMaxKeyBytes;
@@ -203,6 +219,15 @@
         settings.policyFile = text;
         return true;
       }));
+  fields.push_back(field("admission", "order",
+                         "Which openings are refused while back ends are full: those of the lowest "
+                         "rank first, or none (token)",
+                         "rank or off", assignAdmissionOrder));
+  fields.push_back(
+      field("admission", "least_share",
+            "Share of what full back ends accept that is kept for the ranks below each "
+            "(token)",
+            "a number from 0 to 0.5", assignLeastShare));
   fields.push_back(endpointField("readiness", "listen",
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -4,6 +4,8 @@
 #include <toml++/toml.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <memory>
 #include <sstream>
 
@@ -32,7 +34,7 @@
                      [section](const SettingField& field) { return section == field.section; });
 }
 
-/// @return the value as text; only texts and whole numbers are settings.
+/// @return the value as text; only texts and numbers are settings.
 std::optional<std::string> valueText(const toml::node& node) {
   if (const auto text = node.value_exact<std::string>()) {
     return *text;
@@ -40,6 +42,11 @@
   if (const auto number = node.value_exact<std::int64_t>()) {
     return std::to_string(*number);
   }
+  if (const auto number = node.value_exact<double>()) {
+    std::array<char, 32> text{};
+    return std::string(text.data(),
+                       std::to_chars(text.data(), text.data() + text.size(), *number).ptr);
+  }
   return std::nullopt;
 }
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -55,6 +55,7 @@
       settingsWatch_(std::move(commandLine)),
       formats_(net::makeEdgeFormats()),
       weights_(settings_.zone),
+      admission_(settings_.admission),
       steering_(steeringOptions(settings_), weights_, random_),
       updater_(
           steering_.backends(), steering_.routes(),
@@ -102,6 +103,7 @@
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
+  steering_.setAdmission(&admission_);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -172,7 +174,8 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
   }
-  const TokenMetricSources sources{steering_, reader_, peers_, packets_, latencies_, isReady()};
+  const TokenMetricSources sources{steering_,  reader_,    peers_,   packets_,
+                                   latencies_, admission_, isReady()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -235,6 +238,9 @@
   steering_.onTick(now);
   peers_.OnTick(now);
   steering_.setFleet(peers_.GetRelay().CountFleet(now));
+  for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
+    logAdmission(change);
+  }
   carryOutHealth(now);
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
@@ -326,6 +332,7 @@
     return;
   }
   setLogLevel(settings_.logLevel);
+  admission_.SetOptions(settings_.admission);
   steering_.backends().setRegions(settings_.regionsOfZones);
   const bool policyTaken = loadPolicy();
   if (policyTaken) {
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -71,6 +71,7 @@
   SystemRandom random_;
   net::EdgeFormats formats_;
   PolicyWeights weights_;
+  core::RankAdmission admission_;
   core::TokenSteering steering_;
   core::ChangeLog changes_;
   core::ViewUpdater updater_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -7,6 +7,8 @@
 namespace cobaltgauge::daemon {
 namespace {
 
+constexpr double kMillisecondsPerSecond = 1000;
+
 std::string hex(core::BackendId id) {
   char text[17];
   std::snprintf(text, sizeof(text), "%llx",
@@ -14,6 +16,12 @@
   return text;
 }
 
+std::string fraction(double number) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", number);
+  return text;
+}
+
 std::string flowText(const core::FlowKey& flow) {
   return net::formatEndpoint(flow.source) + ">" + net::formatEndpoint(flow.destination);
 }
@@ -151,6 +159,22 @@
             {"revision", std::to_string(viewRevision)}});
 }
 
+void logAdmission(const core::AdmissionState& state) {
+  const core::OpeningFigures& inputs = state.Inputs;
+  logEvent(LogLevel::kWarning, state.IsLimited ? "openings_limited" : "openings_unlimited",
+           {{"service", state.Service},
+            {"let_in_share", fraction(state.Share)},
+            {"let_in_per_s", fraction(state.PerSecond)},
+            {"wanted", fraction(inputs.CountWanted())},
+            {"served", std::to_string(inputs.Served)},
+            {"rejected", std::to_string(inputs.Rejected)},
+            {"within_ms", fraction(inputs.Seconds * kMillisecondsPerSecond)},
+            {"rejecting_backends", std::to_string(state.Spread.Backends)},
+            {"expected_backends", fraction(state.Spread.Expected)},
+            {"room", ToString(state.Room)},
+            {"probe", fraction(state.Probe)}});
+}
+
 void logOutlier(core::BackendId backend, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "outlier_found",
            {{"backend", hex(backend)},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -27,6 +27,9 @@
 void logStoreRead(const core::StoreRead& read, const core::StoreReply& reply,
                   core::Duration latency, core::Revision viewRevision);
 
+/// Logs that a service's limit began, changed by much or ended, and by what.
+void logAdmission(const core::AdmissionState& state);
+
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -17,6 +17,18 @@
 
 double seconds(core::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+std::vector<MetricSample> byRank(const core::RankAdmission& admission,
+                                 std::uint64_t core::RankCounters::*count) {
+  std::vector<MetricSample> samples;
+  for (const auto& [service, ranks] : admission.GetCounters()) {
+    for (const auto& [rank, counters] : ranks) {
+      samples.push_back(
+          {service + "/" + std::to_string(rank), static_cast<double>(counters.*count)});
+    }
+  }
+  return samples;
+}
+
 const std::vector<Definition>& definitions() {
   static const std::vector<Definition> kDefinitions{
       {"cobaltgauge_packets_received_total", "Datagrams that arrived at the data socket", nullptr,
@@ -116,6 +128,23 @@
       {"cobaltgauge_outliers_found_total", "Outliers found by this daemon", nullptr,
        MetricType::Counter,
        [](const Sources& s) { return single(s.peers.GetOutliers().GetCounters().Found); }},
+      {"cobaltgauge_openings_wanted_total", "Openings that were to be placed, by service and rank",
+       "service_rank", MetricType::Counter,
+       [](const Sources& s) { return byRank(s.admission, &core::RankCounters::Wanted); }},
+      {"cobaltgauge_openings_no_room_total",
+       "Of those, refused since back ends are full, by service and rank", "service_rank",
+       MetricType::Counter,
+       [](const Sources& s) { return byRank(s.admission, &core::RankCounters::Refused); }},
+      {"cobaltgauge_openings_limit_per_second",
+       "Openings that are let in while back ends are full; 0: no limit", "service",
+       MetricType::Gauge,
+       [](const Sources& s) {
+         std::vector<MetricSample> samples;
+         for (const core::AdmissionState& state : s.admission.GetStates()) {
+           samples.push_back({state.Service, state.PerSecond});
+         }
+         return samples;
+       }},
       {"cobaltgauge_zones_evacuated", "Zones whose back ends get no new flow", nullptr,
        MetricType::Gauge,
        [](const Sources& s) {
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -41,6 +41,7 @@
   const PeerLink& peers;
   const PacketPort& packets;
   const LatencyHistograms& latencies;
+  const core::RankAdmission& admission;
   bool ready = false;
 };
 
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -135,6 +135,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AdmissionIsReadAndChecked) {
+  const Outcome outcome =
+      load(std::string(kValid) + "[admission]\norder = \"off\"\nleast_share = 0.2\n");
+  BOOST_REQUIRE(outcome.settings.has_value());
+  BOOST_TEST(!outcome.settings->admission.Enabled);
+  BOOST_TEST(outcome.settings->admission.LeastShare == 0.2);
+  for (const char* wrong : {"0.6", "-0.1", "nan", "5%", ""}) {
+    const Outcome refused =
+        load(kValid, {(std::string("--admission-least-share=") + wrong).c_str()});
+    BOOST_TEST(!refused.settings.has_value());
+    BOOST_TEST(refused.reason.find("admission") != std::string::npos);
+    BOOST_TEST(refused.reason.find("a number from 0 to 0.5") != std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MissingFieldIsNamed) {
   BOOST_TEST(load("[daemon]\nname = \"x\"\n").reason ==
              "data.listen: missing; set it in the file or by --data-listen (ADDRESS:PORT or "
