--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -33,6 +33,7 @@
     // The flow is open. A second back end that answered would take its later packets.
     return Drop{DropReason::kStaleOpening};
   }
+  outcomes_.OnCopy(known->fingerprint, now);
   const bool takesFlows = backends_.takesNewFlows(known->backend) ||
                           backends_.hasVanishedSince(known->backend, now - kVanishedFallback);
   if (health_.isSuspected(known->backend, now) || !takesFlows) {
@@ -70,12 +71,17 @@
   decision_.backend = choice.Id;
   decision_.openFlows = flows_.openOn(choice.Id);
   flows_.put(flow, now);
+  const BackendAddress& backend = *backends_.find(choice.Id);
+  outcomes_.OnOpening(flow.fingerprint,
+                      {route.route.endpoint, backend.id, backend.service, backend.zone,
+                       route.route.priority},
+                      now);
   health_.onOpening(choice.Id, now);
   pacer_.onOpening(choice.Id, choice.Capacity, now);
   if (choice.Cold) {
     warmUps_.OnOpening(choice.Id, now);
   }
-  return forward(*backends_.find(choice.Id), reason);
+  return forward(backend, reason);
 }
 
 bool TokenSteering::mayOpen(const PacketSummary& packet, const Route& route, RouteReason reason,
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -19,6 +19,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
 #include "core/outlier/answer_times.h"
@@ -111,6 +112,9 @@
   /// none.
   void setAdmission(RankAdmission* admission) { admission_ = admission; }
 
+  /// Told of the end of each opening that was placed here. Outlives the steering.
+  void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
+
   /// @return the port of the back ends where it was found out since the last call: packets with
   /// unknown tokens may be decided again.
   std::optional<std::uint16_t> takeFoundPort();
@@ -126,6 +130,7 @@
   const VerdictCounters& counters() const { return counters_; }
   const TokenFlows& flows() const { return flows_; }
   const BackendHealth& health() const { return health_; }
+  const OpeningOutcomes& outcomes() const { return outcomes_; }
   /// @return how the last opening was decided.
   const OpeningDecision& lastDecision() const { return decision_; }
 
@@ -171,6 +176,7 @@
   OutlierDetector* outliers_ = nullptr;
   RankAdmission* admission_ = nullptr;
   AnswerDeadlines deadlines_;
+  OpeningOutcomes outcomes_;
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
   OutlierDemotion outlierDemotion_;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -104,6 +104,7 @@
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
   steering_.setAdmission(&admission_);
+  steering_.addOpeningListener(&admission_);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
