--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -15,8 +15,9 @@
 inline constexpr std::size_t kAdmissionSteps = 20;
 /// Steps that are looked at least: results come two steps after openings.
 inline constexpr std::size_t kFewestSteps = 4;
-/// The same for what is the case now.
+/// The same for what is the case now, and the results that it wants.
 inline constexpr std::size_t kRecentSteps = 2;
+inline constexpr std::uint32_t kRecentResults = 15;
 /// Results that a decision wants; it looks back no further than for them.
 inline constexpr std::uint32_t kEnoughResults = 40;
 /// With fewer results nobody is refused.
@@ -43,8 +44,8 @@
 /// finds room that has come, and costs about as many rejections.
 inline constexpr double kHeadroomOfWanted = 0.07;
 /// The same as a share of what is served, at most: a try then fails once in
-/// five times, and three tries once in a hundred.
-inline constexpr double kMostHeadroom = 0.25;
+/// seven times, and three tries once in 400.
+inline constexpr double kMostHeadroom = 0.15;
 /// With less than this part of the rejections that the headroom costs there
 /// is room that was not there before.
 inline constexpr double kCalmPart = 0.3;
@@ -67,12 +68,16 @@
 /// half of what a daemon has to see itself, since the fleet's figures have
 /// more samples.
 inline constexpr double kFleetRejects = kFullFrom / 2;
-/// Rejections by fewer back ends than this share of what chance would give
-/// are those of a few sick ones.
-inline constexpr double kEvenSpread = 0.6;
-/// Back ends that chance makes reject, for each rejection, above which too
-/// few reject twice to tell a sick few from all.
-inline constexpr double kTellingSpread = 0.65;
+/// Part of the expected rejections by back ends that serve as well, from which
+/// they are full, and below which they are sick.
+inline constexpr double kFullPart = 0.5;
+inline constexpr double kSickPart = 0.25;
+/// Expected rejections of that kind from which they tell of full ones, where
+/// chance gives none once in 50 times, and of sick ones, which ends a limit.
+inline constexpr double kTellingFull = 4;
+inline constexpr double kTellingSick = 12;
+/// Steps in which a full queue of a back end is served.
+inline constexpr std::int64_t kStepsOfQueue = 2;
 
 /// A change of the share that is let in by as much is told.
 inline constexpr double kToldChange = 0.25;
--- a/src/core/admission/opening_counts.cc
+++ b/src/core/admission/opening_counts.cc
@@ -31,14 +31,16 @@
   return this->Rejected / results;
 }
 
-bool RejectionSpread::IsTelling() const
+bool RejectionSpread::ShowsFull() const
 {
-  return this->Expected <= kTellingSpread * this->Rejections;
+  return this->Expected >= kTellingFull &&
+    this->OfServing >= kFullPart * this->Expected;
 }
 
-bool RejectionSpread::IsEven() const
+bool RejectionSpread::ShowsSick() const
 {
-  return this->Backends >= kEvenSpread * this->Expected;
+  return this->Expected >= kTellingSick &&
+    this->OfServing < kSickPart * this->Expected;
 }
 
 void OpeningCounts::OnWanted(std::uint32_t rank, double part, Time now)
@@ -69,6 +71,7 @@
 }
 
 OpeningFigures OpeningCounts::GetFigures(std::size_t fewestSteps,
+                                         std::uint32_t enoughResults,
                                          Time now) const
 {
   OpeningFigures figures;
@@ -76,7 +79,7 @@
   for (auto step = this->Steps.rbegin(); step != this->Steps.rend(); ++step) {
     const bool isRecent =
       NumberOf(now) - step->Number < static_cast<std::int64_t>(fewestSteps);
-    if (!isRecent && figures.CountResults() >= kEnoughResults) {
+    if (!isRecent && figures.CountResults() >= enoughResults) {
       break;
     }
     first = step->Number;
@@ -104,8 +107,10 @@
 {
   struct Tally
   {
-    std::uint32_t Results = 0;
     std::uint32_t Rejected = 0;
+    std::int64_t FirstRejected = 0;
+    std::uint32_t Later = 0; ///< Results that came well after that.
+    bool Serves = false;     ///< One of them.
   };
   std::unordered_map<BackendId, Tally> tallies;
   std::uint32_t results = 0;
@@ -113,16 +118,25 @@
   for (const Step& step : this->Steps) {
     for (const Result& result : step.Results) {
       Tally& tally = tallies[result.Backend];
-      ++tally.Results;
       ++results;
-      tally.Rejected += result.Rejected ? 1U : 0U;
-      spread.Rejections += result.Rejected ? 1U : 0U;
+      // What it took before its end may still be answered.
+      const bool isLater = tally.Rejected != 0 &&
+        step.Number - tally.FirstRejected >= kStepsOfQueue;
+      tally.Later += isLater ? 1U : 0U;
+      tally.Serves = tally.Serves || (isLater && !result.Rejected);
+      if (result.Rejected) {
+        tally.FirstRejected =
+          tally.Rejected == 0 ? step.Number : tally.FirstRejected;
+        ++tally.Rejected;
+        ++spread.Rejections;
+      }
     }
   }
-  const double served = 1.0 - spread.Rejections / std::max<double>(results, 1);
+  const double rejected = spread.Rejections / std::max<double>(results, 1);
   for (const auto& [backend, tally] : tallies) {
-    spread.Backends += tally.Rejected != 0 ? 1U : 0U;
-    spread.Expected += 1.0 - std::pow(served, tally.Results);
+    spread.OfServing += tally.Serves ? tally.Rejected : 0;
+    spread.Expected +=
+      tally.Rejected * (1.0 - std::pow(rejected, tally.Later));
   }
   return spread;
 }
--- a/src/core/admission/opening_counts.h
+++ b/src/core/admission/opening_counts.h
@@ -29,16 +29,16 @@
   double EstimateServed() const { return this->Served * this->Unheard; }
 };
 
-/// How rejections spread over back ends.
+/// Whether back ends that reject are full, or sick: a full one goes on to
+/// serve others.
 struct RejectionSpread
 {
   std::uint32_t Rejections = 0;
-  std::uint32_t Backends = 0; ///< That rejected.
-  double Expected = 0;        ///< Of them, if chance alone chose.
+  std::uint32_t OfServing = 0; ///< By back ends that served after one.
+  double Expected = 0;         ///< Of these, if all reject alike.
 
-  /// Tell whether a few sick back ends would show.
-  bool IsTelling() const;
-  bool IsEven() const;
+  bool ShowsFull() const;
+  bool ShowsSick() const;
 };
 
 /** \class OpeningCounts
@@ -56,11 +56,14 @@
   /// Forget what is older than kAdmissionSteps.
   void Expire(Time now);
 
-  /// Get the counts of the last steps: at least so many, and as many as give
-  /// kEnoughResults.
-  OpeningFigures GetFigures(std::size_t fewestSteps, Time now) const;
+  /// Get the counts of the last steps: at least so many steps, and as many
+  /// as give so many results.
+  OpeningFigures GetFigures(std::size_t fewestSteps,
+                            std::uint32_t enoughResults,
+                            Time now) const;
 
-  /// Compare the back ends that rejected with what chance would give.
+  /// Compare the back ends that rejected with what chance would give, over
+  /// all steps.
   RejectionSpread GetSpread() const;
 
 private:
--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -130,8 +130,8 @@
   service.NextUpdate = now + kAdmissionStep;
   AdmissionState& state = service.State;
   service.Counts.Expire(now);
-  state.Inputs = service.Counts.GetFigures(kFewestSteps, now);
-  state.Recent = service.Counts.GetFigures(kRecentSteps, now);
+  state.Inputs = service.Counts.GetFigures(kFewestSteps, kEnoughResults, now);
+  state.Recent = service.Counts.GetFigures(kRecentSteps, kRecentResults, now);
   if (!this->IsFull(id, service, now)) {
     Lift(service);
     return;
@@ -171,7 +171,7 @@
     return false;
   }
   const bool isKnown = state.IsLimited || state.Room == FleetRoom::kFull;
-  return state.Spread.IsTelling() ? state.Spread.IsEven() : isKnown;
+  return isKnown ? !state.Spread.ShowsSick() : state.Spread.ShowsFull();
 }
 
 FleetRoom RankAdmission::GetFleetRoom(ServiceId id, Time now) const
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -169,8 +169,8 @@
             {"served", std::to_string(inputs.Served)},
             {"rejected", std::to_string(inputs.Rejected)},
             {"within_ms", fraction(inputs.Seconds * kMillisecondsPerSecond)},
-            {"rejecting_backends", std::to_string(state.Spread.Backends)},
-            {"expected_backends", fraction(state.Spread.Expected)},
+            {"rejected_by_serving", std::to_string(state.Spread.OfServing)},
+            {"expected_of_these", fraction(state.Spread.Expected)},
             {"room", ToString(state.Room)},
             {"probe", fraction(state.Probe)}});
 }
