--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -17,7 +17,7 @@
 inline constexpr std::size_t kFewestSteps = 4;
 /// The same for what is the case now, and the results that it wants.
 inline constexpr std::size_t kRecentSteps = 2;
-inline constexpr std::uint32_t kRecentResults = 15;
+inline constexpr std::uint32_t kRecentResults = 30;
 /// Results that a decision wants; it looks back no further than for them.
 inline constexpr std::uint32_t kEnoughResults = 40;
 /// With fewer results nobody is refused.
