--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -19,6 +19,7 @@
 #include "core/backend_health.h"
 #include "core/backend_registry.h"
 #include "core/flow_steering.h"
+#include "core/load/load_meter.h"
 #include "core/load/opening_outcomes.h"
 #include "core/opening_pacer.h"
 #include "core/outlier/answer_deadlines.h"
@@ -112,6 +113,11 @@
   /// none.
   void setAdmission(RankAdmission* admission) { admission_ = admission; }
 
+  /// Told of requests, openings and their ends. Outlives the steering.
+  void setLoadMeter(LoadMeter* load) {
+    load_ = load;
+    addOpeningListener(load);
+  }
   /// Told of the end of each opening that was placed here. Outlives the steering.
   void addOpeningListener(OpeningListener* listener) { outcomes_.AddListener(listener); }
 
@@ -152,7 +158,11 @@
   void noteSigns(const PacketSummary& packet, const BackendAddress& backend, Time now);
   /// Notes that the back end of a flow answered. @param backend that of the flow.
   void noteAnswer(TokenFlow& flow, const BackendAddress& backend, Time now);
-  void noteData(const PacketSummary& packet, TokenFlow& flow, Time now);
+  /// @param backend that of the flow.
+  void noteData(const PacketSummary& packet, TokenFlow& flow, const BackendAddress& backend,
+                Time now);
+  /// Notes that nothing is in flight on a flow any more.
+  void noteGone(FlowFingerprint flow);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
@@ -177,6 +187,7 @@
   RankAdmission* admission_ = nullptr;
   AnswerDeadlines deadlines_;
   OpeningOutcomes outcomes_;
+  LoadMeter* load_ = nullptr;
   AnswerTimes answerTimes_;
   SuspectDemotion suspectDemotion_{health_};
   OutlierDemotion outlierDemotion_;
--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -35,7 +35,8 @@
 }
 
 /// @return the value as text; only texts and numbers are settings.
-std::optional<std::string> valueText(const toml::node& node) {
+/// @param takesSwitch true and false are values of the field.
+std::optional<std::string> valueText(const toml::node& node, bool takesSwitch) {
   if (const auto text = node.value_exact<std::string>()) {
     return *text;
   }
@@ -47,6 +48,10 @@
     return std::string(text.data(),
                        std::to_chars(text.data(), text.data() + text.size(), *number).ptr);
   }
+  const auto on = node.value_exact<bool>();
+  if (takesSwitch && on) {
+    return *on ? "true" : "false";
+  }
   return std::nullopt;
 }
 
@@ -169,7 +174,7 @@
              ": unknown field; see --help");
         return false;
       }
-      const std::optional<std::string> value = valueText(node);
+      const std::optional<std::string> value = valueText(node, field->isSwitch);
       if (!value || !field->assign(settings, *value)) {
         fail(position(path, node) + ": " + complaint(*field, value.value_or("another type")));
         return false;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -3,10 +3,13 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <set>
+#include <vector>
 
 #include "core/constants.h"
 #include "core/hashing.h"
 #include "daemon/clock.h"
+#include "daemon/load_page.h"
 #include "daemon/log.h"
 #include "daemon/token_log.h"
 #include "daemon/zone_page.h"
@@ -36,6 +39,15 @@
   return text;
 }
 
+/// @return the zones of the back ends of a service that take new flows.
+std::vector<core::ZoneId> zonesOf(core::BackendRegistry& backends, core::ServiceId service) {
+  std::set<core::ZoneId> zones;
+  for (const core::PlacementCandidate& candidate : backends.candidates(service)) {
+    zones.insert(candidate.zone);
+  }
+  return {zones.begin(), zones.end()};
+}
+
 core::TokenSteeringOptions steeringOptions(const Settings& settings) {
   core::TokenSteeringOptions options;
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
@@ -105,6 +117,10 @@
   steering_.setOutliers(&peers_.GetOutliers());
   steering_.setAdmission(&admission_);
   steering_.addOpeningListener(&admission_);
+  steering_.setLoadMeter(&peers_.GetLoadMeter());
+  admission_.SetRoom(&peers_.GetLoad(), [this](core::ServiceId service) {
+    return zonesOf(steering_.backends(), service);
+  });
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -172,11 +188,14 @@
     return {200, "application/json",
             zonePage(steering_.backends().evacuations(), reader_.revision())};
   }
+  if (path == "/load") {
+    return {200, "application/json", loadPage(peers_.GetLoad(), steering_.backends(), bootTime())};
+  }
   if (path != "/metrics") {
-    return {kNotFound, "text/plain", "only /metrics and /zones are here\n"};
+    return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
-  const TokenMetricSources sources{steering_,  reader_,    peers_,   packets_,
-                                   latencies_, admission_, isReady()};
+  const TokenMetricSources sources{steering_,  reader_,    peers_,    packets_,
+                                   latencies_, admission_, isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -340,6 +359,7 @@
     steering_.backends().reweigh();
   }
   peers_.SetSeeds(settings_);
+  peers_.SetLoadReports(settings_.loadReports);
   if (settings_.platform != storeBefore) {
     connectStore();
   }
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -43,6 +43,7 @@
   const LatencyHistograms& latencies;
   const core::RankAdmission& admission;
   bool ready = false;
+  core::Time now{};
 };
 
 /// @return all metrics as text.
