--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -60,6 +60,7 @@
   bool loadReports = true;  ///< Daemons tell each other of the load they see.
   core::Endpoint readinessListen;
   core::RankAdmissionOptions admission;
+  bool spill = true;       ///< Openings leave zones without room.
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -121,6 +121,10 @@
   admission_.SetRoom(&peers_.GetLoad(), [this](core::ServiceId service) {
     return zonesOf(steering_.backends(), service);
   });
+  steering_.addOpeningListener(&seenRoom_);
+  steering_.spill().AddSource(peers_.GetLoad());
+  steering_.spill().AddSource(seenRoom_);
+  steering_.spill().SetEnabled(settings_.spill);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -262,6 +266,9 @@
     logAdmission(change);
   }
   carryOutHealth(now);
+  for (const core::SpillChange& change : steering_.spill().TakeChanges()) {
+    logSpill(change, steering_.backends(), reader_.revision());
+  }
   if (now >= nextSettingsCheck_) {
     nextSettingsCheck_ = now + kSettingsCheckInterval;
     if (settingsWatch_.hasChanged()) {
@@ -358,6 +365,7 @@
   if (policyTaken) {
     steering_.backends().reweigh();
   }
+  steering_.spill().SetEnabled(settings_.spill);
   peers_.SetSeeds(settings_);
   peers_.SetLoadReports(settings_.loadReports);
   if (settings_.platform != storeBefore) {
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -38,5 +38,8 @@
 /// load it is.
 void logLoadCrossing(const core::LoadCrossing& crossing, const core::BackendRegistry& backends,
                      std::uint32_t daemons);
+/// Openings of a service begin or cease to leave a zone for want of room.
+void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
+              core::Revision viewRevision);
 
 }  // namespace cobaltgauge::daemon
