--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -42,18 +42,19 @@
 inline constexpr double kFullFrom = 0.1;
 /// What is let in beyond what is served, as a share of what is wanted: it
 /// finds room that has come, and costs about as many rejections.
-inline constexpr double kHeadroomOfWanted = 0.07;
+inline constexpr double kHeadroomOfWanted = 0.1;
 /// The same as a share of what is served, at most: a try then fails once in
 /// seven times, and three tries once in 400.
 inline constexpr double kMostHeadroom = 0.15;
 /// With less than this part of the rejections that the headroom costs there
 /// is room that was not there before.
 inline constexpr double kCalmPart = 0.3;
-/// Growth of the limit with the first step in which few are rejected; it
-/// doubles with each that follows, so that the limit ends after five.
+/// Growth of the limit with the first few results of which few are
+/// rejections; it doubles with each few that follow, at most so often.
 inline constexpr double kProbeGrowth = 0.05;
-/// A limit that has grown this far without rejections has ended.
-inline constexpr double kProbeEnds = 2.0;
+inline constexpr std::uint32_t kMostCalmSteps = 5;
+/// Results between two growths: in a step of a busy daemon.
+inline constexpr std::uint64_t kResultsPerGrowth = 8;
 
 /// Openings that wait unused for this long at most; a tenth of what a full
 /// queue of back ends holds comes unevenly.
@@ -64,9 +65,9 @@
 
 /// Requests in flight for each slot from which a zone has no idle slot.
 inline constexpr double kNoIdleSlot = 1.0;
-/// Rejected share of a zone's openings below which no limit begins there:
-/// half of what a daemon has to see itself, since the fleet's figures have
-/// more samples.
+/// Rejected share of every zone's openings, and of this daemon's, from which
+/// a limit begins: half of what a daemon has to see that knows no figures,
+/// since the fleet has more samples.
 inline constexpr double kFleetRejects = kFullFrom / 2;
 /// Part of the expected rejections by back ends that serve as well, from which
 /// they are full, and below which they are sick.
--- a/src/core/admission/opening_counts.cc
+++ b/src/core/admission/opening_counts.cc
@@ -56,6 +56,7 @@
 void OpeningCounts::OnResult(const OpeningResult& result, Time now)
 {
   if (result.Outcome != OpeningOutcome::kSilent) {
+    ++this->AllResults;
     const bool rejected = result.Outcome != OpeningOutcome::kServed;
     this->GetStep(now).Results.push_back({ result.Backend, rejected });
   }
--- a/src/core/admission/opening_counts.h
+++ b/src/core/admission/opening_counts.h
@@ -53,6 +53,9 @@
   void OnLetIn(double part, Time now);
   void OnResult(const OpeningResult& result, Time now);
 
+  /// Get how many results there were since the start.
+  std::uint64_t CountAllResults() const { return this->AllResults; }
+
   /// Forget what is older than kAdmissionSteps.
   void Expire(Time now);
 
@@ -82,6 +85,7 @@
 
   Step& GetStep(Time now);
 
+  std::uint64_t AllResults = 0;
   std::deque<Step> Steps; ///< Oldest first; steps without openings are absent.
 };
 
--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -141,37 +141,60 @@
   // A share of what is wanted draws daemons together that refuse unequally.
   const double headroom =
     std::min(kHeadroomOfWanted * wanted, kMostHeadroom * served);
-  const double expected = headroom / (served + headroom);
-  const bool isCalm = state.Recent.GetRejectedShare() < kCalmPart * expected;
-  service.CalmSteps = isCalm ? service.CalmSteps + 1 : 0;
-  state.Probe = isCalm ? state.Probe +
-      std::ldexp(kProbeGrowth, static_cast<int>(service.CalmSteps))
-                       : 1.0;
+  this->Probe(service, headroom / (served + headroom));
   const double budget = (served + headroom) * state.Probe;
-  if (budget >= wanted || state.Probe >= kProbeEnds) {
+  if (budget >= wanted) {
     Lift(service);
     return;
   }
   this->Limit(service, budget, now);
 }
 
+void RankAdmission::Probe(Service& service, double expected)
+{
+  AdmissionState& state = service.State;
+  const double share = state.Recent.GetRejectedShare();
+  if (!state.IsLimited || share >= kCalmPart * expected) {
+    state.Probe = 1;
+    service.CalmSteps = 0;
+    service.CountedAt = service.Counts.CountAllResults();
+    return;
+  }
+  // A growth shows in the results to come; no further one without them.
+  const std::uint64_t counted = service.Counts.CountAllResults();
+  if (counted - service.CountedAt >= kResultsPerGrowth) {
+    service.CountedAt = counted;
+    state.Probe +=
+      std::ldexp(kProbeGrowth, static_cast<int>(service.CalmSteps));
+    service.CalmSteps = std::min(service.CalmSteps + 1, kMostCalmSteps);
+  }
+}
+
 bool RankAdmission::IsFull(ServiceId id, Service& service, Time now) const
 {
   AdmissionState& state = service.State;
   const OpeningFigures& inputs = state.Inputs;
   const bool isTold =
     inputs.CountResults() >= kFewestResults && inputs.Served >= kFewestServed;
-  if (!isTold || (!state.IsLimited && !ShowFullness(state))) {
+  const bool isSuspect =
+    state.IsLimited || inputs.GetRejectedShare() > kFleetRejects;
+  if (!isTold || !isSuspect) {
     return false;
   }
   state.Room = this->GetFleetRoom(id, now);
   state.Spread = service.Counts.GetSpread();
-  if (state.Room == FleetRoom::kIdleSlots ||
-      (!state.IsLimited && state.Room == FleetRoom::kFewRejected)) {
-    return false;
+  switch (state.Room) {
+    case FleetRoom::kIdleSlots:
+      return false;
+    case FleetRoom::kFull:
+      return !state.Spread.ShowsSick();
+    case FleetRoom::kFewRejected:
+      return state.IsLimited && !state.Spread.ShowsSick();
+    case FleetRoom::kUnknown:
+      break;
   }
-  const bool isKnown = state.IsLimited || state.Room == FleetRoom::kFull;
-  return isKnown ? !state.Spread.ShowsSick() : state.Spread.ShowsFull();
+  return state.IsLimited ? !state.Spread.ShowsSick()
+                         : ShowFullness(state) && state.Spread.ShowsFull();
 }
 
 FleetRoom RankAdmission::GetFleetRoom(ServiceId id, Time now) const
--- a/src/core/admission/rank_admission.h
+++ b/src/core/admission/rank_admission.h
@@ -114,6 +114,7 @@
     std::set<std::uint32_t> Ranks; ///< That ever asked.
     RankedBucket Bucket;
     std::uint32_t CalmSteps = 0; ///< On end, with few rejections.
+    std::uint64_t CountedAt = 0; ///< Results when the limit last grew.
     Time NextUpdate{};
     Time LastAsked{};
     bool ToldLimited = false;
@@ -123,6 +124,9 @@
 
   /// Decide on the limit again, where a step has passed.
   void Update(ServiceId id, Service& service, Time now) const;
+  /// Let the limit grow while few are rejected.
+  /// \param expected rejected share that the headroom costs.
+  static void Probe(Service& service, double expected);
   /// Tell whether rejections show that the back ends are full.
   bool IsFull(ServiceId id, Service& service, Time now) const;
   FleetRoom GetFleetRoom(ServiceId id, Time now) const;
