--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -65,6 +65,9 @@
 
 /// Requests in flight for each slot from which a zone has no idle slot.
 inline constexpr double kNoIdleSlot = 1.0;
+/// The same below which a limit ends; lower, since figures are up to 2 s old
+/// and a limit itself lowers the use of the back ends.
+inline constexpr double kMuchRoomBelow = 0.7;
 /// Rejected share of every zone's openings, and of this daemon's, from which
 /// a limit begins: half of what a daemon has to see that knows no figures,
 /// since the fleet has more samples.
--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -22,6 +22,18 @@
     std::min(share, recent) > kFullFrom;
 }
 
+FleetRoom ToFleetRoom(const ZoneRoom& room)
+{
+  if (room.Utilization < kMuchRoomBelow) {
+    return FleetRoom::kMuchRoom;
+  }
+  if (room.Utilization < kNoIdleSlot) {
+    return FleetRoom::kIdleSlots;
+  }
+  return room.RejectedShare < kFleetRejects ? FleetRoom::kFewRejected
+                                            : FleetRoom::kFull;
+}
+
 } // namespace
 
 void RankAdmission::SetOptions(const RankAdmissionOptions& options)
@@ -184,12 +196,13 @@
   state.Room = this->GetFleetRoom(id, now);
   state.Spread = service.Counts.GetSpread();
   switch (state.Room) {
-    case FleetRoom::kIdleSlots:
+    case FleetRoom::kMuchRoom:
       return false;
+    case FleetRoom::kIdleSlots:
+      return state.IsLimited && !state.Spread.ShowsSick();
     case FleetRoom::kFull:
       return !state.Spread.ShowsSick();
     case FleetRoom::kFewRejected:
-      return state.IsLimited && !state.Spread.ShowsSick();
     case FleetRoom::kUnknown:
       break;
   }
@@ -202,22 +215,16 @@
   if (this->Room == nullptr || !this->Zones) {
     return FleetRoom::kUnknown;
   }
-  FleetRoom room = FleetRoom::kUnknown;
+  // The zone with most room decides.
+  std::optional<FleetRoom> room;
   for (const ZoneId zone : this->Zones(id)) {
     const std::optional<ZoneRoom> known = this->Room->GetRoom(id, zone, now);
     if (!known) {
       return FleetRoom::kUnknown;
     }
-    if (known->Utilization < kNoIdleSlot) {
-      return FleetRoom::kIdleSlots;
-    }
-    const bool rejects = known->RejectedShare >= kFleetRejects;
-    const bool isFirst = room == FleetRoom::kUnknown;
-    room = rejects && (isFirst || room == FleetRoom::kFull)
-      ? FleetRoom::kFull
-      : FleetRoom::kFewRejected;
+    room = std::min(room.value_or(FleetRoom::kFull), ToFleetRoom(*known));
   }
-  return room;
+  return room.value_or(FleetRoom::kUnknown);
 }
 
 void RankAdmission::Limit(Service& service, double budget, Time now) const
@@ -247,6 +254,8 @@
   switch (room) {
     case FleetRoom::kUnknown:
       return "unknown";
+    case FleetRoom::kMuchRoom:
+      return "much_room";
     case FleetRoom::kIdleSlots:
       return "idle_slots";
     case FleetRoom::kFewRejected:
--- a/src/core/admission/rank_admission.h
+++ b/src/core/admission/rank_admission.h
@@ -33,7 +33,8 @@
 enum class FleetRoom : std::uint8_t
 {
   kUnknown,
-  kIdleSlots,   ///< In one zone at least.
+  kMuchRoom,    ///< In one zone at least, also while a limit holds.
+  kIdleSlots,   ///< In one zone at least: no limit begins.
   kFewRejected, ///< No idle slot, yet a zone that hardly rejects.
   kFull,        ///< In every zone no idle slot, and rejections.
 };
