--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -45,7 +45,7 @@
 inline constexpr double kHeadroomOfWanted = 0.1;
 /// The same as a share of what is served, at most: a try then fails once in
 /// seven times, and three tries once in 400.
-inline constexpr double kMostHeadroom = 0.15;
+inline constexpr double kMostHeadroom = 0.25;
 /// With less than this part of the rejections that the headroom costs there
 /// is room that was not there before.
 inline constexpr double kCalmPart = 0.3;
