Ask for load in rounds, so that figures are fresh when they are told

Change: the root asks; the question travels down at once, each daemon answers once its followers have, and the sum follows. A daemon that sees rejections in calm times reports unasked. Fewer entries are told while all is calm.

--- a/src/core/load/fleet_load.cc
+++ b/src/core/load/fleet_load.cc
@@ -18,13 +18,11 @@
   return static_cast<std::uint32_t>(bounded / 1ms);
 }
 
-std::uint32_t CountOpenings(const std::vector<ZoneLoad>& loads)
+bool HasRejections(const std::vector<ZoneLoad>& loads)
 {
-  std::uint32_t openings = 0;
-  for (const ZoneLoad& load : loads) {
-    openings += load.OpeningsInSecond;
-  }
-  return openings;
+  return std::any_of(loads.begin(), loads.end(), [](const ZoneLoad& load) {
+    return load.RejectedInSecond != 0;
+  });
 }
 
 } // namespace
@@ -44,17 +42,22 @@
   if (!enabled) {
     this->Parts.clear();
     this->KnownAsOf.reset();
+    this->AskedAt.reset();
     this->HasNews = false;
+    this->HasQuestion = false;
   }
 }
 
 void FleetLoad::OnTick(const TreePlace& place, Time now)
 {
   this->Meter.OnTick(now);
-  if (place.Upstream != this->Place.Upstream) {
+  if (place.Upstream != this->Place.Upstream ||
+      place.IsRoot != this->Place.IsRoot) {
     this->ClockLead.reset();
     this->UpstreamLevel.reset();
     this->SummarySentAtUs = 0;
+    this->QuestionSentAtUs = 0;
+    this->AskedAt.reset();
   }
   this->Place = place;
   if (!this->Enabled) {
@@ -65,13 +68,47 @@
   this->Slots = this->CountSlots(now);
   if (place.IsRoot) {
     this->KnowOwnTree(now);
+    this->NoteNeed(now);
+    if (now >= this->NextAt) {
+      this->BeginRound(now);
+    }
   }
-  this->NoteNeed(now);
   this->NoteCrossings(now);
-  if (place.IsRoot && now >= this->NextAt) {
-    this->SetNext(now);
-    this->HasNews = true;
+}
+
+void FleetLoad::BeginRound(Time now)
+{
+  // Ticks that come late do not add up.
+  const bool isRegular = now - this->NextAt < this->Interval;
+  this->NextAt = (isRegular ? this->NextAt : now) + this->Interval;
+  this->AskedAt = now;
+  this->HasQuestion = true;
+}
+
+bool FleetLoad::IsGathered(Time now) const
+{
+  if (!this->AskedAt) {
+    return false;
+  }
+  const Duration patience = this->Place.IsRoot ? kRootGathersFor : kGatherFor;
+  return now - *this->AskedAt >= patience ||
+    std::all_of(
+           this->Parts.begin(), this->Parts.end(), [this](const auto& item) {
+             return item.second.TakenAt >= *this->AskedAt;
+           });
+}
+
+bool FleetLoad::IsUrgent(Time now) const
+{
+  if (this->IsBusy() || now - this->UrgentAt < kBusyReportEvery) {
+    return false;
   }
+  return HasRejections(this->Meter.GetLoads(now)) ||
+    std::any_of(
+           this->Parts.begin(), this->Parts.end(), [this](const auto& item) {
+             return item.second.TakenAt > this->UrgentAt &&
+               HasRejections(item.second.Report.loads);
+           });
 }
 
 std::optional<std::uint32_t> FleetLoad::GetLevel() const
@@ -117,41 +154,22 @@
 
 void FleetLoad::NoteNeed(Time now)
 {
-  const bool isKnown = this->KnownAsOf.has_value();
-  const bool isUsed = isKnown &&
-    std::any_of(this->Slots.begin(),
-                this->Slots.end(),
-                [this](const auto& item) {
-                  return item.second != 0 &&
-                    this->GetUtilization(item.first, item.second) > kBusyFrom;
-                });
-  const std::vector<ZoneLoad> own = this->Meter.GetLoads(now);
-  const bool isRejected =
-    std::any_of(own.begin(), own.end(), [](const ZoneLoad& load) {
-      return load.RejectedInSecond != 0;
+  const bool isUsed = std::any_of(
+    this->Slots.begin(), this->Slots.end(), [this](const auto& item) {
+      return item.second != 0 &&
+        this->GetUtilization(item.first, item.second) > kBusyFrom;
     });
-  const bool hasJumped =
-    CountOpenings(own) > 2 * this->OpeningsTold + kOpeningsJump;
-  if (!isUsed && !isRejected && !hasJumped) {
-    return;
-  }
-  if (now >= this->BusyUntil) {
-    this->NextAt = now;
+  if (isUsed || HasRejections(this->Known.GetLargest(kMostLoadsTold))) {
+    this->NextAt = this->IsBusy() ? this->NextAt : now;
+    this->BusyUntil = now + kBusyFor;
   }
-  this->BusyUntil = now + kBusyFor;
-}
-
-void FleetLoad::SetNext(Time now)
-{
-  // Ticks that come late do not add up.
-  const Duration interval = this->GetInterval(now);
-  this->NextAt =
-    now - this->NextAt < interval ? this->NextAt + interval : now + interval;
+  this->Interval = now < this->BusyUntil ? kBusyReportEvery : kCalmReportEvery;
 }
 
-Duration FleetLoad::GetInterval(Time now) const
+std::vector<ZoneLoad> FleetLoad::GetTold(const LoadSum& loads) const
 {
-  return now < this->BusyUntil ? kBusyReportEvery : kCalmReportEvery;
+  return loads.GetLargest(this->IsBusy() ? kMostLoadsTold
+                                         : kMostLoadsToldCalm);
 }
 
 void FleetLoad::NoteCrossings(Time now)
@@ -200,24 +218,33 @@
     return;
   }
   ++this->Counters.ReportsTaken;
-  this->Parts[report.replyTo] = { report, sentAt, ends };
+  this->Parts[report.replyTo] = { report, sentAt, now, ends };
 }
 
-bool FleetLoad::OnSummary(const LoadSummary& summary, Time sentAt)
+void FleetLoad::OnSummary(const LoadSummary& summary, Time sentAt, Time now)
 {
+  std::uint64_t& latest =
+    summary.asks ? this->QuestionSentAtUs : this->SummarySentAtUs;
   if (!this->Enabled || this->Place.IsRoot ||
-      this->Place.Upstream != summary.sender ||
-      summary.sentAtUs <= this->SummarySentAtUs) {
-    return false;
+      this->Place.Upstream != summary.sender || summary.sentAtUs <= latest) {
+    return;
   }
-  ++this->Counters.SummariesTaken;
-  this->SummarySentAtUs = summary.sentAtUs;
+  latest = summary.sentAtUs;
   this->UpstreamLevel = summary.level;
+  this->Interval =
+    std::clamp<Duration>(std::chrono::milliseconds(summary.nextMs),
+                         kBusyReportEvery,
+                         kCalmReportEvery);
+  if (summary.asks) {
+    this->AskedAt = now;
+    this->HasQuestion = true;
+    return;
+  }
+  ++this->Counters.SummariesTaken;
   this->Known = LoadSum{};
   this->Known.Add(summary.loads, summary.daemons);
   this->KnownAsOf = sentAt - std::chrono::milliseconds(summary.ageMs);
   this->HasNews = true;
-  return true;
 }
 
 void FleetLoad::OnResume()
@@ -233,45 +260,64 @@
   const bool isCountedElsewhere =
     this->ReportedTo != this->Place.Upstream && now < this->CountedUntil;
   if (!this->Enabled || !this->Place.Upstream || !this->ClockLead || !level ||
-      now < this->NextAt || isCountedElsewhere) {
+      isCountedElsewhere || (!this->IsGathered(now) && !this->IsUrgent(now))) {
     return std::nullopt;
   }
+  this->AskedAt.reset();
+  this->UrgentAt = now;
   const Sum sum = this->AddUp(*level, now);
-  const Duration interval = this->GetInterval(now);
-  this->SetNext(now);
   this->ReportedTo = this->Place.Upstream;
   this->CountedUntil = std::max(this->CountedUntil,
-                                now + interval + kReportSlack +
+                                now + this->Interval + kReportSlack +
                                   (*level - 1) * kLongestReportHolds);
-  this->OpeningsTold = CountOpenings(this->Meter.GetLoads(now));
   ++this->Counters.ReportsSent;
   LoadReport report;
   report.replyTo = this->Self;
   report.sentAtUs = static_cast<std::uint64_t>(now.count() + *this->ClockLead);
-  report.nextMs = ToMs(interval);
+  report.nextMs = ToMs(this->Interval);
   report.ageMs = ToMs(now - sum.AsOf);
   report.level = *level;
   report.daemons = sum.Loads.CountDaemons();
-  report.loads = sum.Loads.GetLargest();
+  report.loads = this->GetTold(sum.Loads);
   return report;
 }
 
-std::optional<LoadSummary> FleetLoad::TakeSummary(Time now)
+LoadSummary FleetLoad::MakeSummary(std::uint32_t level, Time now) const
 {
-  const std::optional<std::uint32_t> level = this->GetLevel();
-  if (!std::exchange(this->HasNews, false) || !this->KnownAsOf || !level) {
-    return std::nullopt;
-  }
   LoadSummary summary;
   summary.sender = this->Self;
   summary.sentAtUs = static_cast<std::uint64_t>(now.count());
-  summary.ageMs = ToMs(now - *this->KnownAsOf);
-  summary.level = *level;
-  summary.daemons = this->Known.CountDaemons();
-  summary.loads = this->Known.GetLargest();
+  summary.nextMs = ToMs(this->Interval);
+  summary.level = level;
   return summary;
 }
 
+std::vector<LoadSummary> FleetLoad::TakeSummaries(Time now)
+{
+  std::vector<LoadSummary> summaries;
+  const std::optional<std::uint32_t> level = this->GetLevel();
+  if (!this->Enabled || !level) {
+    return summaries;
+  }
+  if (std::exchange(this->HasQuestion, false)) {
+    summaries.push_back(this->MakeSummary(*level, now));
+    summaries.back().asks = true;
+  }
+  if (this->Place.IsRoot && this->IsGathered(now)) {
+    this->AskedAt.reset();
+    this->KnowOwnTree(now);
+    this->HasNews = true;
+  }
+  if (std::exchange(this->HasNews, false) && this->KnownAsOf) {
+    LoadSummary summary = this->MakeSummary(*level, now);
+    summary.ageMs = ToMs(now - *this->KnownAsOf);
+    summary.daemons = this->Known.CountDaemons();
+    summary.loads = this->GetTold(this->Known);
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
 std::optional<Duration> FleetLoad::GetAge(Time now) const
 {
   return this->KnownAsOf ? std::optional<Duration>(now - *this->KnownAsOf)
--- a/src/core/load/fleet_load.h
+++ b/src/core/load/fleet_load.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/load/load_figures.h"
+#include "core/load/load_limits.h"
 #include "core/load/load_meter.h"
 #include "core/load/load_sum.h"
 
@@ -48,9 +49,12 @@
 /** \class FleetLoad
  * \brief Add up the loads of a tree of followers, and say how much room is.
  *
- * Each daemon tells the one that it follows the sum of its own load and of
- * its followers' reports that still hold; the root's sum travels down.  No
- * daemon is counted twice: a report holds until a time on its receiver's
+ * In each round the root asks; the question travels down at once, and each
+ * daemon answers the one that it follows with the sum of its own load and of
+ * its followers' reports, as soon as it has those.  The root's sum travels
+ * down.  A daemon that sees callers rejected in calm times reports unasked.
+ *
+ * No daemon is counted twice: a report holds until a time on its receiver's
  * clock, however late it arrives, and who begins to follow another daemon
  * tells that one nothing until what it told the one before is counted on no
  * level above.  So the receiver adds up only reports of those who know that
@@ -74,15 +78,14 @@
   void OnUpstreamClock(std::uint64_t clockUs, Time now);
   void OnReport(const LoadReport& report, Time now);
   /// \param sentAt on this daemon's clock; not later than it was.
-  /// \return true where it is news for the followers.
-  bool OnSummary(const LoadSummary& summary, Time sentAt);
+  void OnSummary(const LoadSummary& summary, Time sentAt, Time now);
   /// Call after the process was suspended.
   void OnResume();
 
   /// Take the report that is due to the daemon that is followed.
   std::optional<LoadReport> TakeReport(Time now);
-  /// Take the summary that is due to the followers.
-  std::optional<LoadSummary> TakeSummary(Time now);
+  /// Take what is due to the followers.
+  std::vector<LoadSummary> TakeSummaries(Time now);
   std::vector<LoadCrossing> TakeCrossings();
 
   std::optional<ZoneRoom> GetRoom(ServiceId service,
@@ -100,6 +103,7 @@
   {
     LoadReport Report;
     Time SentAt{}; ///< On this daemon's clock.
+    Time TakenAt{};
     Time Ends{};
   };
   struct Sum
@@ -112,15 +116,20 @@
   Sum AddUp(std::uint32_t level, Time now) const;
   /// Make the sum of this daemon's tree what is known of the fleet.
   void KnowOwnTree(Time now);
+  /// Ask for reports, at the root.
+  void BeginRound(Time now);
   void NoteNeed(Time now);
-  bool HasJumped(Time now) const;
   void NoteCrossings(Time now);
+  /// Tell whether the reports of a round are here, or not waited for.
+  bool IsGathered(Time now) const;
+  /// Tell whether callers were rejected that nobody has asked about.
+  bool IsUrgent(Time now) const;
   /// Tell whether the figures are fresh, and hold enough daemons.
   bool IsUsable(Time now) const;
-  /// Set when the next report or summary is due.
-  void SetNext(Time now);
+  bool IsBusy() const { return this->Interval < kCalmReportEvery; }
   double GetUtilization(const LoadKey& key, std::uint32_t slots) const;
-  Duration GetInterval(Time now) const;
+  std::vector<ZoneLoad> GetTold(const LoadSum& loads) const;
+  LoadSummary MakeSummary(std::uint32_t level, Time now) const;
 
   Endpoint Self;
   LoadMeter& Meter;
@@ -129,17 +138,21 @@
   TreePlace Place;
   std::optional<std::int64_t> ClockLead; ///< Upstream's clock less this one.
   std::optional<std::uint32_t> UpstreamLevel;
+  std::uint64_t SummarySentAtUs = 0; ///< By upstream's clock, the latest.
+  std::uint64_t QuestionSentAtUs = 0;
   std::map<Endpoint, Part> Parts; ///< By follower.
   ZoneSlots Slots;
   LoadSum Known;
   std::optional<Time> KnownAsOf;
-  std::uint64_t SummarySentAtUs = 0; ///< Of the one known.
-  bool HasNews = false;              ///< For the followers.
-  std::uint32_t OpeningsTold = 0;
-  Time NextAt{}; ///< Of the report or summary.
+  std::optional<Time> AskedAt; ///< When the round began, until it is gathered.
+  Duration Interval = kCalmReportEvery; ///< Of rounds, by the root.
+  bool HasQuestion = false;             ///< For the followers.
+  bool HasNews = false;                 ///< For the followers.
+  Time NextAt{};                        ///< Of the next round, at the root.
+  Time BusyUntil{};                     ///< At the root.
+  Time UrgentAt{};                      ///< Of the last report unasked.
   std::optional<Endpoint> ReportedTo;
   Time CountedUntil{}; ///< What was told may be, on some level above.
-  Time BusyUntil{};
   std::map<LoadKey, bool> BusyZones;
   std::vector<LoadCrossing> Crossings;
   FleetLoadCounters Counters;
--- a/src/core/load/load_figures.h
+++ b/src/core/load/load_figures.h
@@ -73,6 +73,8 @@
 {
   Endpoint sender;
   std::uint64_t sentAtUs = 0; ///< By the sender's clock.
+  bool asks = false;          ///< It holds no load and asks for reports.
+  std::uint32_t nextMs = 0;   ///< When to expect the next one.
   std::uint32_t ageMs = 0;    ///< Of the oldest part.
   std::uint32_t level = 0;    ///< Of the sender below the root.
   std::uint32_t daemons = 0;
--- a/src/core/load/load_limits.h
+++ b/src/core/load/load_limits.h
@@ -67,18 +67,21 @@
 /// Parts of the second that slides; a tick of the daemon each.
 inline constexpr std::size_t kLoadSecondParts = 5;
 
-/// Time between two reports, while a zone is more than half used and while
-/// none is: half a second of work is a twentieth of the shortest burst that
-/// lasts, and calm days cost few bytes.
+/// Time between two rounds of reports, while a zone is more than half used or
+/// callers are rejected, and otherwise: half a second of work is a twentieth
+/// of the shortest burst that lasts, and calm days cost few bytes.
 inline constexpr Duration kBusyReportEvery = 500ms;
 inline constexpr Duration kCalmReportEvery = 2000ms;
+/// How long a daemon waits for its followers' reports once it was asked for
+/// its own, and the root, which waits for several levels: a tick, and two.
+inline constexpr Duration kGatherFor = 100ms;
+inline constexpr Duration kRootGathersFor = 300ms;
 /// Figures older than this count as missing: shorter than a burst of several
-/// seconds, longer than two busy reports over two levels.
-inline constexpr Duration kLoadFor = 2000ms;
-/// A report holds until the next one is due, and for this, a tick and a delay.
-/// Of a daemon whose report is lost the load is missing for a moment; holding
-/// it for longer would make all figures old.
-inline constexpr Duration kReportSlack = 400ms;
+/// seconds, longer than a calm round, or three busy ones.
+inline constexpr Duration kLoadFor = 2500ms;
+/// A report holds until the next one is due, and for this: a busy round is
+/// lost without harm, and a dead daemon's load ends soon.
+inline constexpr Duration kReportSlack = 600ms;
 inline constexpr Duration kLongestReportHolds =
   kCalmReportEvery + kReportSlack;
 /// Levels of followers; three carry the largest fleet.
@@ -90,13 +93,12 @@
 /// other one.
 inline constexpr double kBusyFrom = 0.5;
 inline constexpr double kBusyUntil = 0.4;
-/// Reports stay frequent for this long after the last sign of need.
+/// Rounds stay frequent for this long after the last sign of need.
 inline constexpr Duration kBusyFor = 3000ms;
-/// A daemon whose openings of a second are twice those it told, and this many
-/// more, tells at once: no chance of a few openings gives that.
-inline constexpr std::uint32_t kOpeningsJump = 4;
 /// Services times zones in one message, 15 bytes each; the largest go first.
 inline constexpr std::size_t kMostLoadsTold = 64;
+/// The same while all is calm: enough to see where load grows first.
+inline constexpr std::size_t kMostLoadsToldCalm = 16;
 /// What one daemon may claim: more than any machine carries.
 inline constexpr std::uint32_t kMostOfOneDaemon = 8192;
 
--- a/src/core/load/load_sum.cc
+++ b/src/core/load/load_sum.cc
@@ -39,7 +39,7 @@
                                     : found->second;
 }
 
-std::vector<ZoneLoad> LoadSum::GetLargest() const
+std::vector<ZoneLoad> LoadSum::GetLargest(std::size_t most) const
 {
   std::vector<ZoneLoad> largest;
   for (const auto& [key, load] : this->Loads) {
@@ -51,7 +51,7 @@
                      return left.InFlight + left.OpeningsInSecond >
                        right.InFlight + right.OpeningsInSecond;
                    });
-  largest.resize(std::min(largest.size(), kMostLoadsTold));
+  largest.resize(std::min(largest.size(), most));
   return largest;
 }
 
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -157,7 +157,7 @@
   bool IsDecider(const Endpoint& sender) const;
   /// Tell the daemon that is followed, and the followers, what is due.
   void ShareLoad(const std::vector<Endpoint>& peers, Time now);
-  void PassLoadOn(Time now);
+  void SendLoad(Time now);
 
   Endpoint Self;
   StoreReader& Reader;
--- a/src/core/relay/view_relay_load.cc
+++ b/src/core/relay/view_relay_load.cc
@@ -16,21 +16,22 @@
   const bool isRoot = this->Reading &&
     (isAlone || (this->Seeds.IsSelfSeed() && this->Reader.isCurrent(now)));
   this->Load->OnTick({ this->Upstream, isRoot, this->Fleet.GetLatest() }, now);
+  this->SendLoad(now);
+}
+
+void ViewRelay::SendLoad(Time now)
+{
   if (this->Leaving) {
     return;
   }
   if (std::optional<LoadReport> report = this->Load->TakeReport(now)) {
     this->Outgoing.push_back({ { *this->Upstream }, std::move(*report) });
   }
-  this->PassLoadOn(now);
-}
-
-void ViewRelay::PassLoadOn(Time now)
-{
-  std::optional<LoadSummary> summary = this->Load->TakeSummary(now);
-  std::vector<Endpoint> destinations = this->Followers.List();
-  if (summary && !destinations.empty()) {
-    this->Outgoing.push_back({ std::move(destinations), std::move(*summary) });
+  const std::vector<Endpoint> followers = this->Followers.List();
+  for (LoadSummary& summary : this->Load->TakeSummaries(now)) {
+    if (!followers.empty()) {
+      this->Outgoing.push_back({ followers, std::move(summary) });
+    }
   }
 }
 
@@ -38,6 +39,7 @@
 {
   if (this->Load != nullptr && this->Followers.Contains(report.replyTo)) {
     this->Load->OnReport(report, now);
+    this->SendLoad(now);
   }
 }
 
@@ -45,9 +47,9 @@
 {
   const std::optional<Time> sentAt =
     this->Clocks.ToOwn(summary.sender, summary.sentAtUs, now);
-  if (this->Load != nullptr && sentAt &&
-      this->Load->OnSummary(summary, *sentAt)) {
-    this->PassLoadOn(now);
+  if (this->Load != nullptr && sentAt) {
+    this->Load->OnSummary(summary, *sentAt, now);
+    this->SendLoad(now);
   }
 }
 
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -121,7 +121,7 @@
   return std::tie(m.replyTo, m.sentAtUs, m.nextMs, m.ageMs, m.level, m.daemons, m.loads);
 }
 auto fieldsOf(IsMessage<core::LoadSummary> auto& m) {
-  return std::tie(m.sender, m.sentAtUs, m.ageMs, m.level, m.daemons, m.loads);
+  return std::tie(m.sender, m.sentAtUs, m.asks, m.nextMs, m.ageMs, m.level, m.daemons, m.loads);
 }
 auto fieldsOf(IsMessage<ForwardedPacket> auto& m) {
   return std::tie(m.ingress, m.hops, m.wantsListing, m.protocolType, m.packet);
