--- a/src/core/load/fleet_load.cc
+++ b/src/core/load/fleet_load.cc
@@ -349,6 +349,7 @@
     : std::min(1.0,
                static_cast<double>(load.RejectedInSecond) /
                  load.OpeningsInSecond);
+  room.Age = this->GetAge(now).value_or(Duration{});
   return room;
 }
 
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -178,11 +178,9 @@
 
 void logSpill(const core::SpillChange& change, const core::BackendRegistry& backends,
               core::Revision viewRevision) {
-  const auto zones = backends.zoneNames();
-  const auto zone = zones.find(change.Zone);
   logEvent(LogLevel::kWarning, change.Began ? "spill_began" : "spill_ended",
-           {{"service", backends.serviceName(change.Service)},
-            {"zone", zone == zones.end() ? "none" : zone->second},
+           {{"service", backends.nameOf(change.Service)},
+            {"zone", backends.nameOf(change.Zone)},
             {"kept", std::to_string(change.Kept)},
             {"demand", std::to_string(change.Demand)},
             {"least_demand", std::to_string(change.Least)},
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -17,10 +17,8 @@
 
 std::vector<MetricSample> keptShares(const core::TokenSteering& steering) {
   std::vector<MetricSample> samples;
-  const auto kept = steering.spill().GetKeptByZone();
-  for (const auto& [id, name] : steering.backends().zoneNames()) {
-    const auto found = kept.find(id);
-    samples.push_back({name, found == kept.end() ? 1.0 : found->second});
+  for (const auto& [zone, kept] : steering.spill().GetKeptByZone()) {
+    samples.push_back({steering.backends().nameOf(zone), kept});
   }
   return samples;
 }
