Spread openings over all zones by their slots while they are limited

With the preference for the own zone back ends of one zone stood idle while others rejected: limited daemons sent too little beyond their zone.

--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -87,6 +87,12 @@
   return isAdmitted;
 }
 
+bool RankAdmission::IsLimited(ServiceId service) const
+{
+  const auto found = this->Services.find(service);
+  return found != this->Services.end() && found->second.State.IsLimited;
+}
+
 void RankAdmission::OnOpeningEnded(const OpeningResult& result, Time now)
 {
   const auto service = this->Services.find(result.Service);
--- a/src/core/admission/rank_admission.h
+++ b/src/core/admission/rank_admission.h
@@ -90,6 +90,9 @@
   /// \return false where it is to be refused.
   bool Admit(const Route& route, Time now);
 
+  /// Tell whether openings of a service are limited now.
+  bool IsLimited(ServiceId service) const;
+
   void OnOpeningEnded(const OpeningResult& result, Time now) override;
 
   /// Forget services that are no longer asked for.
--- a/src/core/placement/zone_spill.cc
+++ b/src/core/placement/zone_spill.cc
@@ -31,12 +31,19 @@
   }
   service.UpdatedAt = now;
   std::map<ZoneId, Zone> zones;
+  std::map<ZoneId, double> slots;
+  double allSlots = 0;
   for (const PlacementCandidate& candidate : candidates) {
     if (candidate.weight > 0 && !zones.contains(candidate.zone)) {
       zones[candidate.zone] = std::move(service.Zones[candidate.zone]);
     }
+    slots[candidate.zone] += candidate.weight > 0 ? candidate.capacity : 0;
+    allSlots += candidate.weight > 0 ? candidate.capacity : 0;
   }
   service.Zones = std::move(zones);
+  for (auto& [zoneId, zone] : service.Zones) {
+    zone.Slots = slots[zoneId] / allSlots;
+  }
   this->TakeFigures(id, service, now);
   this->Steer(id, service, std::min(passed, kYoungestFigures), now);
 }
@@ -133,7 +140,12 @@
     return 1;
   }
   const auto found = known->second.Zones.find(zone);
-  return found == known->second.Zones.end() ? 1 : found->second.Share;
+  if (found == known->second.Zones.end()) {
+    return 1;
+  }
+  const double share = found->second.Share;
+  return known->second.IsLimited ? std::min(share, found->second.Slots)
+                                 : share;
 }
 
 bool ZoneSpill::MayTake(ServiceId service, ZoneId zone) const
--- a/src/core/placement/zone_spill.h
+++ b/src/core/placement/zone_spill.h
@@ -49,6 +49,14 @@
   /// Let openings leave zones without room, or not.
   void SetEnabled(bool enabled) { this->Enabled = enabled; }
 
+  /// Say whether openings of a service are limited: its back ends are full in
+  /// all zones.  Each zone then keeps its part of the slots and no more, so
+  /// that none is less full than others.
+  void SetLimited(ServiceId service, bool limited)
+  {
+    this->Services[service].IsLimited = limited;
+  }
+
   /// Work out again, now and then, what the zones of a service keep.
   /// \param candidates the service's back ends that take flows.
   void Update(const std::vector<PlacementCandidate>& candidates, Time now);
@@ -80,6 +88,7 @@
   struct Zone
   {
     double Share = 1;
+    double Slots = 0;   ///< Of the service's slots, its part.
     bool Known = false; ///< There are figures.
     bool Spills = false;
     double Demand = 0;
@@ -91,6 +100,7 @@
   struct Service
   {
     Time UpdatedAt{};
+    bool IsLimited = false;
     std::map<ZoneId, Zone> Zones;
   };
 
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -95,7 +95,15 @@
                             Time now) {
   // A later copy may follow one that another daemon sent on. A stale view may lack back ends.
   const bool isFirst = packet.openingCopy == 0 && reason == RouteReason::kPlaced;
-  return admission_ == nullptr || !isFirst || admission_->Admit(route, now) || !viewCurrent_;
+  if (admission_ == nullptr || !isFirst) {
+    return true;
+  }
+  const bool admitted = admission_->Admit(route, now);
+  for (const RouteTarget& target : route.targets) {
+    const ServiceId service = serviceIdOf(target.service);
+    spill_.SetLimited(service, admission_->IsLimited(service));
+  }
+  return admitted || !viewCurrent_;
 }
 
 Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
