--- a/src/core/admission/admission_limits.h
+++ b/src/core/admission/admission_limits.h
@@ -44,7 +44,8 @@
 /// finds room that has come, and costs about as many rejections.
 inline constexpr double kHeadroomOfWanted = 0.1;
 /// The same as a share of what is served, at most: a try then fails once in
-/// seven times, and three tries once in 400.
+/// five times, and three tries once in a hundred; with less slots stand idle,
+/// since placement is random.
 inline constexpr double kMostHeadroom = 0.25;
 /// With less than this part of the rejections that the headroom costs there
 /// is room that was not there before.
--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -209,6 +209,11 @@
     case FleetRoom::kFull:
       return !state.Spread.ShowsSick();
     case FleetRoom::kFewRejected:
+      // A limit costs more rejections than these, here and elsewhere.
+      if (state.Recent.GetRejectedShare() < kFleetRejects) {
+        return false;
+      }
+      break;
     case FleetRoom::kUnknown:
       break;
   }
