--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -256,6 +256,9 @@
   warmUps_.Expire(now);
   silentGroups_.Expire(now);
   answerTimes_.Expire(now);
+  if (admission_ != nullptr) {
+    admission_->Expire(now);
+  }
   resetFlowsOfEnded();
   backends_.forgetDeparted(now);
   routes_.forgetDropped(now, options_.longestFlow);
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <set>
+#include <vector>
 
 #include "core/constants.h"
 #include "core/hashing.h"
@@ -37,6 +39,15 @@
   return text;
 }
 
+/// @return the zones of the back ends of a service that take new flows.
+std::vector<core::ZoneId> zonesOf(core::BackendRegistry& backends, core::ServiceId service) {
+  std::set<core::ZoneId> zones;
+  for (const core::PlacementCandidate& candidate : backends.candidates(service)) {
+    zones.insert(candidate.zone);
+  }
+  return {zones.begin(), zones.end()};
+}
+
 core::TokenSteeringOptions steeringOptions(const Settings& settings) {
   core::TokenSteeringOptions options;
   options.hashSeed = core::hashName(settings.clusterName + settings.clusterKey);
@@ -57,6 +68,7 @@
       settingsWatch_(std::move(commandLine)),
       formats_(net::makeEdgeFormats()),
       weights_(settings_.zone),
+      admission_(settings_.admission),
       steering_(steeringOptions(settings_), weights_, random_),
       updater_(
           steering_.backends(), steering_.routes(),
@@ -118,7 +130,12 @@
   steering_.silentGroups().SetEnabled(settings_.silentGroups);
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
+  steering_.setAdmission(&admission_);
+  steering_.addOpeningListener(&admission_);
   steering_.setLoadMeter(&peers_.GetLoadMeter());
+  admission_.SetRoom(&peers_.GetLoad(), [this](core::ServiceId service) {
+    return zonesOf(steering_.backends(), service);
+  });
   steering_.addOpeningListener(&seenRoom_);
   steering_.spill().AddSource(peers_.GetLoad());
   steering_.spill().AddSource(seenRoom_);
@@ -199,8 +216,8 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
-  const TokenMetricSources sources{steering_,  reader_,   peers_,    packets_,
-                                   latencies_, isReady(), bootTime()};
+  const TokenMetricSources sources{steering_,  reader_,    peers_,    packets_,
+                                   latencies_, admission_, isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
@@ -281,6 +298,9 @@
   steering_.onTick(now);
   peers_.OnTick(now);
   steering_.setFleet(peers_.GetRelay().CountFleet(now));
+  for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
+    logAdmission(change);
+  }
   carryOutHealth(now);
   for (const core::SpillChange& change : steering_.spill().TakeChanges()) {
     logSpill(change, steering_.backends(), reader_.revision());
@@ -376,6 +396,7 @@
     return;
   }
   setLogLevel(settings_.logLevel);
+  admission_.SetOptions(settings_.admission);
   steering_.backends().setRegions(settings_.regionsOfZones);
   steering_.serving().SetRequired(settings_.requireReach);
   steering_.silentGroups().SetEnabled(settings_.silentGroups);
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -75,6 +75,7 @@
   SystemRandom random_;
   net::EdgeFormats formats_;
   PolicyWeights weights_;
+  core::RankAdmission admission_;
   core::TokenSteering steering_;
   core::SeenRoom seenRoom_;
   core::ChangeLog changes_;
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -35,6 +35,9 @@
 void logSilentGroup(const core::BackendGroup& group, std::size_t silent,
                     core::Revision viewRevision);
 
+/// Logs that a service's limit began, changed by much or ended, and by what.
+void logAdmission(const core::AdmissionState& state);
+
 /// A back end left callers of several daemons without answers; it comes last for new flows.
 void logOutlier(core::BackendId backend, core::Revision viewRevision);
 
