--- a/src/core/load/fleet_load.cc
+++ b/src/core/load/fleet_load.cc
@@ -123,6 +123,7 @@
 
 FleetLoad::Sum FleetLoad::AddUp(std::uint32_t level, Time now) const
 {
+  this->Meter.OnTick(now); // Requests have faded since the last one.
   Sum sum;
   sum.AsOf = now;
   sum.Loads.Add(this->Meter.GetLoads(now), 1);
--- a/src/core/load/load_meter.h
+++ b/src/core/load/load_meter.h
@@ -52,7 +52,7 @@
   void OnGone(FlowFingerprint flow);
   void OnOpeningEnded(const OpeningResult& result, Time now) override;
 
-  /// Let requests fade, and forget zones without load.
+  /// Let requests fade, and forget zones without load; at any time.
   void OnTick(Time now);
   /// Forget what is in flight; for a process that was suspended.
   void Clear();
--- a/tests/bench/token_benchmark.cc
+++ b/tests/bench/token_benchmark.cc
@@ -27,6 +27,7 @@
                               tests::makeRegistration(id, "web", network, host), id, now);
     }
     steering.setViewState(true, true);
+    steering.setLoadMeter(&meter);
   }
 
   static core::PacketSummary packetOf(std::uint32_t caller, core::PacketKind kind) {
@@ -47,6 +48,7 @@
 
   sim::SeededRandom random{1};
   core::EqualWeights weights;
+  core::LoadMeter meter;
   core::TokenSteering steering{core::TokenSteeringOptions{}, weights, random};
   core::Time now = 100s;
 };
