--- a/scripts/token_smoke.py
+++ b/scripts/token_smoke.py
@@ -4,6 +4,7 @@
 where every check holds.
 """
 
+import json
 import os
 import signal
 import sys
@@ -69,6 +70,13 @@
                   and len(other.openings) == before)
     checks.expect("and keeps its flows", ask_all(caller, [second], stays) == ["ok"] * len(stays))
     checks.expect("the admin page names it", '"zone": "b"' in first.get(fleet.admin_port, "/zones")[1])
+    for daemon in (first, second):
+        wait_until(lambda: '"daemons": 2' in daemon.get(fleet.admin_port, "/load")[1],
+                   "every daemon knows the load of both")
+    page = json.loads(first.get(fleet.admin_port, "/load")[1])
+    web = [zone for zone in page["load"] if zone["service"] == "web"]
+    checks.expect("the page of load names slots and utilization",
+                  web and all(zone["slots"] > 0 and zone["utilization"] is not None for zone in web))
     fleet.take_back("b")
     wait_until(lambda: all(daemon.lines("zone_returned") for daemon in (first, second)),
                "every daemon knows that the zone is back")
