Give probes and the planned stop classes of their own, and put settings in force in one place

Change: BackendProbes carries out what the steering wants to learn of back ends, PlannedStop says when a stopping daemon is done, applySettings serves start and reload.

--- /dev/null
+++ b/src/daemon/backend_probes.cc
@@ -0,0 +1,63 @@
+#include "daemon/backend_probes.h"
+
+#include "core/constants.h"
+#include "daemon/clock.h"
+#include "daemon/token_log.h"
+
+namespace cobaltgauge::daemon {
+
+BackendProbes::BackendProbes(asio::io_context& context, core::TokenSteering& steering,
+                             PacketPort& packets, PeerLink& peers, const core::StoreReader& reader)
+    : steering_(steering),
+      packets_(packets),
+      peers_(peers),
+      reader_(reader),
+      prober_(context, [this](const core::BackendAddress& backend,
+                              core::ProbeResult result) { onProbe(backend, result); }),
+      reachProber_(context, core::kReachPatience,
+                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
+                     steering_.onReachProbe(backend.id, result, bootTime());
+                     carryOutDomains(bootTime());
+                   }),
+      groupProber_(context, core::kGroupPatience,
+                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
+                     steering_.onGroupProbe(backend.id, result, bootTime());
+                     carryOutDomains(bootTime());
+                   }) {}
+
+void BackendProbes::carryOut(core::Time now) {
+  for (const core::BackendAddress& backend : steering_.takeProbes(now)) {
+    prober_.probe(backend, steering_.witnessesFor(backend.id, now));
+  }
+  for (const core::FlowReset& reset : steering_.takeResets()) {
+    packets_.refuse(reset.flow, reset.acknowledgement);
+    logReset(reset, reader_.revision());
+  }
+  carryOutDomains(now);
+}
+
+void BackendProbes::carryOutDomains(core::Time now) {
+  for (const core::BackendAddress& backend : steering_.takeReachProbes(now)) {
+    reachProber_.probe(backend);
+  }
+  for (const core::BackendAddress& backend : steering_.takeGroupProbes(now)) {
+    groupProber_.probe(backend);
+  }
+  const core::GroupNotice found{steering_.silentGroups().TakeFound()};
+  for (const core::BackendGroup& group : found.Groups) {
+    logSilentGroup(group, steering_.silentGroups().CountSilent(now), reader_.revision());
+  }
+  peers_.Tell(found);
+  for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
+    logServingChange(change, reader_.revision());
+  }
+}
+
+void BackendProbes::onProbe(const core::BackendAddress& backend, core::ProbeResult result) {
+  const core::Time now = bootTime();
+  logProbe(backend, result);
+  steering_.onProbe(backend.id, result, now);
+  carryOut(now);
+}
+
+}  // namespace cobaltgauge::daemon
--- a/src/daemon/connect_prober.h
+++ b/src/daemon/connect_prober.h
@@ -6,8 +6,8 @@
 #include <asio/io_context.hpp>
 #include <functional>
 
-#include "core/proof/death_trial.h"
 #include "core/configuration.h"
+#include "core/proof/death_trial.h"
 
 namespace cobaltgauge::daemon {
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -19,14 +19,6 @@
 namespace {
 
 constexpr auto kTick = std::chrono::milliseconds(200);
-/// The router needs this long to notice that a daemon is no longer ready: two probes half a second
-/// apart, and some time for the last packets.
-constexpr core::Duration kRouterNotices = std::chrono::milliseconds(1600);
-/// A leaving daemon without packets for this long has nothing left to forward.
-constexpr core::Duration kQuiet = std::chrono::milliseconds(600);
-/// Share of the time until the process would be killed that it uses at most. Where packets still
-/// come after that, no other daemon takes them, and a quick restart serves them best.
-constexpr int kStopShare = 2;
 constexpr core::Duration kSettingsCheckInterval = std::chrono::seconds(2);
 constexpr int kNotReady = 503;
 constexpr int kNotFound = 404;
@@ -80,20 +72,7 @@
       peers_(context_, settings_, {steering_, updater_, reader_, changes_}, random_,
              [this](core::Time now, bool changed) { onPeers(now, changed); }),
       packets_(context_, *formats_.packets, steering_),
-      prober_(context_,
-              [this](const core::BackendAddress& backend, core::ProbeResult result) {
-                onProbe(backend, result);
-              }),
-      reachProber_(context_, core::kReachPatience,
-                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
-                     steering_.onReachProbe(backend.id, result, bootTime());
-                     carryOutDomains(bootTime());
-                   }),
-      groupProber_(context_, core::kGroupPatience,
-                   [this](const core::BackendAddress& backend, core::ProbeResult result) {
-                     steering_.onGroupProbe(backend.id, result, bootTime());
-                     carryOutDomains(bootTime());
-                   }),
+      probes_(context_, steering_, packets_, peers_, reader_),
       readiness_(context_, [this](const std::string& path) { return answerReadiness(path); }),
       admin_(context_, [this](const std::string& path) { return answerAdmin(path); }),
       timer_(context_),
@@ -120,14 +99,11 @@
     lastReason_ = peers_.GetLastReason();
     return false;
   }
-  peers_.SetSeeds(settings_);
   if (!admin_.open(settings_.adminListen)) {
     // Serving matters more than being watched.
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
   }
-  steering_.backends().setRegions(settings_.regionsOfZones);
-  steering_.serving().SetRequired(settings_.requireReach);
-  steering_.silentGroups().SetEnabled(settings_.silentGroups);
+  applySettings();
   steering_.setLatencyObserver(&latencies_);
   steering_.setOutliers(&peers_.GetOutliers());
   steering_.setAdmission(&admission_);
@@ -139,7 +115,6 @@
   steering_.addOpeningListener(&seenRoom_);
   steering_.spill().AddSource(peers_.GetLoad());
   steering_.spill().AddSource(seenRoom_);
-  steering_.spill().SetEnabled(settings_.spill);
   waitForSignal();
   logEvent(LogLevel::kInfo, "started",
            {{"zone", settings_.zone},
@@ -152,6 +127,16 @@
   return true;
 }
 
+void TokenDaemon::applySettings() {
+  admission_.SetOptions(settings_.admission);
+  steering_.backends().setRegions(settings_.regionsOfZones);
+  steering_.serving().SetRequired(settings_.requireReach);
+  steering_.silentGroups().SetEnabled(settings_.silentGroups);
+  steering_.spill().SetEnabled(settings_.spill);
+  peers_.SetSeeds(settings_);
+  peers_.SetLoadReports(settings_.loadReports);
+}
+
 void TokenDaemon::connectStore() {
   store_ = std::make_unique<StoreLink>(
       context_, settings_.platform, *formats_.store, reader_,
@@ -193,7 +178,7 @@
 }
 
 bool TokenDaemon::isReady() const {
-  return reader_.isComplete() && !leaving_ && steering_.serving().IsServing();
+  return reader_.isComplete() && !stop_.hasBegun() && steering_.serving().IsServing();
 }
 
 net::HttpResponse TokenDaemon::answerReadiness(const std::string& path) const {
@@ -254,42 +239,7 @@
     logEvent(LogLevel::kInfo, "backend_port_found", {{"port", std::to_string(*port)}});
     packets_.retryPending(now);
   }
-  carryOutHealth(now);
-}
-
-void TokenDaemon::carryOutHealth(core::Time now) {
-  for (const core::BackendAddress& backend : steering_.takeProbes(now)) {
-    prober_.probe(backend, steering_.witnessesFor(backend.id, now));
-  }
-  for (const core::FlowReset& reset : steering_.takeResets()) {
-    packets_.refuse(reset.flow, reset.acknowledgement);
-    logReset(reset, reader_.revision());
-  }
-  carryOutDomains(now);
-}
-
-void TokenDaemon::carryOutDomains(core::Time now) {
-  for (const core::BackendAddress& backend : steering_.takeReachProbes(now)) {
-    reachProber_.probe(backend);
-  }
-  for (const core::BackendAddress& backend : steering_.takeGroupProbes(now)) {
-    groupProber_.probe(backend);
-  }
-  const core::GroupNotice found{steering_.silentGroups().TakeFound()};
-  for (const core::BackendGroup& group : found.Groups) {
-    logSilentGroup(group, steering_.silentGroups().CountSilent(now), reader_.revision());
-  }
-  peers_.Tell(found);
-  for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
-    logServingChange(change, reader_.revision());
-  }
-}
-
-void TokenDaemon::onProbe(const core::BackendAddress& backend, core::ProbeResult result) {
-  const core::Time now = bootTime();
-  logProbe(backend, result);
-  steering_.onProbe(backend.id, result, now);
-  carryOutHealth(now);
+  probes_.carryOut(now);
 }
 
 void TokenDaemon::onTick() {
@@ -301,7 +251,7 @@
   for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
     logAdmission(change);
   }
-  carryOutHealth(now);
+  probes_.carryOut(now);
   for (const core::SpillChange& change : steering_.spill().TakeChanges()) {
     logSpill(change, steering_.backends(), reader_.revision());
   }
@@ -357,7 +307,7 @@
   if (changed || reader_.isComplete() != steering_.hasWholeView()) {
     onViewChanged(now);
   }
-  carryOutDomains(now);
+  probes_.carryOutDomains(now);
   store_->start();
 }
 
@@ -365,7 +315,7 @@
   noteViewState(now);
   packets_.retryPending(now);
   steering_.onViewChanged();
-  carryOutHealth(now);
+  probes_.carryOut(now);
 }
 
 void TokenDaemon::noteViewState(core::Time now) {
@@ -375,15 +325,14 @@
 void TokenDaemon::onSignal(int signal) {
   if (signal == SIGHUP) {
     reloadSettings("signal");
-  } else if (!leaving_) {
+  } else if (!stop_.hasBegun()) {
     beginStop();
   }
 }
 
 void TokenDaemon::beginStop() {
   logEvent(LogLevel::kInfo, "planned_stop_began");
-  leaving_ = true;
-  leavingSince_ = bootTime();
+  stop_.begin(bootTime());
   peers_.Leave();
 }
 
@@ -396,17 +345,11 @@
     return;
   }
   setLogLevel(settings_.logLevel);
-  admission_.SetOptions(settings_.admission);
-  steering_.backends().setRegions(settings_.regionsOfZones);
-  steering_.serving().SetRequired(settings_.requireReach);
-  steering_.silentGroups().SetEnabled(settings_.silentGroups);
+  applySettings();
   const bool policyTaken = loadPolicy();
   if (policyTaken) {
     steering_.backends().reweigh();
   }
-  steering_.spill().SetEnabled(settings_.spill);
-  peers_.SetSeeds(settings_);
-  peers_.SetLoadReports(settings_.loadReports);
   if (settings_.platform != storeBefore) {
     connectStore();
   }
@@ -418,16 +361,11 @@
 }
 
 void TokenDaemon::stopIfDone(core::Time now) {
-  if (!leaving_ || now - leavingSince_ < kRouterNotices) {
-    return;
-  }
-  const bool quiet = now - packets_.lastPacketAt() > kQuiet;
-  const core::Duration grace = std::chrono::duration_cast<core::Duration>(settings_.stopGrace);
-  if (!quiet && now - leavingSince_ < grace / kStopShare) {
-    return;
+  const bool quiet = now - packets_.lastPacketAt() > PlannedStop::kQuiet;
+  if (stop_.isDone(quiet, std::chrono::duration_cast<core::Duration>(settings_.stopGrace), now)) {
+    logEvent(LogLevel::kInfo, "planned_stop_ended", {{"quiet", quiet ? "yes" : "no"}});
+    context_.stop();
   }
-  logEvent(LogLevel::kInfo, "planned_stop_ended", {{"quiet", quiet ? "yes" : "no"}});
-  context_.stop();
 }
 
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -13,10 +13,10 @@
 #include "core/store_reader.h"
 #include "core/token_steering.h"
 #include "core/view_updater.h"
-#include "daemon/backend_prober.h"
-#include "daemon/connect_prober.h"
+#include "daemon/backend_probes.h"
 #include "daemon/packet_port.h"
 #include "daemon/peers/peer_link.h"
+#include "daemon/planned_stop.h"
 #include "daemon/policy_weights.h"
 #include "daemon/settings.h"
 #include "daemon/settings_watch.h"
@@ -41,17 +41,14 @@
 
  private:
   bool loadPolicy();
+  /// Puts in force what can change while the daemon runs, but for the policy and the store.
+  void applySettings();
   bool isReady() const;
   net::HttpResponse answerReadiness(const std::string& path) const;
   net::HttpResponse answerAdmin(const std::string& path) const;
   void onBatch(core::Time now);
   void onVerdict(const core::PacketSummary& packet, const core::Verdict& verdict, core::Time now);
   void onDrained(core::Time now);
-  /// Starts the probes and sends the resets that the steering wants.
-  void carryOutHealth(core::Time now);
-  void onProbe(const core::BackendAddress& backend, core::ProbeResult result);
-  /// Starts the probes that tell which failure domains are gone, and logs what they show.
-  void carryOutDomains(core::Time now);
   void onTick();
   void scheduleTick();
   void noticeSuspension(core::Time now);
@@ -84,9 +81,7 @@
   PeerLink peers_;
   LatencyHistograms latencies_;
   PacketPort packets_;
-  BackendProber prober_;
-  ConnectProber reachProber_;
-  ConnectProber groupProber_;
+  BackendProbes probes_;
   std::unique_ptr<StoreLink> store_;
   net::HttpServer readiness_;
   net::HttpServer admin_;
@@ -94,8 +89,7 @@
   asio::signal_set signals_;
   core::Time lastActive_{};
   core::Time nextSettingsCheck_{};
-  core::Time leavingSince_{};
-  bool leaving_ = false;
+  PlannedStop stop_;
   bool storeReachable_ = true;
   std::string lastReason_;
 };
