Go round back ends that are as good instead of drawing among them

Each daemon counts few open flows, so that most openings find back ends alike and drew one: as uneven as chance. Now the one comes first that this daemon used longest ago.

--- a/src/core/placement/backend_chooser.cc
+++ b/src/core/placement/backend_chooser.cc
@@ -5,6 +5,7 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
+#include "core/placement/placement_limits.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -29,6 +30,13 @@
   return this->Seen;
 }
 
+void BackendChooser::Expire(Time now)
+{
+  std::erase_if(this->PlacedAt, [now](const auto& item) {
+    return item.second < now - kRoundMemory;
+  });
+}
+
 BackendChooser::Rated BackendChooser::ChooseForRoute(RouteEntry& route,
                                                      BackendId avoided,
                                                      Time now)
@@ -228,6 +236,8 @@
   rated.Capacity = candidate.capacity;
   rated.Excluded = candidate.weight == 0;
   rated.Last = candidate.id == avoided || this->ComesLast(candidate, now);
+  const auto placed = this->PlacedAt.find(candidate.id);
+  rated.PlacedAt = placed == this->PlacedAt.end() ? Time{} : placed->second;
   rated.Busy = this->In.Pacer.isBusy(candidate.id, now);
   rated.Slow = slowness > 1.0;
   rated.Cold = bears > 0;
@@ -250,8 +260,10 @@
 
 bool BackendChooser::IsBetter(const Rated& left, const Rated& right)
 {
-  return std::tie(left.Excluded, left.Last, left.Busy, left.Load) <
-    std::tie(right.Excluded, right.Last, right.Busy, right.Load);
+  return std::tie(
+           left.Excluded, left.Last, left.Busy, left.Load, left.PlacedAt) <
+    std::tie(
+           right.Excluded, right.Last, right.Busy, right.Load, right.PlacedAt);
 }
 
 } // namespace cobaltgauge::core
