--- a/tests/core/placement/zone_spill_test.cc
+++ b/tests/core/placement/zone_spill_test.cc
@@ -160,6 +160,27 @@
   BOOST_TEST(!ended[0].Began);
 }
 
+// Limited daemons that kept to their own zone left slots of others idle while
+// openings were refused.
+BOOST_AUTO_TEST_CASE(WhileLimitedEachZoneKeepsItsPartOfTheSlots)
+{
+  ZoneQueues queues(3);
+  queues.Demand = { 0.33, 0.2, 0.1 };
+  queues.Run(2s);
+  const auto limit = [&queues](bool limited) {
+    for (core::ZoneSpill& spill : queues.Spills) {
+      spill.SetLimited(core::ServiceId{ 1 }, limited);
+    }
+  };
+  limit(true);
+  for (std::size_t zone = 0; zone < 3; ++zone) {
+    BOOST_TEST(queues.Kept(zone) == 1.0 / 3,
+               boost::test_tools::tolerance(1e-9));
+  }
+  limit(false);
+  BOOST_TEST(queues.Kept(0) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(SwitchedOffItKeepsAll)
 {
   ZoneQueues queues(3);
