Draw among back ends that are as good again

Supposed cause, not shown by a run: a daemon that goes round sees each back end too seldom for three answers within 3 s, so slow ones stay unknown. It waits until the fleet learns who is slow.

--- a/src/core/placement/backend_chooser.cc
+++ b/src/core/placement/backend_chooser.cc
@@ -5,7 +5,6 @@
 
 #include "core/constants.h"
 #include "core/hashing.h"
-#include "core/placement/placement_limits.h"
 
 namespace cobaltgauge::core {
 namespace {
@@ -30,13 +29,6 @@
   return this->Seen;
 }
 
-void BackendChooser::Expire(Time now)
-{
-  std::erase_if(this->PlacedAt, [now](const auto& item) {
-    return item.second < now - kRoundMemory;
-  });
-}
-
 BackendChooser::Rated BackendChooser::ChooseForRoute(RouteEntry& route,
                                                      BackendId avoided,
                                                      Time now)
@@ -236,8 +228,6 @@
   rated.Capacity = candidate.capacity;
   rated.Excluded = candidate.weight == 0;
   rated.Last = candidate.id == avoided || this->ComesLast(candidate, now);
-  const auto placed = this->PlacedAt.find(candidate.id);
-  rated.PlacedAt = placed == this->PlacedAt.end() ? Time{} : placed->second;
   rated.Busy = this->In.Pacer.isBusy(candidate.id, now);
   rated.Slow = slowness > 1.0;
   rated.Cold = bears > 0;
@@ -260,10 +250,8 @@
 
 bool BackendChooser::IsBetter(const Rated& left, const Rated& right)
 {
-  return std::tie(
-           left.Excluded, left.Last, left.Busy, left.Load, left.PlacedAt) <
-    std::tie(
-           right.Excluded, right.Last, right.Busy, right.Load, right.PlacedAt);
+  return std::tie(left.Excluded, left.Last, left.Busy, left.Load) <
+    std::tie(right.Excluded, right.Last, right.Busy, right.Load);
 }
 
 } // namespace cobaltgauge::core
--- a/src/core/placement/backend_chooser.h
+++ b/src/core/placement/backend_chooser.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstdint>
-#include <unordered_map>
 #include <vector>
 
 #include "core/backend_registry.h"
@@ -47,9 +46,8 @@
 /** \class BackendChooser
  * \brief Find the best back end for a new flow.
  *
- * Of back ends that are as good, the one comes first that this daemon gave an
- * opening longest ago: a round spreads openings more evenly than chance.
- * Whoever follows a choice tells it, and the parts that it was made of.
+ * It decides and notes nothing: whoever follows the choice tells the parts
+ * that it was made of.
  */
 class BackendChooser
 {
@@ -70,12 +68,6 @@
   /// \param avoided the back end that left this opening unanswered.
   PlacementChoice Choose(RouteEntry& route, BackendId avoided, Time now);
 
-  /// Note that a choice was followed.
-  void OnPlaced(BackendId backend, Time now) { this->PlacedAt[backend] = now; }
-
-  /// Forget openings of so long ago that they do not matter for a round.
-  void Expire(Time now);
-
 private:
   using Candidates = std::vector<PlacementCandidate>;
 
@@ -92,7 +84,6 @@
     bool Cold = false;
     bool ColdHeld = false; ///< Cold, and may be given nothing now.
     double Load = 0;
-    Time PlacedAt{}; ///< This daemon's latest opening there.
   };
 
   Rated ChooseForRoute(RouteEntry& route, BackendId avoided, Time now);
@@ -135,7 +126,6 @@
   static bool IsBetter(const Rated& left, const Rated& right);
 
   PlacementInputs In;
-  std::unordered_map<BackendId, Time> PlacedAt; ///< Latest opening.
   std::vector<Demotion*> Demotions;
   PlacementChoice Seen; ///< Counts of the choice that is being made.
 };
--- a/src/core/placement/placement_limits.h
+++ b/src/core/placement/placement_limits.h
@@ -40,9 +40,6 @@
 /// and no more from the other one on.
 inline constexpr double kSpillBegins = 0.9;
 inline constexpr double kSpillEnds = 0.99;
-/// How long an opening counts for a daemon's round over back ends: one with
-/// ten openings a second has gone round the back ends of a zone several times.
-inline constexpr Duration kRoundMemory = 30s;
 /// Changes that wait to be logged.
 inline constexpr std::size_t kMostSpillChanges = 64;
 
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -82,7 +82,6 @@
   }
   health_.onOpening(choice.Id, now);
   pacer_.onOpening(choice.Id, choice.Capacity, now);
-  chooser_.OnPlaced(choice.Id, now);
   if (choice.Cold) {
     warmUps_.OnOpening(choice.Id, now);
   }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -235,7 +235,6 @@
   flows_.expire(now, std::max<Duration>(options_.flowIdleTimeout, routes_.idleTimeout()));
   health_.expire(now);
   pacer_.expire(now);
-  chooser_.Expire(now);
   warmUps_.Expire(now);
   answerTimes_.Expire(now);
   resetFlowsOfEnded();
--- a/tests/core/placement/spilled_openings_test.cc
+++ b/tests/core/placement/spilled_openings_test.cc
@@ -78,8 +78,7 @@
     }
   }
 
-  /// Opens flows that end at once, for four seconds, then counts for four
-  /// more.
+  /// Opens flows that end at once, for four seconds, then counts for four more.
   void Run()
   {
     for (int opening = 0; opening < 800; ++opening) {
