--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -86,7 +86,6 @@
   health_.onOpening(choice.Id, now);
   serving_.OnOpening(choice.Id, backends_.find(choice.Id)->service, now);
   pacer_.onOpening(choice.Id, choice.Capacity, now);
-  chooser_.OnPlaced(choice.Id, now);
   if (choice.Cold) {
     warmUps_.OnOpening(choice.Id, now);
   }
