--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -27,9 +27,8 @@
   core::OutlierDetector outliers{1};
   core::ViewRelay relay{self, reader, updater, log, outliers, random};
   core::LoadMeter meter;
-  core::FleetLoad load{self, meter, [this](core::Time now) {
-                         return steering.backends().countSlots(now);
-                       }};
+  core::FleetLoad load{self, meter,
+                       [this](core::Time now) { return steering.backends().countSlots(now); }};
 
   void begin(core::Time now) {
     relay.SetLoad(&load);
@@ -59,9 +58,7 @@
     relay.OnSubscription(subscription, now);
     relay.OnLoadReport(message, now);
   }
-  void take(const core::LoadSummary& message, core::Time now) {
-    relay.OnLoadSummary(message, now);
-  }
+  void take(const core::LoadSummary& message, core::Time now) { relay.OnLoadSummary(message, now); }
 };
 
 /// Lets a daemon that steers by tokens take a message of a peer.
