Log why a silence proves no death

Cause: in the trace of flows that had been at risk the log did not tell whether witnesses were silent or the verdict was late. Change: DeathTrial keeps its doubt, the prober logs it; decisions are as before. Tests: death_trial_test.

--- a/src/core/proof/death_trial.cc
+++ b/src/core/proof/death_trial.cc
@@ -19,6 +19,21 @@
   return "invalid";
 }
 
+const char* ToString(ProbeDoubt doubt)
+{
+  switch (doubt) {
+    case ProbeDoubt::kNone:
+      return "none";
+    case ProbeDoubt::kLate:
+      return "late";
+    case ProbeDoubt::kNoWitness:
+      return "no_witness";
+    case ProbeDoubt::kFailedHere:
+      return "failed_here";
+  }
+  return "invalid";
+}
+
 DeathTrial::DeathTrial(std::size_t witnesses, Time now)
   : Witnesses(std::min(witnesses, kMostWitnesses))
   , NextStep(now)
@@ -33,7 +48,7 @@
     return this->BeginTry(now);
   }
   if (isLate) {
-    this->Result = this->Result.value_or(ProbeResult::kUnproven);
+    this->Conclude(ProbeDoubt::kLate);
   } else if (this->Steps == kTries + 1) {
     this->NextStep = now + kLastLook;
   } else {
@@ -83,10 +98,22 @@
     return std::any_of(
       round.begin(), round.end(), [](bool did) { return did; });
   };
-  const bool isProven = !this->FailedHere &&
+  const bool areHeard =
     std::all_of(this->Answered.begin() + 1, this->Answered.end(), isHeard);
-  this->Result = this->Result.value_or(isProven ? ProbeResult::kTimedOut
-                                                : ProbeResult::kUnproven);
+  if (this->FailedHere) {
+    this->Conclude(ProbeDoubt::kFailedHere);
+  } else {
+    this->Conclude(areHeard ? ProbeDoubt::kNone : ProbeDoubt::kNoWitness);
+  }
+}
+
+void DeathTrial::Conclude(ProbeDoubt doubt)
+{
+  if (!this->Result) {
+    this->Doubt = doubt;
+    this->Result = doubt == ProbeDoubt::kNone ? ProbeResult::kTimedOut
+                                              : ProbeResult::kUnproven;
+  }
 }
 
 } // namespace cobaltgauge::core
--- a/src/core/proof/death_trial.h
+++ b/src/core/proof/death_trial.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 
 #include "core/types.h"
@@ -26,6 +27,17 @@
 
 const char* ToString(ProbeResult result);
 
+/// Why a silence proves nothing; for logs.
+enum class ProbeDoubt : std::uint8_t
+{
+  kNone,
+  kLate,       ///< A timer was late: this process was held up.
+  kNoWitness,  ///< No witness answered in one of the rounds.
+  kFailedHere, ///< A connection failed by this machine's own doing.
+};
+
+const char* ToString(ProbeDoubt doubt);
+
 /// How one connection of a trial ended.
 enum class ConnectOutcome : std::uint8_t
 {
@@ -88,10 +100,14 @@
 
   /// Get the result, once there is one.
   std::optional<ProbeResult> GetResult() const { return this->Result; }
+  /// Get what is in the way of a proof, where the result is kUnproven.
+  ProbeDoubt GetDoubt() const { return this->Doubt; }
 
 private:
   Step BeginTry(Time now);
   void Judge();
+  /// End a silent trial; without a doubt the back end is dead.
+  void Conclude(ProbeDoubt doubt);
 
   std::size_t Witnesses;
   std::size_t Steps = 0;
@@ -100,6 +116,7 @@
   /// Witnesses that answered, by step.
   std::array<std::array<bool, kMostWitnesses>, kTries> Answered{};
   std::optional<ProbeResult> Result;
+  ProbeDoubt Doubt = ProbeDoubt::kNone;
 };
 
 } // namespace cobaltgauge::core
--- a/src/daemon/backend_prober.cc
+++ b/src/daemon/backend_prober.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "daemon/clock.h"
+#include "daemon/token_log.h"
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
@@ -95,6 +96,9 @@
     asio::error_code ignored;
     socket.close(ignored);
   }
+  if (*result == core::ProbeResult::kUnproven) {
+    logUnproven(trial->backend, trial->proof.GetDoubt());
+  }
   handler_(trial->backend, *result);
 }
 
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -110,6 +110,11 @@
             {"result", core::ToString(result)}});
 }
 
+void logUnproven(const core::BackendAddress& backend, core::ProbeDoubt doubt) {
+  logEvent(LogLevel::kInfo, "silence_unproven",
+           {{"backend", hex(backend.id)}, {"doubt", core::ToString(doubt)}});
+}
+
 void logViewChange(const core::ViewChange& change, core::Duration viewAge) {
   switch (change.kind) {
     case core::ViewChange::Kind::kEvacuationBegan:
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -20,6 +20,9 @@
 /// Logs the result of a probe.
 void logProbe(const core::BackendAddress& backend, core::ProbeResult result);
 
+/// Logs why a back end that took no connection is not taken for dead.
+void logUnproven(const core::BackendAddress& backend, core::ProbeDoubt doubt);
+
 /// Logs a change of the view. @param viewAge since the view was last known to be the store's: the
 /// change cannot have been made longer ago.
 void logViewChange(const core::ViewChange& change, core::Duration viewAge);
--- a/tests/core/proof/death_trial_test.cc
+++ b/tests/core/proof/death_trial_test.cc
@@ -23,6 +23,7 @@
   std::size_t Witnesses = DeathTrial::kMostWitnesses;
   core::Duration LastStepLate{ 0 };
   std::size_t Connections = 0;
+  core::ProbeDoubt Doubt = core::ProbeDoubt::kNone;
   core::Time Began = this->Now;
 
   ProbeResult Run()
@@ -34,6 +35,7 @@
       this->Now += isLast ? this->LastStepLate : 0s;
       this->Take(trial, trial.TakeStep(this->Now));
     }
+    this->Doubt = trial.GetDoubt();
     return *trial.GetResult();
   }
 
@@ -95,6 +97,7 @@
 {
   this->WitnessesAnswerFrom = kNever;
   BOOST_TEST((this->Run() == ProbeResult::kUnproven));
+  BOOST_TEST((this->Doubt == core::ProbeDoubt::kNoWitness));
 }
 
 BOOST_AUTO_TEST_CASE(a_link_that_breaks_during_the_trial_proves_nothing)
@@ -119,6 +122,7 @@
 {
   this->LastStepLate = DeathTrial::kTimerSlack + 1us;
   BOOST_TEST((this->Run() == ProbeResult::kUnproven));
+  BOOST_TEST((this->Doubt == core::ProbeDoubt::kLate));
 }
 
 BOOST_AUTO_TEST_CASE(a_try_that_this_machine_could_not_make_proves_nothing)
@@ -126,6 +130,7 @@
   this->SuspectAnswersFrom = 1;
   this->SuspectSays = ConnectOutcome::kFailed;
   BOOST_TEST((this->Run() == ProbeResult::kUnproven));
+  BOOST_TEST((this->Doubt == core::ProbeDoubt::kFailedHere));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
