--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -57,14 +57,14 @@
   std::chrono::milliseconds applyWithin{3000};
   std::chrono::milliseconds drainWithin{3000};
   std::chrono::milliseconds evacuateWithin{3000};
-  bool loadReports = true;  ///< Daemons tell each other of the load they see.
+  bool loadReports = true;     ///< Daemons tell each other of the load they see.
   bool resetDeadFlows = true;  ///< Of back ends that are proven dead.
   core::Endpoint readinessListen;
   bool silentGroups = true;  ///< Back ends of a zone that are gone together come last together.
   bool requireReach = true;  ///< Ready only where some back end is reached.
   bool spill = true;         ///< Openings leave zones without room.
   core::RankAdmissionOptions admission;
-  std::string policyFile;    ///< Empty: all back ends are weighed alike.
+  std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
   std::map<std::string, std::string> given;
 };
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -77,8 +77,8 @@
   BOOST_TEST(!registry.hasEnded(BackendId{1}));
 }
 
-// A write that the store took seconds late named a crashed back end after the one that had taken its
-// address; that one was given up for good.
+// A write that the store took seconds late named a crashed back end after the one that had taken
+// its address; that one was given up for good.
 BOOST_AUTO_TEST_CASE(a_late_word_of_the_one_before_does_not_end_the_one_that_lives) {
   registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
   registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
--- a/tests/core/placement/spilled_openings_test.cc
+++ b/tests/core/placement/spilled_openings_test.cc
@@ -78,7 +78,8 @@
     }
   }
 
-  /// Opens flows that end at once, for four seconds, then counts for four more.
+  /// Opens flows that end at once, for four seconds, then counts for four
+  /// more.
   void Run()
   {
     for (int opening = 0; opening < 800; ++opening) {
