--- a/src/core/admission/rank_admission.cc
+++ b/src/core/admission/rank_admission.cc
@@ -52,7 +52,7 @@
   this->Zones = std::move(zonesOf);
 }
 
-bool RankAdmission::Admit(const Route& route, Time now)
+bool RankAdmission::Admit(const Route& route, Time now, bool mayRefuse)
 {
   double weights = 0;
   for (const RouteTarget& target : route.targets) {
@@ -65,7 +65,7 @@
       }
     }
   };
-  bool isAdmitted = weights == 0;
+  bool isAdmitted = weights == 0 || !mayRefuse;
   forEach([&](Service& service, const RouteTarget& target) {
     service.State.Service = target.service;
     service.Ranks.insert(route.priority);
--- a/src/core/admission/rank_admission.h
+++ b/src/core/admission/rank_admission.h
@@ -87,8 +87,9 @@
   void SetRoom(const RoomView* room, ZonesOf zonesOf);
 
   /// Decide on an opening of which no copy was sent on.
+  /// \param mayRefuse false where the view may lack back ends.
   /// \return false where it is to be refused.
-  bool Admit(const Route& route, Time now);
+  bool Admit(const Route& route, Time now, bool mayRefuse = true);
 
   /// Tell whether openings of a service are limited now.
   bool IsLimited(ServiceId service) const;
--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -60,7 +60,10 @@
     return {};
   }
   for (const BackendId id : due) {
-    signs_.at(id).probing = true;
+    Signs& signs = signs_.at(id);
+    signs.probing = true;
+    signs.probeCounts = true;
+    signs.probeBegan = now;
     ++counters_.probes;
   }
   return due;
@@ -78,7 +81,8 @@
     onAnswer(backend, now);
     return false;
   }
-  const bool answeredMeanwhile = signs.unansweredSince == Time{};
+  const bool answeredMeanwhile =
+      signs.unansweredSince == Time{} || !signs.probeCounts || signs.lastAnswer >= signs.probeBegan;
   if (result != ProbeResult::kTimedOut || answeredMeanwhile) {
     counters_.unproven += result == ProbeResult::kUnproven ? 1U : 0U;
     return false;
@@ -96,6 +100,7 @@
   for (auto& [id, signs] : signs_) {
     signs.unansweredSince = Time{};
     signs.dead = false;
+    signs.probeCounts = false;
   }
   open_.clear();
 }
@@ -110,13 +115,7 @@
   return found;
 }
 
-void BackendHealth::onReachChanged() {
-  for (auto& [id, signs] : signs_) {
-    signs.unansweredSince = Time{};
-    signs.dead = false;
-  }
-  open_.clear();
-}
+void BackendHealth::onReachChanged() { onResume(); }
 
 void BackendHealth::expire(Time now) {
   for (const BackendId id : open_) {
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -70,7 +70,9 @@
     Time provenDeadAt{};     ///< By the last probe that did.
     Time unansweredSince{};  ///< When the first unanswered thing was sent; zero: all answered.
     Time nextProbe{};
+    Time probeBegan{};
     bool probing = false;
+    bool probeCounts = false;  ///< What was believed when it began still holds.
     bool dead = false;
   };
 
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -226,6 +226,11 @@
 }
 
 const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
+  // Peers may ask for services that nobody has; nothing is kept for those.
+  static const std::vector<PlacementCandidate> kNone;
+  if (!services_.contains(service)) {
+    return kNone;
+  }
   const auto [list, isNew] = candidates_.try_emplace(service);
   if (isNew) {
     list->second = collect(
--- a/src/core/load/fleet_load.cc
+++ b/src/core/load/fleet_load.cc
@@ -129,11 +129,13 @@
   sum.Loads.Add(this->Meter.GetLoads(now), 1);
   for (const auto& [follower, part] : this->Parts) {
     // Who follows each other for a moment would count the other's sum.
-    if (part.Ends > now && part.Report.level > level &&
-        follower != this->Place.Upstream) {
+    // One old part would make the figures of all others too old to use.
+    const Time asOf =
+      part.SentAt - std::chrono::milliseconds(part.Report.ageMs);
+    if (part.Ends > now && now - asOf < kOldestPart &&
+        part.Report.level > level && follower != this->Place.Upstream) {
       sum.Loads.Add(part.Report.loads, part.Report.daemons);
-      sum.AsOf = std::min(
-        sum.AsOf, part.SentAt - std::chrono::milliseconds(part.Report.ageMs));
+      sum.AsOf = std::min(sum.AsOf, asOf);
     }
   }
   return sum;
--- a/src/core/load/fleet_load.h
+++ b/src/core/load/fleet_load.h
@@ -84,6 +84,12 @@
 
   /// Take the report that is due to the daemon that is followed.
   std::optional<LoadReport> TakeReport(Time now);
+
+  /// Get the daemon that reports are made for, as of the last tick.
+  const std::optional<Endpoint>& GetUpstream() const
+  {
+    return this->Place.Upstream;
+  }
   /// Take what is due to the followers.
   std::vector<LoadSummary> TakeSummaries(Time now);
   std::vector<LoadCrossing> TakeCrossings();
--- a/src/core/load/load_limits.h
+++ b/src/core/load/load_limits.h
@@ -82,6 +82,10 @@
 /// A report holds until the next one is due, and for this: a busy round is
 /// lost without harm, and a dead daemon's load ends soon.
 inline constexpr Duration kReportSlack = 600ms;
+/// A part of the sum that tells of so long ago, a calm round, is left out, so
+/// that one daemon that has died does not make the figures of all others too
+/// old to use.
+inline constexpr Duration kOldestPart = kCalmReportEvery + kRootGathersFor;
 inline constexpr Duration kLongestReportHolds =
   kCalmReportEvery + kReportSlack;
 /// Levels of followers; three carry the largest fleet.
--- a/src/core/load/opening_outcomes.cc
+++ b/src/core/load/opening_outcomes.cc
@@ -79,7 +79,10 @@
       watch.AskedAt = now;
       this->Asked.push_back({ now + kAnswerLate, watch.OpenedAt, flow });
     }
-    watch.DataEnd = packet.sequence + packet.dataLength;
+    const std::uint32_t end = packet.sequence + packet.dataLength;
+    const bool isFurther =
+      !hasAsked || static_cast<std::int32_t>(end - watch.DataEnd) > 0;
+    watch.DataEnd = isFurther ? end : watch.DataEnd;
   }
 }
 
@@ -208,6 +211,9 @@
     const Watches::iterator watch = *due;
     if (now - watch->second.LastAt >= kAnswerWholeAfter) {
       this->Finish(watch, now);
+    } else {
+      this->Short.push_back(
+        { now + kAnswerWholeAfter, watch->second.OpenedAt, watch->first });
     }
   }
 }
--- a/src/core/placement/backend_chooser.cc
+++ b/src/core/placement/backend_chooser.cc
@@ -69,6 +69,8 @@
                                                       Time now)
 {
   const Candidates& registered = this->In.Backends.candidates(service);
+  // Of all regions: routes that allow different ones share the figures.
+  this->In.Spill.Update(registered, now);
   Candidates all =
     this->In.Backends.lapsedSince(service, now - kVanishedFallback);
   if (all.empty()) {
@@ -107,7 +109,6 @@
   for (Demotion* demotion : this->Demotions) {
     demotion->Consider(candidates, now);
   }
-  this->In.Spill.Update(candidates, now);
   const Rated first = this->ChooseWithout(candidates, nullptr, avoided, now);
   return this->Spill(first, candidates, avoided, now);
 }
--- a/src/core/placement/placement_limits.h
+++ b/src/core/placement/placement_limits.h
@@ -60,6 +60,9 @@
 /// Answers count as longer than usual from here on: the mean of kSeenAtLeast
 /// answers with a spread of a half strays by a fifth.
 inline constexpr double kLongerThanCalm = 1.5;
+/// Share of rejected openings from which a zone counts as full, whatever its
+/// answers take: two of the fewest results that tell are more than chance.
+inline constexpr double kRejectsWhenFull = 0.25;
 /// Use that a zone is taken to have which this daemon has not tried lately.
 inline constexpr double kUntriedUse = 0.5;
 
--- a/src/core/placement/seen_room.cc
+++ b/src/core/placement/seen_room.cc
@@ -86,6 +86,9 @@
     // The time in the queue M/M/2 is the work's over 1 - r^2.
     const double use = std::min(std::sqrt(1 - 1 / longer), kMostUse);
     room.Utilization = GetInFlight(use);
+  } else if (room.RejectedShare >= kRejectsWhenFull) {
+    // Too few were served to tell by their times; who rejects is not empty.
+    room.Utilization = GetInFlight(kMostUse);
   }
   return room;
 }
--- a/src/core/placement/zone_spill.cc
+++ b/src/core/placement/zone_spill.cc
@@ -14,6 +14,20 @@
 
 } // namespace
 
+void ZoneSpill::SetEnabled(bool enabled)
+{
+  this->Enabled = enabled;
+  if (!enabled) {
+    for (auto& [id, service] : this->Services) {
+      for (auto& [zoneId, zone] : service.Zones) {
+        zone.Share = 1;
+        this->NoteChange(id, zoneId, zone, 0);
+      }
+    }
+    this->Services.clear();
+  }
+}
+
 void ZoneSpill::Update(const std::vector<PlacementCandidate>& candidates,
                        Time now)
 {
--- a/src/core/placement/zone_spill.h
+++ b/src/core/placement/zone_spill.h
@@ -47,7 +47,7 @@
   void AddSource(const RoomView& room) { this->Sources.push_back(&room); }
 
   /// Let openings leave zones without room, or not.
-  void SetEnabled(bool enabled) { this->Enabled = enabled; }
+  void SetEnabled(bool enabled);
 
   /// Say whether openings of a service are limited: its back ends are full in
   /// all zones.  Each zone then keeps its part of the slots and no more, so
--- a/src/core/relay/view_relay_load.cc
+++ b/src/core/relay/view_relay_load.cc
@@ -24,7 +24,12 @@
   if (this->Leaving) {
     return;
   }
-  if (std::optional<LoadReport> report = this->Load->TakeReport(now)) {
+  // Between two ticks the daemon that is followed may have been given up.
+  const bool isInStep =
+    this->Upstream && this->Load->GetUpstream() == this->Upstream;
+  std::optional<LoadReport> report =
+    isInStep ? this->Load->TakeReport(now) : std::nullopt;
+  if (report) {
     this->Outgoing.push_back({ { *this->Upstream }, std::move(*report) });
   }
   const std::vector<Endpoint> followers = this->Followers.List();
--- a/src/core/token_domains.cc
+++ b/src/core/token_domains.cc
@@ -25,6 +25,9 @@
 }
 
 void TokenSteering::onReachProbe(BackendId backend, ProbeResult result, Time now) {
+  if (result == ProbeResult::kUnproven) {
+    return;
+  }
   serving_.OnProbe(backend, result, now);
   noteReach();
   if (result == ProbeResult::kConnected) {
@@ -101,7 +104,7 @@
 
 void TokenSteering::onGroupProbe(BackendId backend, ProbeResult result, Time now) {
   const PlacementCandidate* candidate = findCandidate(backend);
-  if (candidate == nullptr) {
+  if (candidate == nullptr || result == ProbeResult::kUnproven) {
     return;
   }
   const BackendGroup group{candidate->service, candidate->zone};
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -99,12 +99,12 @@
   if (admission_ == nullptr || !isFirst) {
     return true;
   }
-  const bool admitted = admission_->Admit(route, now);
+  const bool admitted = admission_->Admit(route, now, viewCurrent_);
   for (const RouteTarget& target : route.targets) {
     const ServiceId service = serviceIdOf(target.service);
     spill_.SetLimited(service, admission_->IsLimited(service));
   }
-  return admitted || !viewCurrent_;
+  return admitted;
 }
 
 Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -181,6 +181,7 @@
 
 void TokenSteering::onResume() {
   serving_.OnResume();
+  noteReach();
   silentGroups_.OnResume();
   deadlines_.Clear();
   outcomes_.Clear();
@@ -209,7 +210,8 @@
 }
 
 void TokenSteering::onProbe(BackendId backend, ProbeResult result, Time now) {
-  onGroupProbe(backend, result, now);
+  // Silence that proves no death still asks for a look at its neighbours.
+  onGroupProbe(backend, result == ProbeResult::kUnproven ? ProbeResult::kTimedOut : result, now);
   if (!serving_.IsServing() && result != ProbeResult::kConnected) {
     health_.onProbe(backend, ProbeResult::kRefused, now);
     return;
--- a/src/daemon/backend_probes.cc
+++ b/src/daemon/backend_probes.cc
@@ -45,7 +45,8 @@
   }
   const core::GroupNotice found{steering_.silentGroups().TakeFound()};
   for (const core::BackendGroup& group : found.Groups) {
-    logSilentGroup(group, steering_.silentGroups().CountSilent(now), reader_.revision());
+    logSilentGroup(group, steering_.silentGroups().CountSilent(now), steering_.backends(),
+                   reader_.revision());
   }
   peers_.Tell(found);
   for (const core::ServingChange& change : steering_.serving().TakeChanges()) {
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -161,16 +161,6 @@
   return text == "hash" || text == "address";
 }
 
-bool assignSilentGroups(Settings& settings, const std::string& text) {
-  settings.silentGroups = text == "true";
-  return text == "true" || text == "false";
-}
-
-bool assignRequireReach(Settings& settings, const std::string& text) {
-  settings.requireReach = text == "true";
-  return text == "true" || text == "false";
-}
-
 bool assignAdmissionOrder(Settings& settings, const std::string& text) {
   settings.admission.Enabled = text == "rank";
   return text == "rank" || text == "off";
@@ -258,11 +248,10 @@
                          "Which openings are refused while back ends are full: those of the lowest "
                          "rank first, or none (token)",
                          "rank or off", assignAdmissionOrder));
-  fields.push_back(
-      field("admission", "least_share",
-            "Share of what full back ends accept that is kept for the ranks below each "
-            "(token)",
-            "a number from 0 to 0.5", assignLeastShare));
+  fields.push_back(field("admission", "least_share",
+                         "Share of what full back ends accept that is kept for all ranks but the "
+                         "highest (token)",
+                         "a number from 0 to 0.5", assignLeastShare));
   fields.push_back(switchField("load", "reports",
                                "Daemons tell each other of the load they see (token)",
                                &Settings::loadReports));
@@ -270,14 +259,14 @@
                                  "Where GET /ready is answered; required where steering.mode is "
                                  "token",
                                  &Settings::readinessListen));
-  fields.push_back(field("steering", "silent_groups",
-                         "Whether back ends of a zone that are gone together come last together "
-                         "(token)",
-                         "true or false", assignSilentGroups));
-  fields.push_back(field("readiness", "require_reach",
-                         "Whether a daemon that reaches none of the back ends that its callers "
-                         "need says that it is not ready (token)",
-                         "true or false", assignRequireReach));
+  fields.push_back(switchField("steering", "silent_groups",
+                               "Whether back ends of a zone that are gone together come last "
+                               "together (token)",
+                               &Settings::silentGroups));
+  fields.push_back(switchField("readiness", "require_reach",
+                               "Whether a daemon that reaches none of the back ends that its "
+                               "callers need says that it is not ready (token)",
+                               &Settings::requireReach));
   fields.push_back(nameField("cluster", "name", "Name of the cluster", &Settings::clusterName));
   fields.push_back(field("cluster", "key", "Secret shared by the cluster's daemons",
                          "16 to 256 bytes", assignKey, true));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -35,7 +35,9 @@
 std::vector<core::ZoneId> zonesOf(core::BackendRegistry& backends, core::ServiceId service) {
   std::set<core::ZoneId> zones;
   for (const core::PlacementCandidate& candidate : backends.candidates(service)) {
-    zones.insert(candidate.zone);
+    if (candidate.weight > 0) {
+      zones.insert(candidate.zone);
+    }
   }
   return {zones.begin(), zones.end()};
 }
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -175,10 +175,10 @@
 }
 
 void logSilentGroup(const core::BackendGroup& group, std::size_t silent,
-                    core::Revision viewRevision) {
+                    const core::BackendRegistry& backends, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "group_silent",
-           {{"service", std::to_string(static_cast<std::uint32_t>(group.Service))},
-            {"zone", std::to_string(static_cast<std::uint32_t>(group.Zone))},
+           {{"service", backends.nameOf(group.Service)},
+            {"zone", backends.nameOf(group.Zone)},
             {"silent_groups", std::to_string(silent)},
             {"revision", std::to_string(viewRevision)}});
 }
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -36,7 +36,7 @@
 
 /// All back ends of a group come last for new flows. @param silent how many groups do.
 void logSilentGroup(const core::BackendGroup& group, std::size_t silent,
-                    core::Revision viewRevision);
+                    const core::BackendRegistry& backends, core::Revision viewRevision);
 
 /// Logs that a service's limit began, changed by much or ended, and by what.
 void logAdmission(const core::AdmissionState& state);
--- a/tests/core/backend_health_test.cc
+++ b/tests/core/backend_health_test.cc
@@ -42,6 +42,30 @@
   BOOST_TEST(health.takeProbes(kKnown, now + core::kProbeAgainAfter).size() == 1U);
 }
 
+// Something asked after the answer hid it, and a living back end's flows were given up.
+BOOST_AUTO_TEST_CASE(an_answer_during_the_probe_counts_though_more_was_asked_since) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  BOOST_TEST(health.takeProbes(kKnown, now).size() == 1U);
+  now += 100ms;
+  health.onAnswer(kFirst, now);
+  now += 50ms;
+  health.onOpening(kFirst, now);
+  now += 170ms;
+  BOOST_TEST(!health.onProbe(kFirst, ProbeResult::kTimedOut, now));
+  BOOST_TEST(!health.isDead(kFirst));
+}
+
+BOOST_AUTO_TEST_CASE(a_probe_from_before_a_suspension_proves_nothing) {
+  health.onOpening(kFirst, now);
+  now += 200ms;
+  BOOST_TEST(health.takeProbes(kKnown, now).size() == 1U);
+  health.onResume();
+  health.onOpening(kFirst, now);
+  now += 320ms;
+  BOOST_TEST(!health.onProbe(kFirst, ProbeResult::kTimedOut, now));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_during_the_probe_outweighs_its_failure) {
   health.onOpening(kFirst, now);
   now += 200ms;
--- a/tests/core/placement/seen_room_test.cc
+++ b/tests/core/placement/seen_room_test.cc
@@ -68,6 +68,16 @@
   BOOST_TEST(this->DemandOf(kOwn) == 0);
 }
 
+// With few served their times tell nothing, and the zone looked empty.
+BOOST_AUTO_TEST_CASE(AZoneThatRejectsMostIsNotEmpty)
+{
+  this->End(kOwn, 80, 40ms);
+  this->Now += 3s;
+  this->End(kOwn, 2, 40ms);
+  this->End(kOwn, 8, 5ms, OpeningOutcome::kTurnedAway);
+  BOOST_TEST(this->DemandOf(kOwn) > 1.0);
+}
+
 BOOST_AUTO_TEST_CASE(ABurstDoesNotMakeLongAnswersUsual)
 {
   this->End(kOwn, 80, 40ms);
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -154,6 +154,13 @@
   BOOST_REQUIRE(off);
   BOOST_TEST(!off->requireReach);
   BOOST_TEST(!off->silentGroups);
+  const auto written =
+      load(std::string(kValid) +
+           "[readiness]\nrequire_reach = false\n[steering]\nsilent_groups = false\n")
+          .settings;
+  BOOST_REQUIRE(written);
+  BOOST_TEST(!written->requireReach);
+  BOOST_TEST(!written->silentGroups);
   BOOST_TEST(load(kValid, {"--readiness-require-reach=maybe"}).reason.find("true or false") !=
              std::string::npos);
 }
