--- a/src/core/load/fleet_load.cc
+++ b/src/core/load/fleet_load.cc
@@ -65,7 +65,10 @@
   }
   std::erase_if(this->Parts,
                 [now](const auto& item) { return item.second.Ends <= now; });
-  this->Slots = this->CountSlots(now);
+  if (now >= this->NextCountAt) {
+    this->NextCountAt = now + kSlotsCountedEvery;
+    this->Slots = this->CountSlots(now);
+  }
   if (place.IsRoot) {
     this->KnowOwnTree(now);
     this->NoteNeed(now);
--- a/src/core/load/fleet_load.h
+++ b/src/core/load/fleet_load.h
@@ -148,6 +148,7 @@
   std::uint64_t QuestionSentAtUs = 0;
   std::map<Endpoint, Part> Parts; ///< By follower.
   ZoneSlots Slots;
+  Time NextCountAt{};
   LoadSum Known;
   std::optional<Time> KnownAsOf;
   std::optional<Time> AskedAt; ///< When the round began, until it is gathered.
--- a/src/core/load/load_limits.h
+++ b/src/core/load/load_limits.h
@@ -88,6 +88,9 @@
 inline constexpr Duration kOldestPart = kCalmReportEvery + kRootGathersFor;
 inline constexpr Duration kLongestReportHolds =
   kCalmReportEvery + kReportSlack;
+/// Slots are counted this often, since a count goes over all back ends, of
+/// which a large fleet has thousands; figures of load are hardly younger.
+inline constexpr Duration kSlotsCountedEvery = 1s;
 /// Levels of followers; three carry the largest fleet.
 inline constexpr std::uint32_t kMostLevels = 6;
 /// Figures count as missing where they hold fewer of the tree's daemons than
--- a/src/core/placement/placement_limits.h
+++ b/src/core/placement/placement_limits.h
@@ -34,6 +34,9 @@
 inline constexpr Duration kKeptMemory = 2000ms;
 /// Kept shares are worked out this often at most.
 inline constexpr Duration kSteerEvery = 50ms;
+/// Zones and their slots are counted this often while as many back ends take
+/// flows as before, since a count goes over all of them.
+inline constexpr Duration kZonesCountedEvery = 1s;
 /// A service that got no opening for this long starts afresh.
 inline constexpr Duration kSpillMemory = 10s;
 /// Openings go elsewhere "for want of room" from this kept share on, for logs;
--- a/src/core/placement/zone_spill.cc
+++ b/src/core/placement/zone_spill.cc
@@ -44,6 +44,20 @@
     service.Zones.clear();
   }
   service.UpdatedAt = now;
+  const bool isCounted = service.Counted == candidates.size() &&
+    now - service.CountedAt < kZonesCountedEvery && !service.Zones.empty();
+  if (!isCounted) {
+    service.Counted = candidates.size();
+    service.CountedAt = now;
+    CountZones(service, candidates);
+  }
+  this->TakeFigures(id, service, now);
+  this->Steer(id, service, std::min(passed, kYoungestFigures), now);
+}
+
+void ZoneSpill::CountZones(Service& service,
+                           const std::vector<PlacementCandidate>& candidates)
+{
   std::map<ZoneId, Zone> zones;
   std::map<ZoneId, double> slots;
   double allSlots = 0;
@@ -58,8 +72,6 @@
   for (auto& [zoneId, zone] : service.Zones) {
     zone.Slots = slots[zoneId] / allSlots;
   }
-  this->TakeFigures(id, service, now);
-  this->Steer(id, service, std::min(passed, kYoungestFigures), now);
 }
 
 void ZoneSpill::TakeFigures(ServiceId id, Service& service, Time now) const
--- a/src/core/placement/zone_spill.h
+++ b/src/core/placement/zone_spill.h
@@ -100,10 +100,15 @@
   struct Service
   {
     Time UpdatedAt{};
+    Time CountedAt{};
+    std::size_t Counted = 0; ///< Back ends that zones were counted from.
     bool IsLimited = false;
     std::map<ZoneId, Zone> Zones;
   };
 
+  /// Find the zones with back ends that take flows, and their slots.
+  static void CountZones(Service& service,
+                         const std::vector<PlacementCandidate>& candidates);
   /// Take the figures of the first source that knows two zones of a service.
   void TakeFigures(ServiceId id, Service& service, Time now) const;
   void Steer(ServiceId id, Service& service, Duration passed, Time now);
