Look back ends up once, and neighbours only where there is news

Found by reading the whole change once more: placing an opening looked the chosen back end up twice, each candidate's zone was hashed again though its address holds it, and the list of neighbours was made after nearly every batch of packets to tell them nothing.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -172,7 +172,7 @@
           entry.weight,
           entry.warmUntil,
           region == regions_.end() ? kNoRegion : region->second,
-          zoneIdOf(entry.registration.zone)};
+          entry.address.zone};
 }
 
 bool BackendRegistry::isServing(const Entry& entry) const {
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -84,7 +84,7 @@
     load_->OnOpening(flow.fingerprint, {backend.service, backend.zone}, now);
   }
   health_.onOpening(choice.Id, now);
-  serving_.OnOpening(choice.Id, backends_.find(choice.Id)->service, now);
+  serving_.OnOpening(choice.Id, backend.service, now);
   pacer_.onOpening(choice.Id, choice.Capacity, now);
   if (choice.Cold) {
     warmUps_.OnOpening(choice.Id, now);
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -87,8 +87,11 @@
 
 void PeerLink::Tell(const core::GroupNotice& notice)
 {
+  if (notice.Groups.empty()) {
+    return; // As after nearly every batch of packets.
+  }
   const std::vector<core::Endpoint> neighbours = this->Relay.GetNeighbours();
-  if (!notice.Groups.empty() && !neighbours.empty()) {
+  if (!neighbours.empty()) {
     this->Peers.send(neighbours, notice);
   }
 }
