--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -211,8 +211,8 @@
 /// probes may be lost.
 inline constexpr Duration kGroupProbeEvery = 500ms;
 inline constexpr Duration kGroupSilentFor = 1500ms;
-/// How long a probe of a member waits. A verdict of a group is not taken back as soon as one that says
-/// that nothing is reached, so it waits twice as long.
+/// How long a probe of a member waits. A verdict of a group is not taken back as soon as one that
+/// says that nothing is reached, so it waits twice as long.
 inline constexpr Duration kGroupPatience = 2 * kReachPatience;
 /// How often other daemons can have one group probed, and the groups of one notice: four
 /// connections a second for each, whoever asks.
