Keep lists of candidates in step instead of collecting them anew

Cause: any change of a service dropped its list of candidates, and the next opening collected it from a map by key; with departures in the last 2 s each opening also went through every back end of the service. While back ends come and go both grow with the back ends, at every daemon. One that registered for another service or address also stayed in the list or at the address before. Change: a list is collected once and kept in step by each change; departures are kept in their order; probes count candidates, not entries; few outliers are not counted among many candidates.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -37,6 +37,10 @@
   }
   const bool tookFlows = !isNew && takesNewFlows(known->second.address.id);
   const bool leaving = registration.state == BackendState::kLeaving;
+  if (!isNew && (known->second.registration.service != registration.service ||
+                 known->second.registration.endpoint != registration.endpoint)) {
+    unlink(key, known->second);
+  }
   Entry& entry = entries_[key];
   const bool sameContent = !isNew && entry.present && entry.registration == registration;
   entry.registration = registration;
@@ -57,7 +61,7 @@
   endpoints_[registration.endpoint].insert(key);
   tokens_.AddAddress(registration.endpoint);
   markEnded(registration.endpoint);
-  candidates_.erase(entry.address.service);
+  refreshCandidate(entry);
   if (isNew) {
     return RegistryEvent::kAdded;
   }
@@ -70,6 +74,24 @@
   return sameContent ? RegistryEvent::kRefreshed : RegistryEvent::kChanged;
 }
 
+void BackendRegistry::unlink(const std::string& key, const Entry& entry) {
+  services_[entry.address.service].erase(key);
+  const auto list = candidates_.find(entry.address.service);
+  if (list != candidates_.end()) {
+    list->second.Remove(entry.address.id);
+  }
+  unlinkAddress(key, entry.address.endpoint);
+}
+
+void BackendRegistry::unlinkAddress(const std::string& key, const Endpoint& endpoint) {
+  const auto keys = endpoints_.find(endpoint);
+  keys->second.erase(key);
+  if (keys->second.empty()) {
+    endpoints_.erase(keys);
+    tokens_.ForgetAddress(endpoint);
+  }
+}
+
 void BackendRegistry::markEnded(const Endpoint& endpoint) {
   // A listing gives the back ends of an address in any order.
   const std::set<std::string>& keys = endpoints_[endpoint];
@@ -82,7 +104,7 @@
     Entry& entry = entries_.at(key);
     if (!entry.ended && entry.revision < last) {
       entry.ended = true;
-      candidates_.erase(entry.address.service);
+      refreshCandidate(entry);
     }
   }
 }
@@ -97,15 +119,15 @@
   if (!entry.present) {
     return RegistryEvent::kNone;
   }
-  depart(entry, now);
+  depart(key, entry, now);
   return RegistryEvent::kVanished;
 }
 
-void BackendRegistry::depart(Entry& entry, Time now) {
+void BackendRegistry::depart(const std::string& key, Entry& entry, Time now) {
   entry.present = false;
   entry.removedAt = now;
-  lastDeparture_[entry.address.service] = now;
-  candidates_.erase(entry.address.service);
+  departures_[entry.address.service].emplace_back(now, key);
+  refreshCandidate(entry);
 }
 
 std::vector<std::string> BackendRegistry::retainOnly(const std::set<std::string>& keys,
@@ -120,7 +142,7 @@
     // The removal's own revision is unknown; the listing's is the latest that it can have.
     Entry& entry = entries_.at(key);
     entry.revision = listedAt;
-    depart(entry, now);
+    depart(key, entry, now);
   }
   return vanished;
 }
@@ -225,20 +247,42 @@
   return key != keys_.end() && isCandidate(entries_.at(key->second));
 }
 
-const std::vector<PlacementCandidate>& BackendRegistry::candidates(ServiceId service) {
+const CandidateList& BackendRegistry::candidateList(ServiceId service) {
   // Peers may ask for services that nobody has; nothing is kept for those.
-  static const std::vector<PlacementCandidate> kNone;
-  if (!services_.contains(service)) {
+  static const CandidateList kNone;
+  const auto keys = services_.find(service);
+  if (keys == services_.end()) {
     return kNone;
   }
   const auto [list, isNew] = candidates_.try_emplace(service);
   if (isNew) {
-    list->second = collect(
-        service, [this](const std::string&, const Entry& entry) { return isCandidate(entry); });
+    for (const std::string& key : keys->second) {
+      const Entry& entry = entries_.at(key);
+      if (isCandidate(entry)) {
+        list->second.Put(candidateOf(entry));
+      }
+    }
   }
   return list->second;
 }
 
+void BackendRegistry::refreshCandidate(const Entry& entry) {
+  const auto list = candidates_.find(entry.address.service);
+  if (list == candidates_.end()) {
+    return;
+  }
+  if (isCandidate(entry)) {
+    list->second.Put(candidateOf(entry));
+  } else {
+    list->second.Remove(entry.address.id);
+  }
+}
+
+const PlacementCandidate* BackendRegistry::findCandidate(BackendId id) {
+  const BackendAddress* address = find(id);
+  return address == nullptr ? nullptr : candidateList(address->service).Find(id);
+}
+
 std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> BackendRegistry::countSlots(Time now) {
   std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> slots;
   for (const auto& [service, keys] : services_) {
@@ -263,9 +307,21 @@
 
 std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
                                                                Time since) const {
-  return collect(service, [this, since](const std::string&, const Entry& entry) {
-    return hasVanished(entry, since);
-  });
+  std::vector<PlacementCandidate> vanished;
+  const auto departures = departures_.find(service);
+  if (departures == departures_.end()) {
+    return vanished;
+  }
+  const auto& list = departures->second;
+  for (auto item = list.rbegin(); item != list.rend() && item->first > since; ++item) {
+    const auto entry = entries_.find(item->second);
+    // One that came back and departed again counts by its last departure.
+    const bool isLast = entry != entries_.end() && entry->second.removedAt == item->first;
+    if (isLast && hasVanished(entry->second, since)) {
+      vanished.push_back(candidateOf(entry->second));
+    }
+  }
+  return vanished;
 }
 
 bool BackendRegistry::hasVanished(const Entry& entry, Time since) const {
@@ -280,33 +336,12 @@
 }
 
 std::vector<PlacementCandidate> BackendRegistry::lapsedSince(ServiceId service, Time since) {
-  const auto last = lastDeparture_.find(service);
-  if (last == lastDeparture_.end() || last->second <= since) {
-    return {};
-  }
   std::vector<PlacementCandidate> vanished = vanishedSince(service, since);
   const std::size_t all = vanished.size() + candidates(service).size();
   const bool isMany = vanished.size() > 1 && vanished.size() * kBackendsPerLapse > all;
   return isMany ? vanished : std::vector<PlacementCandidate>{};
 }
 
-template <typename Predicate>
-std::vector<PlacementCandidate> BackendRegistry::collect(ServiceId service,
-                                                         Predicate belongs) const {
-  std::vector<PlacementCandidate> list;
-  const auto keys = services_.find(service);
-  if (keys == services_.end()) {
-    return list;
-  }
-  for (const std::string& key : keys->second) {
-    const Entry& entry = entries_.at(key);
-    if (belongs(key, entry)) {
-      list.push_back(candidateOf(entry));
-    }
-  }
-  return list;
-}
-
 void BackendRegistry::setRegions(const std::map<std::string, std::string>& regionsOfZones) {
   regions_.clear();
   for (const auto& [zone, region] : regionsOfZones) {
@@ -326,11 +361,7 @@
   tokens_.ForgetBackend(entry.address.id);
   keys_.erase(entry.address.id);
   services_[entry.address.service].erase(key);
-  endpoints_[entry.address.endpoint].erase(key);
-  if (endpoints_[entry.address.endpoint].empty()) {
-    endpoints_.erase(entry.address.endpoint);
-    tokens_.ForgetAddress(entry.address.endpoint);
-  }
+  unlinkAddress(key, entry.address.endpoint);
 }
 
 void BackendRegistry::forgetDeparted(Time now) {
@@ -343,6 +374,11 @@
     forget(item->first, entry);
     item = entries_.erase(item);
   }
+  for (auto& [service, list] : departures_) {
+    while (!list.empty() && now - list.front().first >= keepDeparted_) {
+      list.pop_front();
+    }
+  }
 }
 
 std::vector<StoreChange> BackendRegistry::contents() const {
@@ -355,6 +391,19 @@
   return changes;
 }
 
+std::vector<StoreChange> BackendRegistry::contentsAfter(const std::string& key,
+                                                        std::size_t most) const {
+  std::vector<StoreChange> changes;
+  for (auto item = entries_.upper_bound(key); item != entries_.end() && changes.size() < most;
+       ++item) {
+    const Entry& entry = item->second;
+    if (entry.present) {
+      changes.push_back({item->first, entry.revision, entry.registration});
+    }
+  }
+  return changes;
+}
+
 std::size_t BackendRegistry::activeCount() const {
   std::size_t count = 0;
   for (const auto& [key, entry] : entries_) {
@@ -363,4 +412,12 @@
   return count;
 }
 
+std::size_t BackendRegistry::candidateCount() {
+  std::size_t count = 0;
+  for (const auto& [service, keys] : services_) {
+    count += candidates(service).size();
+  }
+  return count;
+}
+
 }  // namespace cobaltgauge::core
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -4,6 +4,7 @@
 /// can be left. Items are ordered by revision: an older one never replaces a newer one.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/placement/candidate_list.h"
 #include "core/placement_weights.h"
 #include "core/reach/token_index.h"
 #include "core/registration.h"
@@ -19,17 +21,6 @@
 
 namespace cobaltgauge::core {
 
-/// A back end that may be given new flows.
-struct PlacementCandidate {
-  BackendId id = kNoBackend;
-  ServiceId service{0};
-  std::uint32_t capacity = 1;
-  std::uint32_t weight = kDefaultPlacementWeight;
-  Time warmUntil{};  ///< Slow until this time.
-  RegionId region = kNoRegion;
-  ZoneId zone = kNoZone;
-};
-
 /// What happened to a back end, for logs.
 enum class RegistryEvent : std::uint8_t {
   kAdded,
@@ -100,7 +91,11 @@
   bool takesNewFlows(BackendId id) const;
 
   /// @return back ends of a service that may be given new flows.
-  const std::vector<PlacementCandidate>& candidates(ServiceId service);
+  const std::vector<PlacementCandidate>& candidates(ServiceId service) {
+    return candidateList(service).GetAll();
+  }
+  /// @return the back end where it may be given new flows, else null.
+  const PlacementCandidate* findCandidate(BackendId id);
 
   /// @return slots of back ends that may be given new flows and are not cold, by service and zone;
   /// zero where others are there.
@@ -123,8 +118,13 @@
 
   /// @return every registration whose item is in the store, as an item.
   std::vector<StoreChange> contents() const;
+  /// @return the first of these, `most` at most, whose keys come after `key`.
+  std::vector<StoreChange> contentsAfter(const std::string& key, std::size_t most) const;
   std::size_t size() const { return entries_.size(); }
+  /// @return how many may be given new flows; looks at every one.
   std::size_t activeCount() const;
+  /// @return the same, for every batch of packets.
+  std::size_t candidateCount();
 
  private:
   struct Entry {
@@ -150,10 +150,14 @@
   /// @return the back end that is at an address, or was there last, or null.
   const BackendAddress* findLastAt(const Endpoint& endpoint) const;
   /// Notes that an item is no longer in the store.
-  void depart(Entry& entry, Time now);
-  /// @return the back ends of a service for which `belongs(key, entry)` holds.
-  template <typename Predicate>
-  std::vector<PlacementCandidate> collect(ServiceId service, Predicate belongs) const;
+  void depart(const std::string& key, Entry& entry, Time now);
+  /// Takes an entry that says another service or address than before out of where it was found.
+  void unlink(const std::string& key, const Entry& entry);
+  void unlinkAddress(const std::string& key, const Endpoint& endpoint);
+  /// @return the candidates of a service; collected where they have not been.
+  const CandidateList& candidateList(ServiceId service);
+  /// Brings a list that was collected in step with an entry that has changed.
+  void refreshCandidate(const Entry& entry);
   void forget(const std::string& key, const Entry& entry);
 
   Duration keepDeparted_;
@@ -163,12 +167,13 @@
   std::unordered_map<BackendId, std::string> keys_;
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
-  std::unordered_map<ServiceId, Time> lastDeparture_;
+  /// When which keys departed, by service, oldest first; of those that are not forgotten.
+  std::unordered_map<ServiceId, std::deque<std::pair<Time, std::string>>> departures_;
   ZoneEvacuations evacuations_;
   std::map<std::string, RegionId> regions_;  ///< By zone.
   std::unordered_map<ZoneId, std::string> zoneNames_;
-  /// Collected when asked for; a change of a service drops its list.
-  std::unordered_map<ServiceId, std::vector<PlacementCandidate>> candidates_;
+  /// Collected when asked for first, and kept in step from then on.
+  std::unordered_map<ServiceId, CandidateList> candidates_;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/core/placement/own_demotions.cc
+++ b/src/core/placement/own_demotions.cc
@@ -14,6 +14,11 @@
   if (this->Detector == nullptr || this->Detector->CountOutliers() == 0) {
     return;
   }
+  const std::size_t outliers = this->Detector->CountOutliers();
+  if (outliers * kBackendsPerOutlier <= candidates.size()) {
+    this->Counts = true;
+    return;
+  }
   const auto found = static_cast<std::size_t>(
     std::count_if(candidates.begin(),
                   candidates.end(),
--- /dev/null
+++ b/src/core/placement/placement_candidate.h
@@ -0,0 +1,23 @@
+/// @file
+/// A back end that may be given new flows.
+#pragma once
+
+#include <cstdint>
+
+#include "core/placement_weights.h"
+#include "core/types.h"
+
+namespace cobaltgauge::core {
+
+struct PlacementCandidate
+{
+  BackendId id = kNoBackend;
+  ServiceId service{ 0 };
+  std::uint32_t capacity = 1;
+  std::uint32_t weight = kDefaultPlacementWeight;
+  Time warmUntil{}; ///< Slow until this time.
+  RegionId region = kNoRegion;
+  ZoneId zone = kNoZone;
+};
+
+} // namespace cobaltgauge::core
--- a/src/core/token_domains.cc
+++ b/src/core/token_domains.cc
@@ -41,18 +41,6 @@
   }
 }
 
-const PlacementCandidate* TokenSteering::findCandidate(BackendId backend) {
-  const BackendAddress* address = backends_.find(backend);
-  if (address == nullptr) {
-    return nullptr;
-  }
-  const std::vector<PlacementCandidate>& candidates = backends_.candidates(address->service);
-  const auto found =
-      std::find_if(candidates.begin(), candidates.end(),
-                   [backend](const PlacementCandidate& item) { return item.id == backend; });
-  return found == candidates.end() ? nullptr : &*found;
-}
-
 std::vector<BackendId> TokenSteering::membersOf(const BackendGroup& group) {
   std::vector<BackendId> members;
   for (const PlacementCandidate& candidate : backends_.candidates(group.Service)) {
@@ -72,7 +60,7 @@
   if (silentGroups_.IsEmpty()) {
     return;
   }
-  if (const PlacementCandidate* candidate = findCandidate(backend)) {
+  if (const PlacementCandidate* candidate = backends_.findCandidate(backend)) {
     silentGroups_.OnAnswer(backend, {candidate->service, candidate->zone}, now);
   }
 }
@@ -103,7 +91,7 @@
 }
 
 void TokenSteering::onGroupProbe(BackendId backend, ProbeResult result, Time now) {
-  const PlacementCandidate* candidate = findCandidate(backend);
+  const PlacementCandidate* candidate = backends_.findCandidate(backend);
   if (candidate == nullptr || result == ProbeResult::kUnproven) {
     return;
   }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -195,7 +195,7 @@
   if (!health_.hasSuspects() || !serving_.IsServing()) {
     return probes;
   }
-  for (const BackendId id : health_.takeProbes(backends_.activeCount(), now)) {
+  for (const BackendId id : health_.takeProbes(backends_.candidateCount(), now)) {
     if (const BackendAddress* backend = backends_.find(id)) {
       probes.push_back(*backend);
     } else {
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -99,6 +99,64 @@
   BOOST_TEST(registry.takesNewFlows(BackendId{2}));
 }
 
+// A list that was collected before the change went on offering it to the service that it left.
+BOOST_AUTO_TEST_CASE(one_that_registers_for_another_service_leaves_the_one_before) {
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
+  BOOST_TEST(registry.candidates(web).size() == 1U);
+  registry.put("servers/a", makeRegistration(1, "api", 1, 1), 20, now);
+  BOOST_TEST(registry.candidates(web).empty());
+  BOOST_TEST(registry.candidates(core::serviceIdOf("api")).size() == 1U);
+  BOOST_TEST(registry.nameOf(web).empty());
+}
+
+BOOST_AUTO_TEST_CASE(one_that_registers_at_another_address_is_not_found_at_the_one_before) {
+  registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
+  registry.put("servers/a", makeRegistration(1, "web", 1, 2), 20, now);
+  registry.put("servers/b", makeRegistration(2, "web", 1, 1), 30, now);
+  BOOST_TEST(!registry.hasEnded(BackendId{1}));
+  BOOST_TEST(registry.candidates(web).size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_that_were_collected_follow_every_change) {
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
+  registry.put("servers/2", makeRegistration(2, "web", 1, 2), 2, now);
+  BOOST_TEST(registry.candidates(web).size() == 2U);
+  core::Registration leaving = makeRegistration(1, "web", 1, 1);
+  leaving.state = core::BackendState::kLeaving;
+  registry.put("servers/1", leaving, 3, now);
+  BOOST_TEST(registry.candidates(web).size() == 1U);
+  BOOST_TEST(registry.findCandidate(BackendId{1}) == nullptr);
+  registry.put("servers/3", makeRegistration(3, "web", 1, 2), 4, now);
+  BOOST_TEST(registry.findCandidate(BackendId{2}) == nullptr);
+  BOOST_TEST(registry.findCandidate(BackendId{3}) != nullptr);
+  registry.remove("servers/3", 5, now);
+  BOOST_TEST(registry.candidateCount() == 0U);
+  BOOST_TEST(registry.activeCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(what_vanished_is_told_by_its_last_departure) {
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 1, now);
+  registry.remove("servers/1", 2, now);
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 3, now + 1s);
+  registry.remove("servers/1", 4, now + 1s);
+  BOOST_TEST(registry.vanishedSince(web, now - 1s).size() == 1U);
+  BOOST_TEST(registry.vanishedSince(web, now + 1s).empty());
+  registry.put("servers/1", makeRegistration(1, "web", 1, 1), 5, now + 2s);
+  BOOST_TEST(registry.vanishedSince(web, now - 1s).empty());
+}
+
+BOOST_AUTO_TEST_CASE(pages_go_through_all_that_are_there) {
+  for (std::uint8_t id = 1; id <= 5; ++id) {
+    registry.put("servers/" + std::to_string(id), makeRegistration(id, "web", 1, id), id, now);
+  }
+  registry.remove("servers/2", 9, now);
+  const std::vector<core::StoreChange> first = registry.contentsAfter("", 2);
+  BOOST_REQUIRE(first.size() == 2U);
+  BOOST_TEST(first[1].key == "servers/3");
+  BOOST_TEST(registry.contentsAfter(first[1].key, 9).size() == 2U);
+  BOOST_TEST(registry.contentsAfter("servers/5", 9).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_removal_ends_nobody) {
   registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
   registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
