Take flows by a sample of the back ends, and fill the view from peers

Change: a daemon reads what operators wrote and one part of 256 of the back ends' keys, drawn for itself, widened where it holds fewer than an opening compares. Refusals for want of a back end or of room, slots and whole views for others need a whole view. The rest comes in pages from peers whose views are whole; seeds read it from the store, others only where no peer gives.

--- /dev/null
+++ b/src/core/relay/view_fill.cc
@@ -0,0 +1,183 @@
+#include "core/relay/view_fill.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/constants.h"
+#include "core/relay/nearness.h"
+#include "core/relay/view_pages.h"
+
+namespace cobaltgauge::core {
+namespace {
+
+/// Back ends of one page, about 20 KB.  Taking one keeps a small machine of
+/// 0.12 cores busy for some 10 ms, in which packets wait.
+constexpr std::size_t kBackendsOfPage = 500;
+/// Pages that a daemon gives in a second: 1 MB, as of other whole views.
+constexpr std::uint32_t kPagesPerSecond = 50;
+/// A page that has not come after this long is asked for elsewhere.
+constexpr Duration kPagePatience = 400ms;
+/// A seed without a page for so long reads the store, so that others need not.
+constexpr Duration kSeedFillsAfter = 400ms;
+/// Everyone else does after this long, and a random time for each daemon that
+/// there is: ten listings begun a second, of 2 MB each where there are 10,000
+/// back ends, are a fifth of a link of 1,000 Mbit/s, and the first that is
+/// done gives pages to the others.
+constexpr Duration kFillByPeers = 3s;
+constexpr Duration kFillSpread = 100ms;
+/// Daemons with whole views that are remembered and named.
+constexpr std::size_t kMostWhole = 8;
+
+} // namespace
+
+ViewFill::ViewFill(const Endpoint& self,
+                   StoreReader& reader,
+                   StoreSink& sink,
+                   const BackendRegistry& backends,
+                   Random& random)
+  : Self(self)
+  , Reader(reader)
+  , Sink(sink)
+  , Backends(backends)
+  , RandomSource(random)
+  , Allowance(kPagesPerSecond)
+{
+}
+
+void ViewFill::OnTick(const FillPeers& peers, Time now)
+{
+  if (!this->Reader.isComplete() || this->Reader.isWhole()) {
+    return;
+  }
+  if (this->StoreAt == Time{}) {
+    this->Begin(peers, now);
+  }
+  this->Reader.setFilling(now >= this->StoreAt);
+  if (now - this->AskedAt < kPagePatience) {
+    return;
+  }
+  const Endpoint peer = this->Draw(peers);
+  if (peer != this->Self) {
+    this->Ask(peer, now);
+  }
+}
+
+void ViewFill::Begin(const FillPeers& peers, Time now)
+{
+  if (peers.IsSeed) {
+    this->StoreAt = now + kSeedFillsAfter;
+    return;
+  }
+  const auto span =
+    static_cast<std::uint64_t>((kFillSpread * peers.Fleet).count());
+  const auto wait = this->RandomSource.below(span + 1);
+  this->StoreAt =
+    now + kFillByPeers + Duration(static_cast<Duration::rep>(wait));
+}
+
+Endpoint ViewFill::Draw(const FillPeers& peers)
+{
+  // Who is known to have a whole view may be gone, so others are asked too.
+  const bool byRumour =
+    !this->Whole.empty() && this->RandomSource.below(4) != 0;
+  if (byRumour) {
+    return this->Whole[this->RandomSource.below(this->Whole.size())];
+  }
+  const bool byTree = !peers.Near.empty() && this->RandomSource.below(2) == 0;
+  const std::vector<Endpoint>& from = byTree ? peers.Near : peers.Known;
+  return from.empty() ? this->Self
+                      : from[this->RandomSource.below(from.size())];
+}
+
+void ViewFill::Ask(const Endpoint& peer, Time now)
+{
+  ++this->Counters.RequestsSent;
+  this->AskedAt = now;
+  this->Outgoing.push_back({ peer,
+                             ViewPageRequest{ this->Self,
+                                              this->NextAfter,
+                                              this->Reader.baseRevision() } });
+}
+
+void ViewFill::OnRequest(const ViewPageRequest& request, Time now)
+{
+  ViewPage page;
+  page.sender = this->Self;
+  page.afterKey = request.afterKey;
+  const bool hasPage = this->Reader.isWhole() &&
+    this->Reader.revision() >= request.atLeast &&
+    this->Allowance.admit(RankedTokenBucket::kHighestRank, now);
+  if (hasPage) {
+    const std::vector<StoreChange> backends =
+      this->Backends.contentsAfter(request.afterKey, kBackendsOfPage);
+    page.revision = this->Reader.revision();
+    page.isLast = backends.size() < kBackendsOfPage;
+    PackBackends(backends, page);
+    ++this->Counters.PagesGiven;
+  } else {
+    page.whole.assign(this->Whole.begin(), this->Whole.end());
+    ++this->Counters.Refused;
+  }
+  if (page.isLast) {
+    this->NoteWhole(request.replyTo);
+  }
+  this->Outgoing.push_back({ request.replyTo, std::move(page) });
+}
+
+void ViewFill::NoteWhole(const Endpoint& peer)
+{
+  if (peer == this->Self) {
+    return;
+  }
+  std::erase(this->Whole, peer);
+  this->Whole.push_back(peer);
+  if (this->Whole.size() > kMostWhole) {
+    this->Whole.pop_front();
+  }
+}
+
+bool ViewFill::OnPage(const ViewPage& page, Time now)
+{
+  for (const Endpoint& peer : page.whole) {
+    this->NoteWhole(peer);
+  }
+  if (page.revision == 0) {
+    std::erase(this->Whole, page.sender);
+    return false;
+  }
+  this->NoteWhole(page.sender);
+  const bool isWanted = this->Reader.isComplete() && !this->Reader.isWhole() &&
+    page.afterKey == this->NextAfter;
+  if (!isWanted) {
+    return false;
+  }
+  if (page.revision < this->Reader.baseRevision()) {
+    ++this->Counters.TooOld;
+    return false;
+  }
+  this->Take(page, now);
+  return true;
+}
+
+void ViewFill::Take(const ViewPage& page, Time now)
+{
+  ++this->Counters.PagesTaken;
+  for (const StoreChange& backend : UnpackBackends(page)) {
+    this->Sink.onMissing(backend, now);
+  }
+  this->NextAfter = GetLastKey(page);
+  if (page.isLast) {
+    this->Reader.onFilled();
+    return;
+  }
+  // Peers do well: the store is left alone.
+  this->StoreAt = std::max(this->StoreAt, now + kFillByPeers);
+  this->Ask(page.sender, now);
+}
+
+std::vector<OutgoingFill> ViewFill::TakeMessages()
+{
+  return std::exchange(this->Outgoing, {});
+}
+
+} // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -120,6 +120,8 @@
 
   /// Tell whether this daemon reads the store rather than follow a peer.
   bool IsReading() const { return this->Reading; }
+  /// Tell whether this daemon is one that everyone knows of.
+  bool IsSeed() const { return this->Seeds.IsSelfSeed(); }
   /// Get the daemon that is followed, if any.
   const std::optional<Endpoint>& GetUpstream() const { return this->Upstream; }
   /// Get how many daemons there are; errs high.
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -1,6 +1,7 @@
 #include "core/store_reader.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/constants.h"
 
@@ -44,30 +45,54 @@
       return "confirm";
     case StoreRead::Cause::kFollowStore:
       return "follow_store";
+    case StoreRead::Cause::kMissingPage:
+      return "missing_page";
   }
   return "invalid";
 }
 
 std::optional<StoreRead> StoreReader::nextRead(Time now) {
-  if (reading_ || !active_ || now < nextReadAt()) {
+  if (reading_ || !isActive() || now < nextReadAt()) {
     return std::nullopt;
   }
   reading_ = true;
+  // Who watches for others goes on doing so, since their views age meanwhile.
+  readingMissing_ = !listing_ && isFilling() && (!active_ || watchedSincePage_);
+  watchedSincePage_ = !readingMissing_;
+  return listing_ ? listingRead() : readingMissing_ ? missingPageRead() : watchRead();
+}
+
+StoreRead StoreReader::listingRead() {
+  ++counters_.lists;
   StoreRead read;
   read.cause = cause();
-  if (listing_) {
-    ++counters_.lists;
-    read.kind = StoreRead::Kind::kList;
-    read.afterKey = afterKey_;
-    read.stale = staleWillDo_;
-    read.timeout = timeoutNow();
-  } else {
-    ++counters_.watches;
-    read.kind = StoreRead::Kind::kWatch;
-    read.afterRevision = revision_;
-    read.wait = watchWait();
-    read.timeout = read.wait + std::max(kWatchSlack, timeoutNow());
-  }
+  read.kind = StoreRead::Kind::kList;
+  read.range = plan_.range();
+  read.afterKey = plan_.afterKey();
+  read.stale = staleWillDo_;
+  read.timeout = timeoutNow();
+  return read;
+}
+
+StoreRead StoreReader::missingPageRead() {
+  ++counters_.lists;
+  StoreRead read;
+  read.cause = StoreRead::Cause::kMissingPage;
+  read.kind = StoreRead::Kind::kList;
+  read.range = {ListingRange::Kind::kBackends};
+  read.afterKey = missingAfter_;
+  read.timeout = timeoutNow();
+  return read;
+}
+
+StoreRead StoreReader::watchRead() {
+  ++counters_.watches;
+  StoreRead read;
+  read.cause = cause();
+  read.kind = StoreRead::Kind::kWatch;
+  read.afterRevision = revision_;
+  read.wait = isFilling() ? kCatchUpWait : watchWait();
+  read.timeout = read.wait + std::max(kWatchSlack, timeoutNow());
   return read;
 }
 
@@ -76,9 +101,9 @@
     return StoreRead::Cause::kRetry;
   }
   if (listing_) {
-    return !afterKey_.empty() ? StoreRead::Cause::kNextPage
-           : staleWillDo_     ? StoreRead::Cause::kFirstListing
-                              : StoreRead::Cause::kListAgain;
+    return plan_.hasBegun() ? StoreRead::Cause::kNextPage
+           : staleWillDo_   ? StoreRead::Cause::kFirstListing
+                            : StoreRead::Cause::kListAgain;
   }
   if (!complete_) {
     return StoreRead::Cause::kCatchUp;
@@ -106,7 +131,9 @@
   }
   failuresInRow_ = 0;
   lastAnswerAt_ = now;
-  if (listing_) {
+  if (readingMissing_) {
+    onMissingPage(reply, now);
+  } else if (listing_) {
     onPage(reply, now);
   } else {
     onEvents(reply, now);
@@ -119,11 +146,17 @@
     listedKeys_.insert(change.key);
     sink_.onChange(change, now);
   }
-  if (reply.hasMore && !reply.lastKey.empty()) {
-    afterKey_ = reply.lastKey;
+  if (!plan_.onPage(reply.changes.size(), reply.hasMore, reply.lastKey)) {
     return;
   }
-  sink_.onListed(listedKeys_, listedAt_, now);
+  // A view that a peer gave meanwhile may hold more than a sample would show to be gone.
+  if (plan_.isWhole() || !complete_) {
+    sink_.onListed(listedKeys_, listedAt_, now);
+    base_ = listedAt_;
+  }
+  if (plan_.isWhole()) {
+    onFilled();
+  }
   // A store that answers an older state than was seen before must not move the watch back.
   revision_ = std::max(revision_, listedAt_);
   listing_ = false;
@@ -135,6 +168,30 @@
   clearListing();
 }
 
+void StoreReader::onMissingPage(const StoreReply& reply, Time now) {
+  // Current pages are not older than this view: every event that it took is in them.
+  for (const StoreChange& change : reply.changes) {
+    sink_.onMissing(change, now);
+  }
+  missingAfter_ = reply.lastKey;
+  if (!reply.hasMore || reply.lastKey.empty()) {
+    onFilled();
+  }
+}
+
+void StoreReader::onFilled() {
+  if (!std::exchange(whole_, true)) {
+    sink_.onWhole();
+  }
+}
+
+void StoreReader::setSampled(std::uint32_t place) {
+  samplePlace_ = place;
+  if (!complete_ && !plan_.hasBegun()) {
+    clearListing();
+  }
+}
+
 void StoreReader::onEvents(const StoreReply& reply, Time now) {
   for (const StoreChange& change : reply.changes) {
     ++counters_.events;
@@ -152,7 +209,7 @@
   const bool inBurst = changed && lastChangeAt_ != Time{} && now - lastChangeAt_ < kBurstGap;
   lastChangeAt_ = changed ? now : lastChangeAt_;
   const bool isWanted = wantedAt_ != Time{} && now - wantedAt_ < kWantedFor;
-  if (isWanted || urgent_) {
+  if (isWanted || urgent_ || isFilling()) {
     return 0ms;
   }
   if (inBurst) {
@@ -194,11 +251,13 @@
 void StoreReader::beginListing() {
   listing_ = true;
   staleWillDo_ = false;
+  missingAfter_.clear();
   clearListing();
 }
 
 void StoreReader::clearListing() {
-  afterKey_.clear();
+  // A view that was in use may hold more than a sample would show to be gone.
+  plan_.begin(complete_ ? std::nullopt : samplePlace_);
   listedKeys_.clear();
   listedAt_ = 0;
 }
@@ -223,6 +282,7 @@
   }
   advance(revision);
   complete_ = true;
+  base_ = base_ == 0 ? revision : base_;
   if (!reading_) {
     listing_ = false;
     clearListing();
@@ -241,7 +301,7 @@
   if (!complete_ || listing_) {
     return false;
   }
-  const bool watching = reading_ && !confirming_;
+  const bool watching = reading_ && !readingMissing_ && !confirming_;
   return watching || now - confirmedAt_ < currentFor_;
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -10,6 +10,10 @@
 /// The first listing may be stale, which costs the store little when a whole fleet starts at once;
 /// it counts only once a watch has brought it up to date. Where the history for that is gone, and
 /// ever after, listings are current.
+///
+/// The first listing may be a sample (core/listing_plan.h). The view is then complete, which means
+/// in step with the store in what it holds, and not whole: back ends are missing. Pages of peers or
+/// of the store add them while the view is in use.
 #pragma once
 
 #include <algorithm>
@@ -20,6 +24,7 @@
 #include <vector>
 
 #include "core/constants.h"
+#include "core/listing_plan.h"
 #include "core/random.h"
 #include "core/registration.h"
 #include "core/types.h"
@@ -39,9 +44,11 @@
     kRetry,         ///< The last read failed.
     kConfirm,       ///< What a lost read missed is not known, or a suspension is over.
     kFollowStore,   ///< This daemon reads for itself and its followers.
+    kMissingPage,   ///< A view that is in use lacks back ends.
   };
   Kind kind = Kind::kList;
   Cause cause = Cause::kFirstListing;
+  ListingRange range{};        ///< Listing: the items that are read.
   bool stale = false;          ///< Listing: an answer that is seconds old will do.
   std::string afterKey;        ///< Listing: the page begins after this key; empty for the first.
   Revision afterRevision = 0;  ///< Watch: only changes after this revision.
@@ -80,6 +87,10 @@
   virtual bool onChange(const StoreChange& change, Time now) = 0;
   /// A listing is complete: an item that is not in `keys` and not newer than `listedAt` is gone.
   virtual void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) = 0;
+  /// A back end that a view in use lacked. It is no change: nobody is told of it.
+  virtual void onMissing(const StoreChange& item, Time now) = 0;
+  /// The view holds every back end from now on.
+  virtual void onWhole() = 0;
 };
 
 /// Counters of a StoreReader.
@@ -124,7 +135,7 @@
 
   /// Lets nextRead() give reads, or not: a daemon that follows a peer has no need of them.
   void setActive(bool active) { active_ = active; }
-  bool isActive() const { return active_; }
+  bool isActive() const { return active_ || isFilling(); }
 
   /// Says whether other daemons read as well and will tell this one: a read is followed by a pause
   /// then, and reads that have failed several times are repeated rarely.
@@ -144,6 +155,14 @@
   /// Notes that the store serves others: a try that waits is made now.
   void hurry(Time now) { nextReadAt_ = std::min(nextReadAt_, now); }
 
+  /// Lets first listings be samples from now on. @param place of this daemon among all, at random.
+  void setSampled(std::uint32_t place);
+  /// Lets nextRead() give pages of the back ends that a view in use lacks, one after the other and
+  /// between watches.
+  void setFilling(bool filling) { filling_ = filling; }
+  /// Notes that peers have given every back end that was missing.
+  void onFilled();
+
   /// Says whether something is missing that only a read can give: no read is put off then.
   void setUrgent(bool urgent) { urgent_ = urgent; }
 
@@ -170,8 +189,12 @@
   /// @return true where the view is as new as the store, as far as can be known here: a watch is
   /// under way on a view that is complete, or the last answer is recent.
   bool isCurrent(Time now) const;
-  /// @return true where a whole listing was ever taken.
+  /// @return true where the view is in step with the store in all that it holds.
   bool isComplete() const { return complete_; }
+  /// @return true where a complete view holds every back end.
+  bool isWhole() const { return complete_ && whole_; }
+  /// @return the revision from which on every change was taken; zero where nothing was listed.
+  Revision baseRevision() const { return base_; }
   /// @return true where the first listing was stale and is not yet brought up to date.
   bool isCatchingUp() const { return !complete_ && !listing_; }
   /// @return true where packets wait for the first whole view.
@@ -184,10 +207,16 @@
 
  private:
   void onPage(const StoreReply& reply, Time now);
+  void onMissingPage(const StoreReply& reply, Time now);
   void onEvents(const StoreReply& reply, Time now);
   void onFailure(const StoreReply& reply, Time now);
   void beginListing();
   void clearListing();
+  /// @return true where pages are read for a view that is in use.
+  bool isFilling() const { return filling_ && complete_ && !whole_; }
+  StoreRead listingRead();
+  StoreRead missingPageRead();
+  StoreRead watchRead();
   StoreRead::Cause cause() const;
   std::chrono::milliseconds watchWait() const;
   /// @return how long to leave the store alone after an answer.
@@ -210,6 +239,12 @@
   bool reading_ = false;
   bool listing_ = true;
   bool complete_ = false;
+  bool whole_ = false;
+  std::optional<std::uint32_t> samplePlace_;  ///< None: first listings are whole.
+  bool filling_ = false;
+  bool readingMissing_ = false;    ///< The read under way is a page for a view in use.
+  std::string missingAfter_;       ///< Pages up to here were added to a view in use.
+  bool watchedSincePage_ = false;  ///< Pages of a view in use take turns with watches.
   Time wantedAt_{};
   bool viewWanted_ = false;             ///< Packets wait for the first whole view.
   bool staleWillDo_ = true;             ///< No listing has been tried but the first.
@@ -223,7 +258,8 @@
   Time lastChangeAt_{};
   Revision revision_ = 0;  ///< Changes up to this one are known; base of the next watch.
   Revision listedAt_ = 0;  ///< Of the listing's first page.
-  std::string afterKey_;
+  Revision base_ = 0;      ///< Every change since then was taken.
+  ListingPlan plan_;
   std::set<std::string> listedKeys_;
   std::uint32_t failuresInRow_ = 0;
   StoreReaderCounters counters_;
--- a/src/core/token_openings.cc
+++ b/src/core/token_openings.cc
@@ -99,7 +99,7 @@
   if (admission_ == nullptr || !isFirst) {
     return true;
   }
-  const bool admitted = admission_->Admit(route, now, viewCurrent_);
+  const bool admitted = admission_->Admit(route, now, viewCurrent_ && viewWhole_);
   for (const RouteTarget& target : route.targets) {
     const ServiceId service = serviceIdOf(target.service);
     spill_.SetLimited(service, admission_->IsLimited(service));
@@ -109,7 +109,7 @@
 
 Verdict TokenSteering::withoutBackend(const PacketSummary& packet, const Route& route,
                                       RouteReason reason, Time now) {
-  if (!viewCurrent_) {
+  if (!viewCurrent_ || !viewWhole_) {
     return Drop{DropReason::kStaleView};
   }
   if (decision_.coldCandidates > 0) {
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -82,13 +82,15 @@
   Verdict onPacket(const PacketSummary& packet, Time now) override;
   void onTick(Time now) override;
 
-  /// Says whether the view is whole, and whether it is in step with the store, as far as this
-  /// daemon can know. Openings are placed only by a whole view.
-  void setViewState(bool complete, bool current) {
+  /// Says whether the view is complete, whether it is in step with the store, as far as this
+  /// daemon can know, and whether it holds every back end. Openings are placed only by a complete
+  /// view; that there is no back end or no room is said only by a whole one.
+  void setViewState(bool complete, bool current, bool whole = true) {
     viewComplete_ = complete;
     viewCurrent_ = current;
+    viewWhole_ = whole;
   }
-  bool hasWholeView() const { return viewComplete_; }
+  bool hasCompleteView() const { return viewComplete_; }
   /// Call after the view has changed: flows of back ends whose address another one has taken are
   /// given up at once, so that the next request on an idle one opens elsewhere and is not lost.
   void onViewChanged() { resetFlowsOfEnded(); }
@@ -184,8 +186,6 @@
   void noteAnswerOfDomain(BackendId backend, Time now);
   /// Takes back what was believed of back ends where this daemon was cut off from all.
   void noteReach();
-  /// @return the back end where it takes new flows, else null.
-  const PlacementCandidate* findCandidate(BackendId backend);
   /// @return all of a group that take new flows.
   std::vector<BackendId> membersOf(const BackendGroup& group);
   /// @param backend that of the flow.
@@ -229,6 +229,7 @@
   LatencyObserver* latencies_ = nullptr;
   bool viewComplete_ = false;
   bool viewCurrent_ = false;
+  bool viewWhole_ = false;
   bool openingsAreStale_ = false;
   Time nextMaintenance_{};
 };
--- a/src/core/view_exchange.cc
+++ b/src/core/view_exchange.cc
@@ -93,7 +93,7 @@
 }
 
 bool ViewExchange::needsWholeView(Revision have) const {
-  const bool hasNews = reader_.isComplete() && reader_.revision() > have;
+  const bool hasNews = reader_.isWhole() && reader_.revision() > have;
   const bool changesWillDo = have != 0 && changes_ != nullptr && changes_->Reaches(have);
   return hasNews && !changesWillDo;
 }
@@ -164,6 +164,7 @@
   }
   sink_.onListed(keys, transfer.revision, now);
   reader_.adopt(transfer.revision);
+  reader_.onFilled();
   return true;
 }
 
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -14,8 +14,8 @@
   if (event != RegistryEvent::kNone) {
     record(change);
   }
-  if (!listed_ && event == RegistryEvent::kAdded) {
-    ++listedBackends_;
+  if (!whole_ && event == RegistryEvent::kAdded) {
+    ++addedBackends_;
     return true;
   }
   reportBackend(change.key, change.revision, event, registration.service);
@@ -58,6 +58,9 @@
   }
   const bool isKnown = backends_.knows(change.key);
   const RegistryEvent event = backends_.remove(change.key, change.revision, now);
+  if (!whole_ && !isKnown) {
+    removedUnknown_[change.key] = change.revision;
+  }
   // A peer may know an item from a listing's later page that this daemon never saw.
   if (event != RegistryEvent::kNone || !isKnown) {
     record(change);
@@ -102,6 +105,26 @@
   listener_(report);
 }
 
+void ViewUpdater::onMissing(const StoreChange& item, Time now) {
+  const auto* registration = std::get_if<Registration>(&item.item);
+  const auto removed = removedUnknown_.find(item.key);
+  const bool isGone = removed != removedUnknown_.end() && removed->second > item.revision;
+  if (registration == nullptr || isGone) {
+    return;
+  }
+  const RegistryEvent event = backends_.put(item.key, *registration, item.revision, now);
+  addedBackends_ += event == RegistryEvent::kAdded ? 1 : 0;
+}
+
+void ViewUpdater::onWhole() {
+  whole_ = true;
+  removedUnknown_.clear();
+  ViewChange report;
+  report.kind = ViewChange::Kind::kWhole;
+  report.backends = addedBackends_;
+  listener_(report);
+}
+
 void ViewUpdater::record(StoreChange change) {
   if (log_ != nullptr) {
     log_->Append(std::move(change));
@@ -124,7 +147,7 @@
     ViewChange report;
     report.kind = ViewChange::Kind::kFirstListing;
     report.revision = listedAt;
-    report.backends = listedBackends_;
+    report.backends = addedBackends_;
     listener_(report);
   }
 }
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "core/relay/change_log.h"
@@ -20,6 +21,7 @@
     kUnreadable,
     kOlderRoutes,
     kFirstListing,
+    kWhole,
     kEvacuationBegan,
     kEvacuationEnded,
   };
@@ -31,7 +33,7 @@
   std::string zone;                  ///< Of an evacuation.
   ConfigurationVersion version = 0;  ///< Of the route set.
   std::string reason;                ///< Why an item cannot be read.
-  std::size_t backends = 0;          ///< Back ends of the first listing, which are not told apart.
+  std::size_t backends = 0;  ///< Of a first listing or a whole view; these are not told apart.
 };
 
 class ViewUpdater : public StoreSink {
@@ -45,6 +47,8 @@
 
   bool onChange(const StoreChange& change, Time now) override;
   void onListed(const std::set<std::string>& keys, Revision listedAt, Time now) override;
+  void onMissing(const StoreChange& item, Time now) override;
+  void onWhole() override;
 
  private:
   bool take(const StoreChange& change, const Registration& registration, Time now);
@@ -64,8 +68,12 @@
   RouteTable& routes_;
   Listener listener_;
   ChangeLog* log_;
-  bool listed_ = false;  ///< The first listing is complete.
-  std::size_t listedBackends_ = 0;
+  bool listed_ = false;            ///< The first listing is complete.
+  bool whole_ = false;             ///< Every back end is known.
+  std::size_t addedBackends_ = 0;  ///< While the view was not whole.
+  /// Removals of back ends that were not known, while the view was not whole: pages that are older
+  /// may hold them still.
+  std::map<std::string, Revision> removedUnknown_;
 };
 
 }  // namespace cobaltgauge::core
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -30,7 +30,10 @@
   , Load(this->Self,
          this->Meter,
          [this](core::Time now) {
-           return this->View.Steering.backends().countSlots(now);
+           // Slots of a sample would make every zone look full.
+           return this->View.Reader.isWhole()
+             ? this->View.Steering.backends().countSlots(now)
+             : core::ZoneSlots{};
          })
   , Relay(this->Self,
           view.Reader,
@@ -38,6 +41,11 @@
           view.Changes,
           this->Outliers,
           random)
+  , Fill(this->Self,
+         view.Reader,
+         view.Updater,
+         view.Steering.backends(),
+         random)
   , Peers(
       context,
       net::PeerCodec(settings.clusterName,
@@ -71,6 +79,7 @@
 {
   this->Exchange.onTick(now);
   this->Relay.OnTick(this->Exchange.peers(), now);
+  this->FillView(now);
   this->LogUpstream(now);
   this->LogOutliers();
   this->LogLoad();
@@ -126,6 +135,10 @@
     this->Relay.OnLoadSummary(*sum, now);
   } else if (const auto* notice = std::get_if<core::GroupNotice>(&frame)) {
     this->View.Steering.onGroupNotice(*notice, now);
+  } else if (const auto* asked = std::get_if<core::ViewPageRequest>(&frame)) {
+    this->Fill.OnRequest(*asked, now);
+  } else if (const auto* page = std::get_if<core::ViewPage>(&frame)) {
+    changed = this->Fill.OnPage(*page, now);
   }
   this->Send();
   this->OnHeard(now, changed);
@@ -156,6 +169,18 @@
   return outcome == core::UpdateOutcome::kTaken;
 }
 
+void PeerLink::FillView(core::Time now)
+{
+  core::FillPeers peers;
+  peers.Known = this->Exchange.peers();
+  if (this->Relay.GetUpstream()) {
+    peers.Near.push_back(*this->Relay.GetUpstream());
+  }
+  peers.IsSeed = this->Relay.IsSeed();
+  peers.Fleet = this->Relay.CountFleet(now);
+  this->Fill.OnTick(peers, now);
+}
+
 void PeerLink::LogUpstream(core::Time now)
 {
   if (this->Relay.GetUpstream() == this->LoggedUpstream) {
@@ -198,6 +223,13 @@
       },
       outgoing.message);
   }
+  for (const core::OutgoingFill& outgoing : this->Fill.TakeMessages()) {
+    std::visit(
+      [this, &outgoing](const auto& message) {
+        this->Peers.send(outgoing.Destination, message);
+      },
+      outgoing.Message);
+  }
   for (const core::OutgoingRelay& outgoing : this->Relay.TakeMessages()) {
     std::visit(
       [this, &outgoing](const auto& message) {
--- a/src/daemon/peers/peer_link.h
+++ b/src/daemon/peers/peer_link.h
@@ -10,6 +10,7 @@
 
 #include "core/load/fleet_load.h"
 #include "core/outlier/outlier_detector.h"
+#include "core/relay/view_fill.h"
 #include "core/relay/view_relay.h"
 #include "core/token_steering.h"
 #include "core/view_exchange.h"
@@ -70,6 +71,7 @@
 
   const core::ViewExchange& GetExchange() const { return this->Exchange; }
   const core::ViewRelay& GetRelay() const { return this->Relay; }
+  const core::ViewFill& GetFill() const { return this->Fill; }
   const net::PeerTransportCounters& GetTransportCounters() const
   {
     return this->Peers.counters();
@@ -83,6 +85,7 @@
   void OnFrame(const net::ReceivedFrame& received);
   bool TakeTransfer(const core::ViewTransfer& transfer, core::Time now);
   bool TakeUpdate(const core::ViewUpdate& update, core::Time now);
+  void FillView(core::Time now);
   void LogUpstream(core::Time now);
   void LogOutliers();
   void LogLoad();
@@ -96,6 +99,7 @@
   core::LoadMeter Meter;
   core::FleetLoad Load;
   core::ViewRelay Relay;
+  core::ViewFill Fill;
   net::PeerTransport Peers;
   std::optional<core::Endpoint> LoggedUpstream;
 };
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -63,6 +63,7 @@
   bool silentGroups = true;  ///< Back ends of a zone that are gone together come last together.
   bool requireReach = true;  ///< Ready only where some back end is reached.
   bool spill = true;         ///< Openings leave zones without room.
+  bool sampleFirst = true;   ///< Flows are taken by a sample of the back ends, until all are known.
   core::RankAdmissionOptions admission;
   std::string policyFile;  ///< Empty: all back ends are weighed alike.
   /// What the file and the flags gave, by flag; for telling what a reload changes.
--- a/src/daemon/settings_fields.cc
+++ b/src/daemon/settings_fields.cc
@@ -156,6 +156,11 @@
   return text == "auto" || text == "off";
 }
 
+bool assignFirstView(Settings& settings, const std::string& text) {
+  settings.sampleFirst = text == "sample";
+  return text == "sample" || text == "whole";
+}
+
 bool assignTokenForm(Settings& settings, const std::string& text) {
   settings.tokenForm = text == "hash" ? TokenForm::kHash : TokenForm::kAddress;
   return text == "hash" || text == "address";
@@ -219,6 +224,10 @@
                          "Whether openings leave the zone that the policy prefers while it has too "
                          "little room (token)",
                          "auto or off", assignSpill));
+  fields.push_back(field("steering", "first_view",
+                         "Whether a daemon that starts takes flows by a sample of the back ends "
+                         "or waits until it knows all (token)",
+                         "sample or whole", assignFirstView));
   fields.push_back(numberField("steering", "longest_flow_seconds",
                                "Age that no flow exceeds; departed back ends are kept as long",
                                &Settings::longestFlow, 1, 86'400));
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -122,6 +122,9 @@
            {{"zone", settings_.zone},
             {"data", net::formatEndpoint(settings_.dataListen)},
             {"store", net::formatEndpoint(settings_.platform)}});
+  if (settings_.sampleFirst) {
+    reader_.setSampled(static_cast<std::uint32_t>(random_.below(core::kFineParts)));
+  }
   lastActive_ = bootTime();
   peers_.Start(lastActive_);
   connectStore();
@@ -283,7 +286,8 @@
 void TokenDaemon::onStoreAnswer(const core::StoreRead& read, const core::StoreReply& reply,
                                 core::Duration latency) {
   logStoreRead(read, reply, latency, reader_.revision());
-  const bool newView = !reply.changes.empty() || reader_.isComplete() != steering_.hasWholeView();
+  const bool newView =
+      !reply.changes.empty() || reader_.isComplete() != steering_.hasCompleteView();
   if (newView && reader_.isComplete()) {
     onViewChanged(bootTime());
   }
@@ -306,7 +310,7 @@
 }
 
 void TokenDaemon::onPeers(core::Time now, bool changed) {
-  if (changed || reader_.isComplete() != steering_.hasWholeView()) {
+  if (changed || reader_.isComplete() != steering_.hasCompleteView()) {
     onViewChanged(now);
   }
   probes_.carryOutDomains(now);
@@ -321,7 +325,7 @@
 }
 
 void TokenDaemon::noteViewState(core::Time now) {
-  steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now));
+  steering_.setViewState(reader_.isComplete(), reader_.isCurrent(now), reader_.isWhole());
 }
 
 void TokenDaemon::onSignal(int signal) {
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -144,6 +144,11 @@
                {{"backends", std::to_string(change.backends)},
                 {"revision", std::to_string(change.revision)}});
       return;
+    case core::ViewChange::Kind::kWhole:
+      logEvent(LogLevel::kInfo, "view_whole",
+               {{"backends", std::to_string(change.backends)},
+                {"view_age_ms", std::to_string(viewAge / std::chrono::milliseconds(1))}});
+      return;
     case core::ViewChange::Kind::kUnreadable:
       logEvent(LogLevel::kError, "item_unreadable",
                {{"key", change.key},
@@ -159,6 +164,7 @@
   logEvent(LogLevel::kInfo, "store_read",
            {{"read", isList ? "list" : "watch"},
             {"cause", toString(read.cause)},
+            {"range", isList ? toString(read.range.kind) : "changes"},
             {"outcome", toString(reply.outcome)},
             {"changes", std::to_string(reply.changes.size())},
             {"latency_ms", std::to_string(latency / std::chrono::milliseconds(1))},
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -29,7 +29,8 @@
                  core::ConfigurationRequest, core::ConfigurationTransfer, core::RecordsMessage,
                  core::RecordsAck, core::RouteHint, core::ListingRequest, ForwardedPacket,
                  core::ViewRequest, core::ViewTransfer, core::ViewSubscription, core::ViewUpdate,
-                 core::OutlierReport, core::LoadReport, core::LoadSummary, core::GroupNotice>;
+                 core::OutlierReport, core::LoadReport, core::LoadSummary, core::GroupNotice,
+                 core::ViewPageRequest, core::ViewPage>;
 
 // One overload per message: fieldsOf(m) ties the fields of `m`, const or not.
 
@@ -95,6 +96,17 @@
   return std::tie(m.revision, m.ageMs, m.version, m.idleTimeoutMs, m.routes, m.backends, m.peers,
                   m.evacuations, m.services);
 }
+auto fieldsOf(IsMessage<core::ViewPageRequest> auto& m) {
+  return std::tie(m.replyTo, m.afterKey, m.atLeast);
+}
+auto fieldsOf(IsMessage<core::PackedBackend> auto& m) {
+  return std::tie(m.keyEnd, m.id, m.sinceLowest, m.address, m.port, m.service, m.zone,
+                  m.softwareVersion, m.capacity, m.leaving, m.warmUpLeftMs);
+}
+auto fieldsOf(IsMessage<core::ViewPage> auto& m) {
+  return std::tie(m.sender, m.afterKey, m.revision, m.isLast, m.keyPrefix, m.lowest, m.names,
+                  m.backends, m.whole);
+}
 auto fieldsOf(IsMessage<core::ViewRemoval> auto& m) { return std::tie(m.key, m.revision); }
 auto fieldsOf(IsMessage<core::ViewEvacuation> auto& m) {
   return std::tie(m.key, m.revision, m.zone);
--- a/tests/core/reach/reach_world.h
+++ b/tests/core/reach/reach_world.h
@@ -176,7 +176,7 @@
   {
     this->IsStoreUp = false;
     for (WorldDaemon& daemon : this->Daemons) {
-      daemon.Steering->setViewState(daemon.Steering->hasWholeView(), false);
+      daemon.Steering->setViewState(daemon.Steering->hasCompleteView(), false);
     }
   }
 
--- a/tests/core/relay/relay_fixture.h
+++ b/tests/core/relay/relay_fixture.h
@@ -11,6 +11,7 @@
 
 #include "core/constants.h"
 #include "core/load/fleet_load.h"
+#include "core/relay/view_fill.h"
 #include "core/relay/view_relay.h"
 #include "core/view_updater.h"
 #include "support/token_fixtures.h"
@@ -46,11 +47,17 @@
   core::FleetLoad Load{ this->Address, this->Meter, [this](core::Time now) {
                          return this->Backends.countSlots(now);
                        } };
+  core::ViewFill Fill{ this->Address,
+                       this->Reader,
+                       this->Updater,
+                       this->Backends,
+                       this->Random };
   std::optional<core::StoreRead> Pending;
   core::Time AskedAt{};
   std::uint64_t Calls = 0;
-  bool Alive = true;        ///< Neither killed nor frozen.
-  bool StoreSilent = false; ///< The store's answers do not reach it.
+  std::uint64_t ItemsRead = 0; ///< Of the store.
+  bool Alive = true;           ///< Neither killed nor frozen.
+  bool StoreSilent = false;    ///< The store's answers do not reach it.
   bool StoreRefuses = false;
   bool PeersCut = false; ///< No message of a peer reaches it, nor its own any.
 
@@ -69,7 +76,14 @@
 struct Message
 {
   core::Endpoint Destination;
-  decltype(core::OutgoingRelay::Message) Content;
+  std::variant<core::ViewSubscription,
+               core::ViewUpdate,
+               core::OutlierReport,
+               core::LoadReport,
+               core::LoadSummary,
+               core::ViewPageRequest,
+               core::ViewPage>
+    Content;
 };
 
 /// A fleet whose first three daemons are everyone's seeds.
@@ -141,6 +155,7 @@
     }
     if (reply) {
       node.Pending.reset();
+      node.ItemsRead += reply->changes.size();
       node.Reader.onReply(*reply, clock);
       node.Relay.OnStoreAnswer(clock);
     }
@@ -153,10 +168,23 @@
       for (const core::Endpoint& destination : outgoing.Destinations) {
         const bool lost = this->Lost != 0 && ++this->Sent % this->Lost == 0;
         if (!node.PeersCut && !lost) {
-          messages.push_back({ destination, outgoing.Message });
+          std::visit(
+            [&messages, &destination](const auto& content) {
+              messages.push_back({ destination, content });
+            },
+            outgoing.Message);
         }
       }
     }
+    for (core::OutgoingFill& outgoing : node.Fill.TakeMessages()) {
+      if (!node.PeersCut) {
+        std::visit(
+          [&messages, &outgoing](const auto& content) {
+            messages.push_back({ outgoing.Destination, content });
+          },
+          outgoing.Message);
+      }
+    }
   }
 
   void Deliver(const Message& message)
@@ -182,6 +210,12 @@
       } else if (const auto* sum =
                    std::get_if<core::LoadSummary>(&message.Content)) {
         node->Relay.OnLoadSummary(*sum, clock);
+      } else if (const auto* asked =
+                   std::get_if<core::ViewPageRequest>(&message.Content)) {
+        node->Fill.OnRequest(*asked, clock);
+      } else if (const auto* page =
+                   std::get_if<core::ViewPage>(&message.Content)) {
+        node->Fill.OnPage(*page, clock);
       } else {
         node->Relay.OnUpdate(std::get<core::ViewUpdate>(message.Content),
                              clock);
@@ -214,6 +248,7 @@
     for (auto& node : this->Nodes) {
       if (node->Alive) {
         node->Relay.OnTick(peers, node->Clock(this->Now));
+        this->FillView(*node, peers);
         // A daemon goes on reading before it hears its peers.
         for (int reads = 0; reads < 3 && this->ServeStore(*node); ++reads) {
         }
@@ -222,6 +257,18 @@
     this->Exchange();
   }
 
+  void FillView(Node& node, const std::vector<core::Endpoint>& known)
+  {
+    core::FillPeers peers;
+    peers.Known = known;
+    if (node.Relay.GetUpstream()) {
+      peers.Near.push_back(*node.Relay.GetUpstream());
+    }
+    peers.IsSeed = node.Relay.IsSeed();
+    peers.Fleet = static_cast<std::uint32_t>(this->Nodes.size());
+    node.Fill.OnTick(peers, node.Clock(this->Now));
+  }
+
   void Run(core::Duration span)
   {
     for (const core::Time end = this->Now + span; this->Now < end;) {
--- /dev/null
+++ b/tests/core/sampled_view_test.cc
@@ -0,0 +1,209 @@
+/// A reader whose first listing is a sample of many back ends.
+#include <boost/test/unit_test.hpp>
+
+#include "core/constants.h"
+#include "core/store_reader.h"
+#include "core/view_updater.h"
+#include "sim/seeded_random.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using core::ReadOutcome;
+using core::StoreRead;
+using Kind = core::ListingRange::Kind;
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kBackends = 10'000;
+
+struct SampledViewFixture {
+  sim::SeededRandom random{1};
+  core::EqualWeights weights;
+  core::BackendRegistry backends{60s, weights};
+  core::RouteTable routes{0};
+  core::ChangeLog log;
+  std::vector<core::ViewChange> changes;
+  core::ViewUpdater updater{backends, routes,
+                            [this](const core::ViewChange& change) { changes.push_back(change); },
+                            &log};
+  core::StoreReader reader{updater, random};
+  FakeStore store;
+  core::Time now = 1s;
+
+  SampledViewFixture() {
+    store.put("op/config", makeRoutes(7, {{1, "web"}}));
+    for (std::uint64_t id = 1; id <= kBackends; ++id) {
+      store.put(keyOf(id), backend(id));
+    }
+    reader.setSampled(3);
+  }
+
+  static std::string keyOf(std::uint64_t id) { return "servers/" + std::to_string(id); }
+  static core::Registration backend(std::uint64_t id) {
+    return makeRegistration(id, "web", static_cast<std::uint8_t>(1 + id / 200),
+                            static_cast<std::uint8_t>(id % 200));
+  }
+
+  StoreRead nextRead() {
+    now = std::max(now, reader.nextReadAt());
+    const std::optional<StoreRead> read = reader.nextRead(now);
+    BOOST_REQUIRE(read.has_value());
+    return *read;
+  }
+  StoreRead answerNext() {
+    const StoreRead read = nextRead();
+    reader.onReply(store.answer(read), now);
+    return read;
+  }
+  /// Reads until flows can be taken.
+  void begin() {
+    while (!reader.isComplete()) {
+      answerNext();
+    }
+  }
+  void fill() {
+    reader.setFilling(true);
+    while (!reader.isWhole()) {
+      answerNext();
+    }
+  }
+  std::uint64_t unknownId() {
+    for (std::uint64_t id = 1;; ++id) {
+      if (!backends.knows(keyOf(id))) {
+        return id;
+      }
+    }
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(SampledViewTest, SampledViewFixture)
+
+// Before, a view of 10,000 back ends took 21 reads and 2 MB before the first opening.
+BOOST_AUTO_TEST_CASE(flows_are_taken_after_two_listings_and_a_watch) {
+  BOOST_TEST((answerNext().range.kind == Kind::kOperators));
+  BOOST_TEST((answerNext().range.kind == Kind::kBackendsPart));
+  BOOST_TEST((answerNext().kind == StoreRead::Kind::kWatch));
+  BOOST_TEST(reader.isComplete());
+  BOOST_TEST(!reader.isWhole());
+  BOOST_TEST(routes.version() == 7U);
+  BOOST_TEST(backends.size() >= core::kPlacementLooks);
+  BOOST_TEST(backends.size() <= 100U);
+}
+
+BOOST_AUTO_TEST_CASE(missing_pages_take_turns_with_watches_and_end) {
+  begin();
+  reader.setFilling(true);
+  BOOST_TEST((answerNext().cause == StoreRead::Cause::kMissingPage));
+  const StoreRead watch = answerNext();
+  BOOST_TEST((watch.kind == StoreRead::Kind::kWatch));
+  BOOST_TEST((watch.wait == core::kCatchUpWait));
+  BOOST_TEST((answerNext().cause == StoreRead::Cause::kMissingPage));
+  fill();
+  BOOST_TEST(backends.size() == kBackends);
+  BOOST_TEST((nextRead().kind == StoreRead::Kind::kWatch));
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_follows_reads_missing_pages_alone) {
+  begin();
+  reader.setActive(false);
+  BOOST_TEST(!reader.isActive());
+  reader.setFilling(true);
+  BOOST_TEST(reader.isActive());
+  BOOST_TEST((answerNext().cause == StoreRead::Cause::kMissingPage));
+  BOOST_TEST((answerNext().cause == StoreRead::Cause::kMissingPage));
+  // A page under way shows nothing of how new the view is.
+  now += 10s;
+  nextRead();
+  BOOST_TEST(!reader.isCurrent(now));
+}
+
+// Followers would take back ends that were there all the time for changes.
+BOOST_AUTO_TEST_CASE(missing_back_ends_are_no_changes) {
+  begin();
+  log.Close(reader.revision());
+  changes.clear();
+  fill();
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST((changes[0].kind == core::ViewChange::Kind::kWhole));
+  BOOST_TEST(changes[0].backends == kBackends);
+  store.put("servers/1", core::RemovedItem{});
+  while (backends.candidates(core::serviceIdOf("web")).size() == kBackends) {
+    answerNext();
+  }
+  log.Close(reader.revision());
+  const auto excerpt = log.Since(store.revision() - 1);
+  BOOST_REQUIRE(excerpt.has_value());
+  BOOST_TEST(excerpt->Changes.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_page_does_not_bring_back_what_was_removed) {
+  begin();
+  const std::uint64_t id = unknownId();
+  const core::StoreChange seen{keyOf(id), id + 1, backend(id)};
+  updater.onChange({keyOf(id), store.revision() + 1, core::RemovedItem{}}, now);
+  updater.onMissing(seen, now);
+  BOOST_TEST(!backends.takesNewFlows(core::BackendId{id}));
+  // One that registered again after that is another matter.
+  updater.onMissing({keyOf(id), store.revision() + 2, backend(id)}, now);
+  BOOST_TEST(backends.takesNewFlows(core::BackendId{id}));
+}
+
+BOOST_AUTO_TEST_CASE(a_sample_without_history_is_drawn_again) {
+  store.freezeStale();
+  store.put(keyOf(kBackends + 1), backend(kBackends + 1));
+  store.compact();
+  answerNext();
+  answerNext();
+  answerNext();  // The watch: the history is gone.
+  const StoreRead again = nextRead();
+  BOOST_TEST((again.range.kind == Kind::kOperators));
+  BOOST_TEST(!again.stale);
+  reader.onReply(store.answer(again), now);
+  answerNext();
+  BOOST_TEST(reader.isComplete());
+  BOOST_TEST(!reader.isWhole());
+}
+
+BOOST_AUTO_TEST_CASE(a_view_in_use_without_history_lists_everything) {
+  begin();
+  store.compact();
+  store.put(keyOf(1), core::RemovedItem{});
+  store.compact();
+  while (!reader.isListing()) {
+    answerNext();
+  }
+  BOOST_TEST((nextRead().range.kind == Kind::kEverything));
+}
+
+// The listing goes on after a peer gave a whole view: its end must take nothing away.
+BOOST_AUTO_TEST_CASE(a_sample_that_ends_late_takes_nothing_from_a_whole_view) {
+  answerNext();
+  const StoreRead part = nextRead();
+  for (std::uint64_t id = 1; id <= kBackends; ++id) {
+    updater.onChange({keyOf(id), id + 1, backend(id)}, now);
+  }
+  reader.adopt(store.revision());
+  reader.onFilled();
+  reader.onReply(store.answer(part), now);
+  BOOST_TEST(reader.isWhole());
+  BOOST_TEST(backends.candidates(core::serviceIdOf("web")).size() == kBackends);
+}
+
+BOOST_AUTO_TEST_CASE(a_small_fleet_has_a_whole_view_at_once) {
+  FakeStore small;
+  small.put("op/config", makeRoutes(7, {{1, "web"}}));
+  for (std::uint64_t id = 1; id <= 18; ++id) {
+    small.put(keyOf(id), backend(id));
+  }
+  std::swap(store, small);
+  begin();
+  BOOST_TEST(reader.isWhole());
+  BOOST_TEST(backends.size() == 18U);
+  BOOST_TEST(reader.counters().lists == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
--- a/tests/core/token_openings_test.cc
+++ b/tests/core/token_openings_test.cc
@@ -33,6 +33,21 @@
   }
 }
 
+// A sample may hold none of a small service's back ends: that it has none would not be true.
+BOOST_AUTO_TEST_CASE(a_sample_of_the_back_ends_places_flows_and_refuses_none) {
+  steering.setViewState(true, true, false);
+  BOOST_TEST((ruleOf(open(1)) == RouteReason::kPlaced));
+  removeBackends();
+  now += 10s;
+  BOOST_TEST((dropOf(open(2)) == DropReason::kStaleView));
+  now += 10s;
+  BOOST_TEST((dropOf(open(3)) == DropReason::kStaleView));
+  steering.setViewState(true, true, true);
+  open(4);
+  now += core::kEmptyServicePatience;
+  BOOST_TEST((refusalOf(open(5)) == RefuseReason::kNoBackend));
+}
+
 /// Weighs the back end with number 1 as `weight`, others as 100.
 class FirstWeighs : public core::PlacementWeights {
  public:
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -121,6 +121,10 @@
   BOOST_TEST(load(kValid, {}).settings->spill);
   BOOST_TEST(load(kValid, {"--steering-spill=auto"}).settings->spill);
   BOOST_TEST(!load(kValid, {"--steering-spill=off"}).settings->spill);
+  BOOST_TEST(load(kValid, {}).settings->sampleFirst);
+  BOOST_TEST(load(kValid, {"--steering-first-view=sample"}).settings->sampleFirst);
+  BOOST_TEST(!load(kValid, {"--steering-first-view=whole"}).settings->sampleFirst);
+  BOOST_TEST(!load(kValid, {"--steering-first-view=some"}).settings);
   const Outcome bad = load(kValid, {"--steering-spill=on"});
   BOOST_TEST(!bad.settings.has_value());
   BOOST_TEST(bad.reason.find("auto or off") != std::string::npos);
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -61,6 +61,24 @@
   BOOST_TEST(items.target(read) == "/kv-watch?path-prefix=&after=411&wait-ms=300");
 }
 
+BOOST_AUTO_TEST_CASE(parts_of_the_servers_are_told_apart_by_the_digits_of_their_ids) {
+  using Kind = core::ListingRange::Kind;
+  const platform::StoreItems items;
+  core::StoreRead read;
+  read.stale = true;
+  read.range = {Kind::kOperators};
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=op/&stale=1");
+  read.range = {Kind::kBackendsPart, core::kFineParts, 0x0a};
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=servers/i-0a&stale=1");
+  read.range = {Kind::kBackendsPart, core::kFineParts, 0xf3};
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=servers/i-f3&stale=1");
+  read.range = {Kind::kBackendsPart, core::kCoarseParts, 0x0f};
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=servers/i-f&stale=1");
+  read.range = {Kind::kBackends};
+  read.afterKey = "servers/i-7f";
+  BOOST_TEST(items.target(read) == "/kv-range?path-prefix=servers/&after=servers/i-7f&stale=1");
+}
+
 BOOST_AUTO_TEST_CASE(a_server_becomes_a_registration) {
   const core::StoreReply reply = parseItems(item("servers/i-1fa13cd8c2", kServer));
   BOOST_REQUIRE(reply.changes.size() == 1U);
--- a/tests/support/store_fixtures.h
+++ b/tests/support/store_fixtures.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/backend_registry.h"
+#include "core/hashing.h"
 #include "core/store_reader.h"
 #include "support/core_fixtures.h"
 
@@ -79,15 +80,40 @@
     const std::map<std::string, core::StoreChange>& items = old ? staleItems : items_;
     core::StoreReply reply;
     reply.at = old ? staleAt : revision_;
-    auto item = items.upper_bound(read.afterKey);
-    for (; item != items.end() && reply.changes.size() < pageSize; ++item) {
+    for (auto item = items.upper_bound(read.afterKey); item != items.end(); ++item) {
+      if (!isInRange(item->first, read.range)) {
+        continue;
+      }
+      if (reply.changes.size() == pageSize) {
+        reply.hasMore = true;
+        break;
+      }
       reply.changes.push_back(item->second);
       reply.lastKey = item->first;
     }
-    reply.hasMore = item != items.end();
     return reply;
   }
 
+  static bool isInRange(const std::string& key, const core::ListingRange& range) {
+    const bool isBackend = key.starts_with("servers/");
+    switch (range.kind) {
+      case core::ListingRange::Kind::kEverything:
+        return true;
+      case core::ListingRange::Kind::kOperators:
+        return !isBackend;
+      case core::ListingRange::Kind::kBackends:
+        return isBackend;
+      case core::ListingRange::Kind::kBackendsPart:
+        return isBackend && partOf(key) / (core::kFineParts / range.parts) == range.part;
+    }
+    return false;
+  }
+
+  /// @return the fine part of a key, even over keys as drawn ids are.
+  static std::uint32_t partOf(const std::string& key) {
+    return static_cast<std::uint32_t>(core::hashName(key) % core::kFineParts);
+  }
+
   core::StoreReply watch(const core::StoreRead& read) const {
     core::StoreReply reply;
     reply.at = revision_;
