Tell runs of a back end apart, and let no entry of another writer name one

Cause: a registration under a known id was taken for the same run, so a proof of death, an outlier's verdict, slow answers and counts of the run before passed to the new one; the proof reset flows that others had opened there. A late write of the run before replaced the new one. An entry that turned unreadable left the back end in use; numbers above 32 bits were cut off; missing fields had defaults. An unreadable entry takes its back end out of placement here and at followers, and leaves its flows.

--- a/src/core/backend_health.cc
+++ b/src/core/backend_health.cc
@@ -115,6 +115,12 @@
   return found;
 }
 
+void BackendHealth::forget(BackendId backend) {
+  // A probe that is under way meets signs that know nothing of it, and proves nothing.
+  signs_.erase(backend);
+  open_.erase(backend);
+}
+
 void BackendHealth::onReachChanged() { onResume(); }
 
 void BackendHealth::expire(Time now) {
--- a/src/core/backend_health.h
+++ b/src/core/backend_health.h
@@ -52,6 +52,8 @@
   /// @return back ends that were heard last and answer, with the time; none that is suspected.
   std::vector<std::pair<BackendId, Time>> answering(Time now) const;
 
+  /// Forgets a back end that has started anew.
+  void forget(BackendId backend);
   /// Call after the process was suspended: what is unanswered since before means nothing, and who
   /// was dead then may live again.
   void onResume();
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -18,6 +18,8 @@
       return "returned";
     case RegistryEvent::kVanished:
       return "vanished";
+    case RegistryEvent::kRestarted:
+      return "restarted";
     case RegistryEvent::kChanged:
       return "changed";
     case RegistryEvent::kRefreshed:
@@ -35,6 +37,13 @@
   if (!isNew && known->second.revision >= revision) {
     return RegistryEvent::kNone;
   }
+  const std::uint64_t startedBefore = isNew ? 0 : known->second.registration.startedAtMs;
+  if (registration.startedAtMs < startedBefore) {
+    // A late write of the run before, which has ended.
+    known->second.revision = revision;
+    return RegistryEvent::kNone;
+  }
+  const bool hasRestarted = startedBefore != 0 && registration.startedAtMs > startedBefore;
   const bool tookFlows = !isNew && takesNewFlows(known->second.address.id);
   const bool leaving = registration.state == BackendState::kLeaving;
   if (!isNew && (known->second.registration.service != registration.service ||
@@ -47,7 +56,7 @@
   entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0,
                    zoneIdOf(registration.zone)};
   entry.revision = revision;
-  entry.firstRevision = isNew ? revision : entry.firstRevision;
+  entry.firstRevision = isNew || hasRestarted ? revision : entry.firstRevision;
   entry.present = true;
   entry.ended = false;
   if (!sameContent) {
@@ -65,6 +74,10 @@
   if (isNew) {
     return RegistryEvent::kAdded;
   }
+  if (hasRestarted) {
+    restarted_.push_back(registration.id);
+    return RegistryEvent::kRestarted;
+  }
   if (tookFlows && leaving) {
     return RegistryEvent::kLeaving;
   }
@@ -181,6 +194,12 @@
   return key == keys_.end() ? nullptr : &entries_.at(key->second).registration;
 }
 
+const Registration* BackendRegistry::presentAt(const std::string& key) const {
+  const auto entry = entries_.find(key);
+  const bool isPresent = entry != entries_.end() && entry->second.present;
+  return isPresent ? &entry->second.registration : nullptr;
+}
+
 bool BackendRegistry::hasEnded(BackendId id) const {
   const auto key = keys_.find(id);
   return key != keys_.end() && entries_.at(key->second).ended;
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/placement/candidate_list.h"
@@ -27,6 +28,7 @@
   kLeaving,    ///< Announced its end.
   kReturned,   ///< Active again after it was leaving or had vanished.
   kVanished,   ///< Its item was removed.
+  kRestarted,  ///< Started again under its id, and knows nothing from before.
   kChanged,    ///< Another field changed.
   kRefreshed,  ///< Taken, though it says what was known.
   kNone,       ///< Older than what is known, or without effect.
@@ -81,6 +83,10 @@
   bool knows(const std::string& key) const { return entries_.contains(key); }
   /// @return the back end, gone or not, or null.
   const BackendAddress* find(BackendId id) const;
+  /// @return what is known of a key whose item is in the store, or null.
+  const Registration* presentAt(const std::string& key) const;
+  /// @return back ends that have started again under their ids since the last call.
+  std::vector<BackendId> takeRestarted() { return std::exchange(restarted_, {}); }
   /// @return what the back end last said of itself, or null.
   const Registration* registrationOf(BackendId id) const;
   /// @return true where another back end was registered at the same address after this one's last
@@ -169,6 +175,7 @@
   std::map<Endpoint, std::set<std::string>> endpoints_;            ///< Keys at each address.
   /// When which keys departed, by service, oldest first; of those that are not forgotten.
   std::unordered_map<ServiceId, std::deque<std::pair<Time, std::string>>> departures_;
+  std::vector<BackendId> restarted_;
   ZoneEvacuations evacuations_;
   std::map<std::string, RegionId> regions_;  ///< By zone.
   std::unordered_map<ZoneId, std::string> zoneNames_;
--- a/src/core/outlier/answer_times.h
+++ b/src/core/outlier/answer_times.h
@@ -27,6 +27,9 @@
   /// \return 1 where it is not slow, or too little was seen of it lately.
   double GetSlowness(BackendId backend, ServiceId service, Time now) const;
 
+  /// Forget a back end that has started anew.
+  void Forget(BackendId backend) { this->Means.erase(backend); }
+
   /// Forget back ends that have not answered for kAnswerTimesMemory.
   void Expire(Time now);
 
--- a/src/core/outlier/outlier_detector.h
+++ b/src/core/outlier/outlier_detector.h
@@ -54,6 +54,13 @@
   /// Take the list of the daemon that decides.
   void Adopt(const std::vector<BackendId>& outliers, Time now);
 
+  /// Forget a back end that has started anew.
+  void Forget(BackendId backend)
+  {
+    this->Observed.erase(backend);
+    this->Outliers.erase(backend);
+  }
+
   /// Forget outliers without recent evidence or news.
   void Expire(Time now);
 
--- a/src/core/registration.h
+++ b/src/core/registration.h
@@ -17,7 +17,8 @@
 /// Number of a change in the store; rises with every change. Zero means "none yet".
 using Revision = std::uint64_t;
 
-/// A back end as it describes itself. Each start of a back end is another registration.
+/// A back end as it describes itself. A start of a back end is another registration under another
+/// id, or under the same id with a later time of start.
 struct Registration {
   BackendId id = kNoBackend;
   std::string service;
@@ -27,6 +28,7 @@
   std::uint32_t capacity = 1;  ///< Requests it handles at once.
   BackendState state = BackendState::kActive;
   std::chrono::milliseconds warmUpLeft{0};  ///< Slow for this much longer, seen from `revision`.
+  std::uint64_t startedAtMs = 0;            ///< Unix time of its start; zero: not told.
 
   bool operator==(const Registration&) const = default;
 };
@@ -99,7 +101,8 @@
 /// An item that was removed from the store.
 struct RemovedItem {};
 
-/// An item that cannot be understood; what was known of its key stays as it is.
+/// An item that cannot be understood. A back end of its key gets no new flow and keeps its open
+/// ones; routes in force stay.
 struct UnreadableItem {
   std::string reason;
 };
--- a/src/core/relay/view_pages.cc
+++ b/src/core/relay/view_pages.cc
@@ -85,6 +85,7 @@
   registration.state =
     packed.leaving ? BackendState::kLeaving : BackendState::kActive;
   registration.warmUpLeft = std::chrono::milliseconds(packed.warmUpLeftMs);
+  registration.startedAtMs = packed.startedAtMs;
   return StoreChange{ page.keyPrefix + packed.keyEnd,
                       page.lowest + packed.sinceLowest,
                       std::move(registration) };
@@ -114,6 +115,7 @@
     packed.capacity = registration.capacity;
     packed.leaving = registration.state == BackendState::kLeaving;
     packed.warmUpLeftMs = wholeMilliseconds(registration.warmUpLeft);
+    packed.startedAtMs = registration.startedAtMs;
     page.backends.push_back(std::move(packed));
   }
 }
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -244,7 +244,22 @@
   }
 }
 
+void TokenSteering::forgetRestarted() {
+  for (const BackendId id : backends_.takeRestarted()) {
+    health_.forget(id);
+    answerTimes_.Forget(id);
+    if (outliers_ != nullptr) {
+      outliers_->Forget(id);
+    }
+    for (const TokenFlow& flow : flows_.takeAllOf(id)) {
+      outcomes_.Forget(flow.fingerprint);
+      noteGone(flow.fingerprint);
+    }
+  }
+}
+
 void TokenSteering::onTick(Time now) {
+  forgetRestarted();
   noteLateAnswers(now);
   outcomes_.OnTick(now);
   serving_.OnTick(now);
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -93,7 +93,10 @@
   bool hasCompleteView() const { return viewComplete_; }
   /// Call after the view has changed: flows of back ends whose address another one has taken are
   /// given up at once, so that the next request on an idle one opens elsewhere and is not lost.
-  void onViewChanged() { resetFlowsOfEnded(); }
+  void onViewChanged() {
+    forgetRestarted();
+    resetFlowsOfEnded();
+  }
   /// Call after the process was suspended: openings that waited meanwhile have been sent again,
   /// and a late second answer would break their flow. They are dropped until onQueueDrained().
   void onResume();
@@ -197,6 +200,9 @@
   void noteLateAnswers(Time now);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
   void resetFlowsOfEnded();
+  /// Forgets what was seen of earlier runs of back ends. Their flows ended with them, and are left
+  /// for the back ends to reset: some may have been opened at the new run already.
+  void forgetRestarted();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
   Verdict forward(const BackendAddress& backend, RouteReason reason) const;
 
--- a/src/core/view_conversion.cc
+++ b/src/core/view_conversion.cc
@@ -19,7 +19,8 @@
           registration.softwareVersion,
           registration.capacity,
           registration.state == BackendState::kLeaving,
-          wholeMilliseconds(registration.warmUpLeft)};
+          wholeMilliseconds(registration.warmUpLeft),
+          registration.startedAtMs};
 }
 
 StoreChange toChange(const ViewBackend& backend) {
@@ -32,6 +33,7 @@
   registration.capacity = backend.capacity;
   registration.state = backend.leaving ? BackendState::kLeaving : BackendState::kActive;
   registration.warmUpLeft = std::chrono::milliseconds(backend.warmUpLeftMs);
+  registration.startedAtMs = backend.startedAtMs;
   return {backend.key, backend.revision, registration};
 }
 
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -30,6 +30,7 @@
   std::uint32_t capacity = 1;
   bool leaving = false;
   std::uint32_t warmUpLeftMs = 0;
+  std::uint64_t startedAtMs = 0;
 };
 
 /// One route of a view; services and weights run in parallel.
@@ -92,6 +93,7 @@
   std::uint32_t capacity = 1;
   bool leaving = false;
   std::uint32_t warmUpLeftMs = 0;
+  std::uint64_t startedAtMs = 0;
 };
 
 /// Some back ends of a whole view, in the order of their keys.
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -69,13 +69,19 @@
   return true;
 }
 
-bool ViewUpdater::take(const StoreChange& change, const UnreadableItem& unreadable, Time) {
+bool ViewUpdater::take(const StoreChange& change, const UnreadableItem& unreadable, Time now) {
   ViewChange report;
   report.kind = ViewChange::Kind::kUnreadable;
   report.key = change.key;
   report.revision = change.revision;
   report.reason = unreadable.reason;
   listener_(report);
+  if (const Registration* known = backends_.presentAt(change.key)) {
+    // Who wrote this is not known to be the back end: nothing but its end as a candidate is taken.
+    Registration withdrawn = *known;
+    withdrawn.state = BackendState::kLeaving;
+    return take({change.key, change.revision, withdrawn}, withdrawn, now);
+  }
   return true;
 }
 
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -83,7 +83,7 @@
 }
 auto fieldsOf(IsMessage<core::ViewBackend> auto& m) {
   return std::tie(m.key, m.revision, m.id, m.service, m.endpoint, m.zone, m.softwareVersion,
-                  m.capacity, m.leaving, m.warmUpLeftMs);
+                  m.capacity, m.leaving, m.warmUpLeftMs, m.startedAtMs);
 }
 auto fieldsOf(IsMessage<core::ViewRoute> auto& m) {
   return std::tie(m.name, m.endpoint, m.services, m.weights, m.kind, m.latencyGoalMs, m.timeoutMs,
@@ -101,7 +101,7 @@
 }
 auto fieldsOf(IsMessage<core::PackedBackend> auto& m) {
   return std::tie(m.keyEnd, m.id, m.sinceLowest, m.address, m.port, m.service, m.zone,
-                  m.softwareVersion, m.capacity, m.leaving, m.warmUpLeftMs);
+                  m.softwareVersion, m.capacity, m.leaving, m.warmUpLeftMs, m.startedAtMs);
 }
 auto fieldsOf(IsMessage<core::ViewPage> auto& m) {
   return std::tie(m.sender, m.afterKey, m.revision, m.isLast, m.keyPrefix, m.lowest, m.names,
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -157,6 +157,39 @@
   BOOST_TEST(registry.contentsAfter("servers/5", 9).empty());
 }
 
+core::Registration startedAt(std::uint64_t startedAtMs) {
+  core::Registration item = makeRegistration(1, "web", 1, 1);
+  item.startedAtMs = startedAtMs;
+  return item;
+}
+
+BOOST_AUTO_TEST_CASE(one_that_starts_again_under_its_id_is_told) {
+  registry.put("servers/1", startedAt(1000), 1, now);
+  BOOST_TEST((registry.put("servers/1", startedAt(1000), 2, now) == RegistryEvent::kRefreshed));
+  BOOST_TEST(registry.takeRestarted().empty());
+  BOOST_TEST((registry.put("servers/1", startedAt(2000), 3, now) == RegistryEvent::kRestarted));
+  BOOST_TEST((registry.takeRestarted() == std::vector<BackendId>{BackendId{1}}));
+  BOOST_TEST(registry.takeRestarted().empty());
+}
+
+// The store may take a write of the run before seconds after the new one registered.
+BOOST_AUTO_TEST_CASE(a_late_word_of_the_run_before_changes_nothing) {
+  registry.put("servers/1", startedAt(1000), 1, now);
+  core::Registration next = startedAt(2000);
+  next.endpoint.port = 9000;
+  registry.put("servers/1", next, 2, now);
+  core::Registration late = startedAt(1000);
+  late.state = core::BackendState::kLeaving;
+  BOOST_TEST((registry.put("servers/1", late, 3, now) == RegistryEvent::kNone));
+  BOOST_TEST(registry.takesNewFlows(BackendId{1}));
+  BOOST_TEST(registry.find(BackendId{1})->endpoint.port == 9000U);
+  // Of what is not told no order follows.
+  BOOST_TEST((registry.put("servers/2", makeRegistration(2, "web", 1, 2), 4, now) ==
+              RegistryEvent::kAdded));
+  BOOST_TEST((registry.put("servers/2", makeRegistration(2, "web", 1, 2), 5, now) ==
+              RegistryEvent::kRefreshed));
+}
+
 BOOST_AUTO_TEST_CASE(a_removal_ends_nobody) {
   registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
   registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
--- a/tests/core/relay/view_pages_test.cc
+++ b/tests/core/relay/view_pages_test.cc
@@ -16,6 +16,7 @@
     registration.zone = id % 2 == 0 ? "a" : "b";
     registration.softwareVersion = "v7";
     registration.warmUpLeft = std::chrono::milliseconds(id);
+    registration.startedAtMs = 1'700'000'000'000 + id;
     registration.state =
       id % 5 == 0 ? core::BackendState::kLeaving : core::BackendState::kActive;
     backends.push_back(
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -64,6 +64,8 @@
                                       core::LoadReport{},
                                       core::LoadSummary{},
                                       core::GroupNotice{},
+                                      core::ViewPageRequest{},
+                                      core::ViewPage{},
                                       ForwardedPacket{}};
   BOOST_TEST(frames.size() == std::variant_size_v<PeerFrame>);
   for (const PeerFrame& frame : frames) {
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -1,5 +1,7 @@
 #include "platform/store_items.h"
 
+#include <openssl/evp.h>
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -94,6 +96,45 @@
   BOOST_TEST((registration.state == core::BackendState::kActive));
 }
 
+std::string encode(const std::string& text) {
+  std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
+  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+                                   reinterpret_cast<const unsigned char*>(text.data()),
+                                   static_cast<int>(text.size()));
+  encoded.resize(static_cast<std::size_t>(size));
+  return encoded;
+}
+
+/// @return a server's entry as text, some of whose fields are replaced or left out (null).
+std::string server(const nlohmann::json& changes) {
+  nlohmann::json entry = {{"service", "web"}, {"address", "10.128.0.9:8080"}, {"zone", "a"},
+                          {"version", "v1"},  {"capacity", 2},                {"state", "ready"},
+                          {"sequence", 4},    {"warmup-left-ms", 0}};
+  entry.merge_patch(changes);
+  return encode(entry.dump());
+}
+
+BOOST_AUTO_TEST_CASE(a_server_tells_when_it_started) {
+  const core::StoreReply reply =
+      parseItems(item("servers/i-1f", server({{"born", 1'700'000'000'123}})));
+  const auto& registration = std::get<core::Registration>(reply.changes.at(0).item);
+  BOOST_TEST(registration.startedAtMs == 1'700'000'000'123U);
+}
+
+// Other writers put entries of any form there; none of them may name a target.
+BOOST_AUTO_TEST_CASE(what_no_target_writes_is_unreadable) {
+  BOOST_TEST(unreadableReason("servers/i-1f", server({{"zone", nullptr}})) == "no field 'zone'");
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"capacity", nullptr}})).empty());
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"capacity", -1}})).empty());
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"capacity", "two"}})).empty());
+  BOOST_TEST(unreadableReason("servers/i-1f", server({{"capacity", 4294967297}})) ==
+             "capacity 4294967297 is above 1048576");
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"warmup-left-ms", 1e18}})).empty());
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"born", "today"}})).empty());
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"state", "asleep"}})).empty());
+  BOOST_TEST(!unreadableReason("servers/i-1f", server({{"zone", 7}})).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_tells_of_requests_and_services) {
   // {"version":7,"routes":[{"name":"r","host":"198.18.0.1","path-prefix":"/8443/","service":"web",
   //  "type":"unsafe","timeout-ms":3000,"latency-goal-ms":250.0,"priority":2,
