Give pages to few daemons at once, so that these go on giving

Change: four daemons are served at once, each to its last page; seeds are asked as often as others. Measured: unit test.

--- a/src/core/relay/view_fill.cc
+++ b/src/core/relay/view_fill.cc
@@ -1,6 +1,7 @@
 #include "core/relay/view_fill.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/constants.h"
@@ -14,6 +15,12 @@
 constexpr std::size_t kBackendsOfPage = 500;
 /// Pages that a daemon gives in a second: 1 MB, as of other whole views.
 constexpr std::uint32_t kPagesPerSecond = 50;
+/// Daemons that are given pages at once.  Each gets its last page within two
+/// seconds then and goes on giving; 900 that were served in turn all waited
+/// for ten.
+constexpr std::size_t kServedAtOnce = 4;
+/// Who has not asked for its next page for so long is not served any more.
+constexpr Duration kServedWithin = 500ms;
 /// A page that has not come after this long is asked for elsewhere.
 constexpr Duration kPagePatience = 400ms;
 /// A seed without a page for so long reads the store, so that others need not.
@@ -57,6 +64,7 @@
   }
   const Endpoint peer = this->Draw(peers);
   if (peer != this->Self) {
+    this->MayAskAgain = true;
     this->Ask(peer, now);
   }
 }
@@ -82,8 +90,12 @@
   if (byRumour) {
     return this->Whole[this->RandomSource.below(this->Whole.size())];
   }
-  const bool byTree = !peers.Near.empty() && this->RandomSource.below(2) == 0;
-  const std::vector<Endpoint>& from = byTree ? peers.Near : peers.Known;
+  const std::vector<Endpoint>* const sources[] = { &peers.Near,
+                                                   &peers.Seeds,
+                                                   &peers.Known };
+  const std::vector<Endpoint>& drawn =
+    *sources[this->RandomSource.below(std::size(sources))];
+  const std::vector<Endpoint>& from = drawn.empty() ? peers.Known : drawn;
   return from.empty() ? this->Self
                       : from[this->RandomSource.below(from.size())];
 }
@@ -105,24 +117,42 @@
   page.afterKey = request.afterKey;
   const bool hasPage = this->Reader.isWhole() &&
     this->Reader.revision() >= request.atLeast &&
-    this->Allowance.admit(RankedTokenBucket::kHighestRank, now);
+    this->MayGive(request.replyTo, now);
   if (hasPage) {
-    for (const StoreChange& change :
-         this->Backends.contentsAfter(request.afterKey, kBackendsOfPage)) {
-      page.backends.push_back(
-        toMessage(change, std::get<Registration>(change.item)));
-    }
-    page.revision = this->Reader.revision();
-    page.isLast = page.backends.size() < kBackendsOfPage;
-    ++this->Counters.PagesGiven;
+    this->Give(request, page, now);
   } else {
     page.whole.assign(this->Whole.begin(), this->Whole.end());
     ++this->Counters.Refused;
   }
+  this->Outgoing.push_back({ request.replyTo, std::move(page) });
+}
+
+bool ViewFill::MayGive(const Endpoint& peer, Time now)
+{
+  std::erase_if(this->Served, [now](const auto& item) {
+    return now - item.second >= kServedWithin;
+  });
+  const bool hasPlace =
+    this->Served.size() < kServedAtOnce || this->Served.contains(peer);
+  return hasPlace &&
+    this->Allowance.admit(RankedTokenBucket::kHighestRank, now);
+}
+
+void ViewFill::Give(const ViewPageRequest& request, ViewPage& page, Time now)
+{
+  for (const StoreChange& change :
+       this->Backends.contentsAfter(request.afterKey, kBackendsOfPage)) {
+    page.backends.push_back(
+      toMessage(change, std::get<Registration>(change.item)));
+  }
+  page.revision = this->Reader.revision();
+  page.isLast = page.backends.size() < kBackendsOfPage;
+  ++this->Counters.PagesGiven;
+  this->Served[request.replyTo] = now;
   if (page.isLast) {
+    this->Served.erase(request.replyTo);
     this->NoteWhole(request.replyTo);
   }
-  this->Outgoing.push_back({ request.replyTo, std::move(page) });
 }
 
 void ViewFill::NoteWhole(const Endpoint& peer)
@@ -144,6 +174,12 @@
   }
   if (page.revision == 0) {
     std::erase(this->Whole, page.sender);
+    const bool isMissing =
+      this->Reader.isComplete() && !this->Reader.isWhole();
+    if (isMissing && !page.whole.empty() &&
+        std::exchange(this->MayAskAgain, false)) {
+      this->Ask(page.whole[this->RandomSource.below(page.whole.size())], now);
+    }
     return false;
   }
   this->NoteWhole(page.sender);
--- a/src/core/relay/view_fill.h
+++ b/src/core/relay/view_fill.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,7 @@
 {
   std::vector<Endpoint> Known; ///< Any that may exist.
   std::vector<Endpoint> Near;  ///< Its upstream, where it follows one.
+  std::vector<Endpoint> Seeds; ///< Other daemons that everyone knows of.
   bool IsSeed = false;         ///< This daemon is one that everyone knows of.
   std::uint32_t Fleet = 1;     ///< Daemons that there are; errs high.
 };
@@ -74,6 +76,9 @@
   const ViewFillCounters& GetCounters() const { return this->Counters; }
 
 private:
+  /// Tell whether a page may be given to this daemon now.
+  bool MayGive(const Endpoint& peer, Time now);
+  void Give(const ViewPageRequest& request, ViewPage& page, Time now);
   void Begin(const FillPeers& peers, Time now);
   void Ask(const Endpoint& peer, Time now);
   /// Draw a daemon to ask; this one where nobody is known.
@@ -87,9 +92,12 @@
   const BackendRegistry& Backends;
   Random& RandomSource;
   RankedTokenBucket Allowance;
+  /// Daemons that are given pages, with the time of the last one.
+  std::map<Endpoint, Time> Served;
   std::deque<Endpoint> Whole; ///< Daemons that have whole views, newest last.
   std::string NextAfter;      ///< Pages up to here were taken.
   Time AskedAt{};
+  bool MayAskAgain = false; ///< Once for each question at a tick.
   Time StoreAt{}; ///< When pages are read from the store; zero: not begun.
   std::vector<OutgoingFill> Outgoing;
   ViewFillCounters Counters;
--- a/tests/core/relay/view_fill_test.cc
+++ b/tests/core/relay/view_fill_test.cc
@@ -191,6 +191,37 @@
   BOOST_TEST(this->CountItemsRead() < before + 8 * core::kPlacementLooks);
 }
 
+// One that served 900 in turn gave each a page now and then, and nobody else
+// had a whole view for ten seconds.
+BOOST_AUTO_TEST_CASE(few_are_served_at_once_and_the_others_are_told_of_them)
+{
+  this->Start(kManyBackends);
+  this->TimeUntilWhole();
+  Node& giver = this->At(5);
+  this->Now += 5s;
+  const core::Time clock = giver.Clock(this->Now);
+  std::size_t given = 0;
+  for (std::size_t asking = 10; asking < 30; ++asking) {
+    giver.Fill.OnRequest({ this->At(asking).Address, "", 0 }, clock);
+    const auto messages = giver.Fill.TakeMessages();
+    const auto& page = std::get<core::ViewPage>(messages.at(0).Message);
+    given += page.revision != 0 ? 1 : 0;
+  }
+  BOOST_TEST(given == 4U);
+  // Who is done makes room, and is told of to those who get nothing.
+  giver.Fill.OnRequest({ this->At(10).Address, "servers/9999", 0 }, clock);
+  giver.Fill.TakeMessages();
+  giver.Fill.OnRequest({ this->At(20).Address, "", 0 }, clock);
+  giver.Fill.OnRequest({ this->At(21).Address, "", 0 }, clock);
+  const auto messages = giver.Fill.TakeMessages();
+  BOOST_TEST(std::get<core::ViewPage>(messages.at(0).Message).revision != 0U);
+  const auto& refusal = std::get<core::ViewPage>(messages.at(1).Message);
+  BOOST_TEST(refusal.revision == 0U);
+  BOOST_TEST((std::find(refusal.whole.begin(),
+                        refusal.whole.end(),
+                        this->At(10).Address) != refusal.whole.end()));
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_without_a_whole_view_gives_no_page)
 {
   this->Start(kManyBackends);
