Order what a view tells once for all followers that ask

Cause: each part of a difference looked through every back end; where all registrations lapse, 32 followers of a hub ask for ten parts each. Change: the ordered changes are kept until the view changes.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -32,6 +32,7 @@
 
 RegistryEvent BackendRegistry::put(const std::string& key, const Registration& registration,
                                    Revision revision, Time now) {
+  ++generation_;
   const auto known = entries_.find(key);
   const bool isNew = known == entries_.end();
   if (!isNew && known->second.revision >= revision) {
@@ -127,6 +128,7 @@
 }
 
 RegistryEvent BackendRegistry::remove(const std::string& key, Revision revision, Time now) {
+  ++generation_;
   const auto known = entries_.find(key);
   if (known == entries_.end()) {
     unknownRemovals_[key] = {revision, now};
@@ -154,6 +156,7 @@
 
 std::vector<std::string> BackendRegistry::retainOnly(const std::set<std::string>& keys,
                                                      Revision listedAt, Time now) {
+  ++generation_;
   std::vector<std::string> vanished;
   for (const auto& [key, entry] : entries_) {
     if (entry.present && entry.revision <= listedAt && !keys.contains(key)) {
@@ -258,6 +261,7 @@
 
 void BackendRegistry::dropCandidates(bool changed) {
   if (changed) {
+    ++generation_;
     candidates_.clear();
   }
 }
@@ -394,6 +398,7 @@
 }
 
 void BackendRegistry::forgetDeparted(Time now) {
+  const std::size_t before = entries_.size() + unknownRemovals_.size();
   for (auto item = entries_.begin(); item != entries_.end();) {
     const Entry& entry = item->second;
     if (entry.present || now - entry.removedAt < keepDeparted_) {
@@ -414,6 +419,7 @@
       list.pop_front();
     }
   }
+  generation_ += entries_.size() + unknownRemovals_.size() == before ? 0 : 1;
 }
 
 std::vector<StoreChange> BackendRegistry::contents() const {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -137,6 +137,8 @@
   std::vector<StoreChange> contentsAfter(const std::string& key, std::size_t most) const;
   /// @return registrations and removals that are newer than `have`, in any order.
   RegistryDifference changesSince(Revision have) const;
+  /// @return a number that rises with every change of what changesSince() and evacuations() tell.
+  std::uint64_t generation() const { return generation_; }
   /// @return the newest revision of a removal that is forgotten; who is older may lack it.
   Revision forgottenRevision() const { return forgottenRevision_; }
   std::size_t size() const { return entries_.size(); }
@@ -191,6 +193,7 @@
   std::map<std::string, Entry> entries_;  ///< By key.
   std::map<std::string, UnknownRemoval> unknownRemovals_;
   Revision forgottenRevision_ = 0;
+  std::uint64_t generation_ = 0;
   TokenIndex tokens_;
   std::unordered_map<BackendId, std::string> keys_;
   std::unordered_map<ServiceId, std::set<std::string>> services_;  ///< Keys of each service.
--- a/src/core/relay/view_difference.cc
+++ b/src/core/relay/view_difference.cc
@@ -1,7 +1,6 @@
 #include "core/relay/view_difference.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace cobaltgauge::core {
@@ -14,56 +13,69 @@
   };
 }
 
-/// Cut ordered changes behind the last revision that fits whole.
-void CutToPart(std::vector<StoreChange>& changes,
-               std::size_t undated,
-               ChangeExcerpt& excerpt)
-{
-  std::size_t end = std::max(kHeaviestDifference, undated + 1);
-  if (end >= changes.size()) {
-    return;
-  }
-  while (end < changes.size() &&
-         changes[end].revision == changes[end - 1].revision) {
-    ++end;
-  }
-  if (end < changes.size()) {
-    excerpt.Reached = changes[end - 1].revision;
-    changes.resize(end);
-  }
-}
-
 } // namespace
 
-std::optional<ChangeExcerpt> ViewDifference::Since(Revision have,
-                                                   Revision complete) const
+void ViewDifference::Order(Revision have)
 {
-  if (have < this->Backends.forgottenRevision()) {
-    return std::nullopt;
+  const bool isInStep = this->Cached.IsValid && this->Cached.From <= have &&
+    this->Cached.Generation == this->Backends.generation() &&
+    this->Cached.RoutesAt == this->Routes.changedAt();
+  if (isInStep) {
+    return;
   }
   RegistryDifference difference = this->Backends.changesSince(have);
+  this->Cached = {
+    true, this->Backends.generation(),   this->Routes.changedAt(),
+    have, std::move(difference.undated), std::move(difference.dated)
+  };
   // They are few, and a listing may have shown their ends.
   for (StoreChange& change :
        this->Backends.evacuations().GetChangesSince(have)) {
-    difference.undated.push_back(std::move(change));
+    this->Cached.Undated.push_back(std::move(change));
   }
   if (this->Routes.changedAt() > have) {
-    difference.dated.push_back(
+    this->Cached.Dated.push_back(
       { "", this->Routes.changedAt(), GetRouteSet(this->Routes) });
   }
-  std::stable_sort(difference.dated.begin(),
-                   difference.dated.end(),
+  std::stable_sort(this->Cached.Dated.begin(),
+                   this->Cached.Dated.end(),
                    [](const StoreChange& left, const StoreChange& right) {
                      return left.revision < right.revision;
                    });
+}
+
+std::optional<ChangeExcerpt> ViewDifference::Since(Revision have,
+                                                   Revision complete)
+{
+  if (have < this->Backends.forgottenRevision()) {
+    return std::nullopt;
+  }
+  this->Order(have);
   ChangeExcerpt excerpt;
   excerpt.Reached = std::max(have, complete);
-  const std::size_t undated = difference.undated.size();
-  excerpt.Changes = std::move(difference.undated);
-  std::move(difference.dated.begin(),
-            difference.dated.end(),
-            std::back_inserter(excerpt.Changes));
-  CutToPart(excerpt.Changes, undated, excerpt);
+  for (const StoreChange& change : this->Cached.Undated) {
+    if (change.revision > have) {
+      excerpt.Changes.push_back(change);
+    }
+  }
+  const std::vector<StoreChange>& dated = this->Cached.Dated;
+  auto next = std::upper_bound(dated.begin(),
+                               dated.end(),
+                               have,
+                               [](Revision revision, const StoreChange& item) {
+                                 return revision < item.revision;
+                               });
+  const std::size_t most =
+    std::max(kHeaviestDifference, excerpt.Changes.size() + 1);
+  for (; next != dated.end(); ++next) {
+    const bool isFull = excerpt.Changes.size() >= most &&
+      next->revision != excerpt.Changes.back().revision;
+    if (isFull) {
+      excerpt.Reached = excerpt.Changes.back().revision;
+      break;
+    }
+    excerpt.Changes.push_back(*next);
+  }
   return excerpt;
 }
 
--- a/src/core/relay/view_difference.h
+++ b/src/core/relay/view_difference.h
@@ -9,7 +9,9 @@
 /// theirs can live: that is a log without duplicates.
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "core/backend_registry.h"
 #include "core/constants.h"
@@ -41,7 +43,7 @@
   /// which knows and has told it before.
   /// \param complete up to where this view is complete, and whole.
   /// \return nothing where departures since then have been forgotten.
-  std::optional<ChangeExcerpt> Since(Revision have, Revision complete) const;
+  std::optional<ChangeExcerpt> Since(Revision have, Revision complete);
 
   /// Get how many pages of the store the view fills.
   std::size_t CountPages() const
@@ -50,8 +52,24 @@
   }
 
 private:
+  /// The changes since a revision, in order.  Followers that lack much ask
+  /// for part after part at the same time: 32 of them would have a hub look
+  /// through 10,000 back ends 320 times.
+  struct Ordered
+  {
+    bool IsValid = false;
+    std::uint64_t Generation = 0; ///< Of the back ends it was made from.
+    Revision RoutesAt = 0;
+    Revision From = 0;
+    std::vector<StoreChange> Undated;
+    std::vector<StoreChange> Dated;
+  };
+
+  void Order(Revision have);
+
   const BackendRegistry& Backends;
   const RouteTable& Routes;
+  Ordered Cached;
 };
 
 } // namespace cobaltgauge::core
--- a/src/core/relay/view_relay.h
+++ b/src/core/relay/view_relay.h
@@ -108,7 +108,7 @@
 
   /// \param difference tells what followers lack where the log does not
   /// reach back, and of a view of how many back ends; outlives the relay.
-  void SetDifference(const ViewDifference* difference)
+  void SetDifference(ViewDifference* difference)
   {
     this->Difference = difference;
   }
@@ -199,7 +199,7 @@
   FleetCount Fleet;
   PeerClocks Clocks;
   FleetLoad* Load = nullptr;
-  const ViewDifference* Difference = nullptr;
+  ViewDifference* Difference = nullptr;
   Time NextAskAt{};
   Time MissingAskedAt{};
   Revision MissingAskedFrom = 0;
--- a/tests/core/relay/view_difference_test.cc
+++ b/tests/core/relay/view_difference_test.cc
@@ -114,6 +114,24 @@
   BOOST_TEST(this->Difference.Since(60, 1000)->Changes.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(what_was_ordered_before_does_not_hide_later_changes)
+{
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    this->Put(id, id);
+  }
+  BOOST_TEST(this->KeysSince(10).size() == 10U);
+  BOOST_TEST(this->KeysSince(15).size() == 5U);
+  BOOST_TEST(this->KeysSince(5).size() == 15U);
+  this->Backends.remove(KeyOf(3), 21, this->Now);
+  BOOST_TEST(this->KeysSince(19).size() == 2U);
+  this->Routes.noteChangedAt(22);
+  BOOST_TEST(this->KeysSince(19).size() == 3U);
+  this->Backends.putEvacuation("op/evacuate/a", "a", 23);
+  BOOST_TEST(this->KeysSince(19).size() == 4U);
+  this->Backends.forgetDeparted(this->Now + 60s);
+  BOOST_TEST(this->KeysSince(21).size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_told_where_departures_were_forgotten)
 {
   this->Put(1, 10);
