--- a/tests/bench/token_benchmark.cc
+++ b/tests/bench/token_benchmark.cc
@@ -83,7 +83,29 @@
   }
   bench::reportAllocations(state, before);
 }
-BENCHMARK(openingOfAFlow)->Arg(15)->Arg(120)->Arg(5600);
+BENCHMARK(openingOfAFlow)->Arg(15)->Arg(120)->Arg(1000)->Arg(5600)->Arg(10'000);
+
+/// While back ends come and go: one leaves and another is back before each opening.
+void openingAfterAChange(benchmark::State& state) {
+  TokenDaemon daemon(state.range(0));
+  const auto backends = static_cast<std::uint64_t>(state.range(0));
+  core::Revision revision = 1'000'000;
+  std::uint32_t caller = 0;
+  std::uint64_t gone = 1;
+  daemon.steering.backends().remove("b1", ++revision, daemon.now);
+  for (auto _ : state) {
+    const std::uint64_t next = gone % backends + 1;
+    const auto network = static_cast<std::uint8_t>(gone / 250);
+    const auto host = static_cast<std::uint8_t>(gone % 250);
+    daemon.steering.backends().remove("b" + std::to_string(next), ++revision, daemon.now);
+    daemon.steering.backends().put("b" + std::to_string(gone),
+                                   tests::makeRegistration(gone, "web", network, host), ++revision,
+                                   daemon.now);
+    gone = next;
+    benchmark::DoNotOptimize(daemon.open(++caller % kCallers));
+  }
+}
+BENCHMARK(openingAfterAChange)->Arg(100)->Arg(1000)->Arg(10'000);
 
 /// After a zone was taken out every list of candidates is collected anew.
 void evacuationAndOpening(benchmark::State& state) {
--- /dev/null
+++ b/tests/core/filled_view_property_test.cc
@@ -0,0 +1,161 @@
+/// A view that fills from pages ends as the store is, whatever came in which order.
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <set>
+
+#include "core/view_updater.h"
+#include "support/store_fixtures.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kBackends = 12;
+constexpr std::size_t kPage = 4;
+
+struct View {
+  core::EqualWeights weights;
+  core::BackendRegistry backends{60s, weights};
+  core::RouteTable routes{0};
+  core::ViewUpdater updater{backends, routes, [](const core::ViewChange&) {}};
+  core::Revision revision = 0;
+};
+
+/// A page on its way: it may arrive late.
+struct Page {
+  core::Revision revision = 0;
+  std::vector<core::StoreChange> backends;
+};
+
+/// A store, a daemon with a whole view that gives pages, and one that began with a sample.
+struct FillWorld {
+  std::vector<core::StoreChange> history;
+  std::set<std::string> present;
+  View giver;
+  View filling;
+  core::Revision base = 0;
+  std::deque<Page> underWay;
+  core::Time now = 100s;
+
+  static std::string keyOf(std::uint64_t id) {
+    return "servers/" + std::string(1, static_cast<char>('a' + id));
+  }
+
+  void change(std::uint64_t id) {
+    const std::string key = keyOf(id);
+    const core::Revision revision = history.size() + 1;
+    if (present.erase(key) != 0) {
+      history.push_back({key, revision, core::RemovedItem{}});
+    } else {
+      present.insert(key);
+      history.push_back(
+          {key, revision, makeRegistration(id + 1, "web", 1, static_cast<std::uint8_t>(id))});
+    }
+  }
+
+  void follow(View& view, core::Revision to) {
+    for (; view.revision < to; ++view.revision) {
+      view.updater.onChange(history[view.revision], now);
+    }
+  }
+
+  /// The filling daemon lists some of what is there and takes every change from then on.
+  void begin() {
+    base = history.size();
+    filling.revision = base;
+    for (const core::StoreChange& item : history) {
+      const bool isLast =
+          std::none_of(history.begin() + static_cast<std::ptrdiff_t>(item.revision), history.end(),
+                       [&item](const core::StoreChange& later) { return later.key == item.key; });
+      if (isLast && present.contains(item.key) && item.key < keyOf(kBackends / 3)) {
+        filling.updater.onChange(item, now);
+      }
+    }
+  }
+
+  void givePage(const std::string& after) {
+    underWay.push_back({giver.revision, giver.backends.contentsAfter(after, kPage)});
+  }
+
+  void takePage() {
+    if (underWay.empty()) {
+      return;
+    }
+    const Page page = underWay.front();
+    underWay.pop_front();
+    if (page.revision >= base) {
+      for (const core::StoreChange& backend : page.backends) {
+        filling.updater.onMissing(backend, now);
+      }
+    }
+  }
+
+  void fillCompletely() {
+    std::string after;
+    for (;;) {
+      givePage(after);
+      const Page page = underWay.back();
+      while (!underWay.empty()) {
+        takePage();
+      }
+      if (page.backends.size() < kPage) {
+        return;
+      }
+      after = page.backends.back().key;
+    }
+  }
+
+  std::set<std::string> known(const View& view) const {
+    std::set<std::string> keys;
+    for (const core::StoreChange& item : view.backends.contents()) {
+      keys.insert(item.key);
+    }
+    return keys;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(FilledViewPropertyTest)
+
+BOOST_AUTO_TEST_CASE(it_ends_as_the_store_is) {
+  BOOST_TEST(rc::check("pages, changes and delays in any order", [] {
+    FillWorld world;
+    const auto id = [] { return *rc::gen::inRange<std::uint64_t>(0, kBackends); };
+    for (std::uint64_t first = 0; first < kBackends; ++first) {
+      world.change(first);
+    }
+    world.begin();
+    world.follow(world.giver, world.base);
+    const auto steps = *rc::gen::inRange(0, 60);
+    for (int step = 0; step < steps; ++step) {
+      switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+          world.change(id());
+          break;
+        case 1:
+          world.follow(world.giver, *rc::gen::inRange<core::Revision>(world.giver.revision,
+                                                                      world.history.size() + 1));
+          break;
+        case 2:
+          world.follow(world.filling, *rc::gen::inRange<core::Revision>(world.filling.revision,
+                                                                        world.history.size() + 1));
+          break;
+        case 3:
+          world.givePage(FillWorld::keyOf(id()));
+          break;
+        default:
+          world.takePage();
+      }
+    }
+    world.fillCompletely();
+    world.follow(world.filling, world.history.size());
+    RC_ASSERT(world.known(world.filling) == world.present);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
