Leave very large sets of routes to the store

Change: above 512 routes a view tells nothing, and each daemon reads as before. Measured: unit test.

--- a/src/core/relay/view_difference.cc
+++ b/src/core/relay/view_difference.cc
@@ -47,7 +47,9 @@
 std::optional<ChangeExcerpt> ViewDifference::Since(Revision have,
                                                    Revision complete)
 {
-  if (have < this->Backends.forgottenRevision()) {
+  const bool tellsRoutes = this->Routes.changedAt() > have;
+  if (have < this->Backends.forgottenRevision() ||
+      (tellsRoutes && this->Routes.size() > kMostRoutesTold)) {
     return std::nullopt;
   }
   this->Order(have);
--- a/src/core/relay/view_difference.h
+++ b/src/core/relay/view_difference.h
@@ -23,6 +23,10 @@
 /// Items of one part of a difference, about 50 bytes each: as many as a log
 /// holds.
 inline constexpr std::size_t kHeaviestDifference = kHeaviestLog;
+/// Routes that are told to followers at most, about 90 bytes each: more than
+/// 45 KB to each of 32 followers would hold up callers' packets on a link of
+/// 20 Mbit/s for longer than half a second.  Each daemon reads a larger set.
+inline constexpr std::size_t kMostRoutesTold = 512;
 
 /** \class ViewDifference
  * \brief Compare a view with an earlier revision of the store.
@@ -42,7 +46,8 @@
   /// went is not known, and who got a part may go on with another daemon,
   /// which knows and has told it before.
   /// \param complete up to where this view is complete, and whole.
-  /// \return nothing where departures since then have been forgotten.
+  /// \return nothing where departures since then have been forgotten, or
+  /// where more than kMostRoutesTold routes would have to be told.
   std::optional<ChangeExcerpt> Since(Revision have, Revision complete);
 
   /// Get how many pages of the store the view fills.
--- a/tests/core/relay/view_difference_test.cc
+++ b/tests/core/relay/view_difference_test.cc
@@ -132,6 +132,19 @@
   BOOST_TEST(this->KeysSince(21).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_set_of_very_many_routes_is_left_to_the_store)
+{
+  core::RouteSet routes = makeRoutes(7, {});
+  while (routes.routes.size() <= core::kMostRoutesTold) {
+    const auto port = static_cast<std::uint16_t>(routes.routes.size() + 1);
+    routes.routes.push_back({ "r", endpoint(90, 1, port), { { "web", 1 } } });
+  }
+  this->Routes.offer(routes, this->Now);
+  this->Routes.noteChangedAt(50);
+  BOOST_TEST(!this->Difference.Since(49, 1000).has_value());
+  BOOST_TEST(this->Difference.Since(50, 1000).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_told_where_departures_were_forgotten)
 {
   this->Put(1, 10);
