--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -200,6 +200,32 @@
   return "invalid";
 }
 
+const char* frameName(std::size_t index) {
+  static constexpr std::array<const char*, std::variant_size_v<PeerFrame>> kNames{
+      "ping",
+      "ack",
+      "ping_request",
+      "member_sync",
+      "configuration_request",
+      "configuration",
+      "records",
+      "records_ack",
+      "route_hint",
+      "listing_request",
+      "forwarded_packet",
+      "view_request",
+      "view_transfer",
+      "view_subscription",
+      "view_update",
+      "outlier_report",
+      "load_report",
+      "load_summary",
+      "group_notice",
+      "view_page_request",
+      "view_page"};
+  return index < kNames.size() ? kNames[index] : "invalid";
+}
+
 PeerCodec::PeerCodec(std::string cluster, std::string key, core::MemberId self)
     : cluster_(std::move(cluster)), key_(std::move(key)), self_(self) {}
 
--- a/src/net/peer_codec.h
+++ b/src/net/peer_codec.h
@@ -32,6 +32,8 @@
 };
 
 const char* toString(PeerCodecError error);
+/// @return the name of a kind of message, by its place in PeerFrame; for metrics.
+const char* frameName(std::size_t index);
 
 /// Encodes and decodes frames of one cluster; keeps the reason of the last failure.
 class PeerCodec {
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -232,6 +232,7 @@
   const std::vector<std::uint8_t> bytes = codec_.encode(frame);
   // A forwarded packet is data and must not wait for a connection, whatever its length.
   const bool isData = std::holds_alternative<ForwardedPacket>(frame);
+  counters_.bytesSentOf[frame.index()] += bytes.size() * destinations.size();
   for (const core::Endpoint& destination : destinations) {
     sendBytes(destination, bytes, isData);
   }
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -30,6 +30,8 @@
   std::uint64_t sendErrors = 0;
   std::uint64_t streamsGivenUp = 0;  ///< Not through within the bound, either way.
   std::map<PeerCodecError, std::uint64_t> refused;
+  /// Bytes sent, by the place of the message in PeerFrame.
+  std::array<std::uint64_t, std::variant_size_v<PeerFrame>> bytesSentOf{};
 };
 
 class PeerTransport {
