--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -15,6 +15,17 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
                                                              0.1,   0.2,   0.5,   1.0,  2.0,  5.0};
 
+/// @return kinds of message that were sent at all.
+std::vector<MetricSample> messageBytes(const net::PeerTransportCounters& counters) {
+  std::vector<MetricSample> samples;
+  for (std::size_t kind = 0; kind < counters.bytesSentOf.size(); ++kind) {
+    if (counters.bytesSentOf[kind] != 0) {
+      samples.push_back({net::frameName(kind), static_cast<double>(counters.bytesSentOf[kind])});
+    }
+  }
+  return samples;
+}
+
 std::vector<MetricSample> keptShares(const core::TokenSteering& steering) {
   std::vector<MetricSample> samples;
   for (const auto& [zone, kept] : steering.spill().GetKeptByZone()) {
@@ -256,6 +267,9 @@
       {"cobaltgauge_peer_bytes_sent_total", "Bytes sent to other daemons", nullptr,
        MetricType::Counter,
        [](const Sources& s) { return single(s.peers.GetTransportCounters().bytesSent); }},
+      {"cobaltgauge_peer_message_bytes_sent_total", "The same by kind of message", "kind",
+       MetricType::Counter,
+       [](const Sources& s) { return messageBytes(s.peers.GetTransportCounters()); }},
       {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
        nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
       {"cobaltgauge_ready", "1 while this daemon asks for packets", nullptr, MetricType::Gauge,
--- a/tests/net/peer_transport_test.cc
+++ b/tests/net/peer_transport_test.cc
@@ -67,6 +67,20 @@
   BOOST_TEST(received == 0);
 }
 
+BOOST_AUTO_TEST_CASE(bytes_are_counted_by_kind_of_message) {
+  transport.send({transport.localEndpoint(), transport.localEndpoint()}, core::GroupNotice{});
+  transport.send(transport.localEndpoint(), core::ViewRequest{});
+  std::uint64_t sum = 0;
+  std::size_t kinds = 0;
+  for (std::size_t kind = 0; kind < transport.counters().bytesSentOf.size(); ++kind) {
+    sum += transport.counters().bytesSentOf[kind];
+    kinds += transport.counters().bytesSentOf[kind] != 0 ? 1 : 0;
+    BOOST_TEST(std::string(net::frameName(kind)) != "invalid");
+  }
+  BOOST_TEST(sum == transport.counters().bytesSent);
+  BOOST_TEST(kinds == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_that_arrives_is_not_counted) {
   core::ViewTransfer view;
   view.backends.resize(1000);
