Fill views from near daemons where there are some

Change: who knows a nearer daemon with a whole view sends most there; who asks takes the nearer of two.

--- a/src/core/relay/view_fill.cc
+++ b/src/core/relay/view_fill.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/constants.h"
+#include "core/relay/nearness.h"
 #include "core/view_conversion.h"
 
 namespace cobaltgauge::core {
@@ -31,6 +32,9 @@
 /// done gives pages to the others.
 constexpr Duration kFillByPeers = 3s;
 constexpr Duration kFillSpread = 100ms;
+/// One in so many times a daemon that is said to have a whole view is passed
+/// over: it may be gone.
+constexpr std::uint64_t kRumourIsWrong = 4;
 /// Daemons with whole views that are remembered and named.
 constexpr std::size_t kMostWhole = 8;
 
@@ -85,10 +89,8 @@
 Endpoint ViewFill::Draw(const FillPeers& peers)
 {
   // Who is known to have a whole view may be gone, so others are asked too.
-  const bool byRumour =
-    !this->Whole.empty() && this->RandomSource.below(4) != 0;
-  if (byRumour) {
-    return this->Whole[this->RandomSource.below(this->Whole.size())];
+  if (!this->Whole.empty() && this->RandomSource.below(kRumourIsWrong) != 0) {
+    return this->DrawNear();
   }
   const std::vector<Endpoint>* const sources[] = { &peers.Near,
                                                    &peers.Seeds,
@@ -100,6 +102,29 @@
                       : from[this->RandomSource.below(from.size())];
 }
 
+const Endpoint& ViewFill::DrawNear()
+{
+  const Endpoint& first =
+    this->Whole[this->RandomSource.below(this->Whole.size())];
+  const Endpoint& second =
+    this->Whole[this->RandomSource.below(this->Whole.size())];
+  return CountSharedBytes(second, this->Self) >
+      CountSharedBytes(first, this->Self)
+    ? second
+    : first;
+}
+
+bool ViewFill::KnowsNearer(const Endpoint& peer) const
+{
+  const std::size_t own = CountSharedBytes(this->Self, peer);
+  return std::any_of(this->Whole.begin(),
+                     this->Whole.end(),
+                     [&peer, own](const Endpoint& whole) {
+                       return whole != peer &&
+                         CountSharedBytes(whole, peer) > own;
+                     });
+}
+
 void ViewFill::Ask(const Endpoint& peer, Time now)
 {
   ++this->Counters.RequestsSent;
@@ -116,8 +141,7 @@
   page.sender = this->Self;
   page.afterKey = request.afterKey;
   const bool hasPage = this->Reader.isWhole() &&
-    this->Reader.revision() >= request.atLeast &&
-    this->MayGive(request.replyTo, now);
+    this->Reader.revision() >= request.atLeast && this->MayGive(request, now);
   if (hasPage) {
     this->Give(request, page, now);
   } else {
@@ -127,13 +151,18 @@
   this->Outgoing.push_back({ request.replyTo, std::move(page) });
 }
 
-bool ViewFill::MayGive(const Endpoint& peer, Time now)
+bool ViewFill::MayGive(const ViewPageRequest& request, Time now)
 {
+  const Endpoint& peer = request.replyTo;
   std::erase_if(this->Served, [now](const auto& item) {
     return now - item.second >= kServedWithin;
   });
+  const bool isServed = this->Served.contains(peer);
+  // Bytes between zones cost; the nearer one may be gone, though.
+  const bool isForNearer = !isServed && this->KnowsNearer(peer) &&
+    this->RandomSource.below(kRumourIsWrong) != 0;
   const bool hasPlace =
-    this->Served.size() < kServedAtOnce || this->Served.contains(peer);
+    isServed || (this->Served.size() < kServedAtOnce && !isForNearer);
   return hasPlace &&
     this->Allowance.admit(RankedTokenBucket::kHighestRank, now);
 }
@@ -178,7 +207,7 @@
       this->Reader.isComplete() && !this->Reader.isWhole();
     if (isMissing && !page.whole.empty() &&
         std::exchange(this->MayAskAgain, false)) {
-      this->Ask(page.whole[this->RandomSource.below(page.whole.size())], now);
+      this->Ask(this->DrawNear(), now);
     }
     return false;
   }
--- a/src/core/relay/view_fill.h
+++ b/src/core/relay/view_fill.h
@@ -76,8 +76,12 @@
   const ViewFillCounters& GetCounters() const { return this->Counters; }
 
 private:
-  /// Tell whether a page may be given to this daemon now.
-  bool MayGive(const Endpoint& peer, Time now);
+  /// Tell whether a page may be given now.
+  bool MayGive(const ViewPageRequest& request, Time now);
+  /// Tell whether another daemon with a whole view is nearer to this one.
+  bool KnowsNearer(const Endpoint& peer) const;
+  /// Draw one that is said to have a whole view; there has to be one.
+  const Endpoint& DrawNear();
   void Give(const ViewPageRequest& request, ViewPage& page, Time now);
   void Begin(const FillPeers& peers, Time now);
   void Ask(const Endpoint& peer, Time now);
--- a/tests/core/relay/view_fill_test.cc
+++ b/tests/core/relay/view_fill_test.cc
@@ -222,6 +222,33 @@
                         this->At(10).Address) != refusal.whole.end()));
 }
 
+// Pages between zones cost; 300 daemons filled each from anywhere.
+BOOST_AUTO_TEST_CASE(who_has_a_nearer_giver_is_mostly_sent_there)
+{
+  this->Start(kManyBackends);
+  this->TimeUntilWhole();
+  Node& giver = this->At(5);
+  const core::Endpoint near = endpoint(8, 1, 7720);
+  const core::Endpoint asking = endpoint(8, 2, 7720);
+  std::size_t given = 0;
+  for (int asked = 0; asked < 100; ++asked) {
+    this->Now += 1s;
+    // A page for the near one, which is then known to be whole.
+    giver.Fill.OnRequest({ near, "servers/9999", 0 }, giver.Clock(this->Now));
+    giver.Fill.TakeMessages();
+    giver.Fill.OnRequest({ asking, "", 0 }, giver.Clock(this->Now));
+    const auto messages = giver.Fill.TakeMessages();
+    const auto& page = std::get<core::ViewPage>(messages.at(0).Message);
+    given += page.revision != 0 ? 1 : 0;
+    BOOST_TEST((page.revision != 0 ||
+                std::find(page.whole.begin(), page.whole.end(), near) !=
+                  page.whole.end()));
+  }
+  // The near one may be dead: some are served all the same.
+  BOOST_TEST(given > 5U);
+  BOOST_TEST(given < 50U);
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_without_a_whole_view_gives_no_page)
 {
   this->Start(kManyBackends);
