--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -218,27 +218,6 @@
   return key != keys_.end() && entries_.at(key->second).ended;
 }
 
-PlacementCandidate BackendRegistry::candidateOf(const Entry& entry) const {
-  const auto region = regions_.find(entry.registration.zone);
-  return {entry.address.id,
-          entry.address.service,
-          std::max(entry.registration.capacity, 1U),
-          entry.weight,
-          entry.warmUntil,
-          region == regions_.end() ? kNoRegion : region->second,
-          entry.address.zone};
-}
-
-bool BackendRegistry::isServing(const Entry& entry) const {
-  // Of two back ends with one token only the first takes flows.
-  return tokens_.OwnsHash(entry.address.id) && entry.present && !entry.ended &&
-         entry.registration.state == BackendState::kActive;
-}
-
-bool BackendRegistry::isCandidate(const Entry& entry) const {
-  return isServing(entry) && !evacuations_.IsEvacuated(entry.registration.zone);
-}
-
 bool BackendRegistry::putEvacuation(const std::string& key, const std::string& zone,
                                     Revision revision) {
   const bool isNewer = evacuations_.Put(key, zone, revision);
@@ -266,67 +245,6 @@
   }
 }
 
-bool BackendRegistry::isEvacuated(ServiceId service) const {
-  const auto keys = services_.find(service);
-  return keys != services_.end() &&
-         std::any_of(keys->second.begin(), keys->second.end(), [this](const std::string& key) {
-           const Entry& entry = entries_.at(key);
-           return isServing(entry) && !isCandidate(entry);
-         });
-}
-
-bool BackendRegistry::takesNewFlows(BackendId id) const {
-  const auto key = keys_.find(id);
-  return key != keys_.end() && isCandidate(entries_.at(key->second));
-}
-
-const CandidateList& BackendRegistry::candidateList(ServiceId service) {
-  // Peers may ask for services that nobody has; nothing is kept for those.
-  static const CandidateList kNone;
-  const auto keys = services_.find(service);
-  if (keys == services_.end()) {
-    return kNone;
-  }
-  const auto [list, isNew] = candidates_.try_emplace(service);
-  if (isNew) {
-    for (const std::string& key : keys->second) {
-      const Entry& entry = entries_.at(key);
-      if (isCandidate(entry)) {
-        list->second.Put(candidateOf(entry));
-      }
-    }
-  }
-  return list->second;
-}
-
-void BackendRegistry::refreshCandidate(const Entry& entry) {
-  const auto list = candidates_.find(entry.address.service);
-  if (list == candidates_.end()) {
-    return;
-  }
-  if (isCandidate(entry)) {
-    list->second.Put(candidateOf(entry));
-  } else {
-    list->second.Remove(entry.address.id);
-  }
-}
-
-const PlacementCandidate* BackendRegistry::findCandidate(BackendId id) {
-  const BackendAddress* address = find(id);
-  return address == nullptr ? nullptr : candidateList(address->service).Find(id);
-}
-
-std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> BackendRegistry::countSlots(Time now) {
-  std::map<std::pair<ServiceId, ZoneId>, std::uint32_t> slots;
-  for (const auto& [service, keys] : services_) {
-    for (const PlacementCandidate& candidate : candidates(service)) {
-      const bool isIdle = now < candidate.warmUntil || candidate.weight == 0;
-      slots[{service, candidate.zone}] += isIdle ? 0 : candidate.capacity;
-    }
-  }
-  return slots;
-}
-
 std::string BackendRegistry::nameOf(ServiceId service) const {
   const auto keys = services_.find(service);
   const bool isKnown = keys != services_.end() && !keys->second.empty();
@@ -338,43 +256,6 @@
   return name == zoneNames_.end() ? "" : name->second;
 }
 
-std::vector<PlacementCandidate> BackendRegistry::vanishedSince(ServiceId service,
-                                                               Time since) const {
-  std::vector<PlacementCandidate> vanished;
-  const auto departures = departures_.find(service);
-  if (departures == departures_.end()) {
-    return vanished;
-  }
-  const auto& list = departures->second;
-  for (auto item = list.rbegin(); item != list.rend() && item->first > since; ++item) {
-    const auto entry = entries_.find(item->second);
-    // One that came back and departed again counts by its last departure.
-    const bool isLast = entry != entries_.end() && entry->second.removedAt == item->first;
-    if (isLast && hasVanished(entry->second, since)) {
-      vanished.push_back(candidateOf(entry->second));
-    }
-  }
-  return vanished;
-}
-
-bool BackendRegistry::hasVanished(const Entry& entry, Time since) const {
-  const bool unannounced = entry.registration.state == BackendState::kActive;
-  return !entry.present && !entry.ended && unannounced && entry.removedAt > since &&
-         !evacuations_.IsEvacuated(entry.registration.zone);
-}
-
-bool BackendRegistry::hasVanishedSince(BackendId id, Time since) const {
-  const auto key = keys_.find(id);
-  return key != keys_.end() && hasVanished(entries_.at(key->second), since);
-}
-
-std::vector<PlacementCandidate> BackendRegistry::lapsedSince(ServiceId service, Time since) {
-  std::vector<PlacementCandidate> vanished = vanishedSince(service, since);
-  const std::size_t all = vanished.size() + candidates(service).size();
-  const bool isMany = vanished.size() > 1 && vanished.size() * kBackendsPerLapse > all;
-  return isMany ? vanished : std::vector<PlacementCandidate>{};
-}
-
 void BackendRegistry::setRegions(const std::map<std::string, std::string>& regionsOfZones) {
   regions_.clear();
   for (const auto& [zone, region] : regionsOfZones) {
@@ -466,20 +347,4 @@
   return difference;
 }
 
-std::size_t BackendRegistry::activeCount() const {
-  std::size_t count = 0;
-  for (const auto& [key, entry] : entries_) {
-    count += isCandidate(entry) ? 1U : 0U;
-  }
-  return count;
-}
-
-std::size_t BackendRegistry::candidateCount() {
-  std::size_t count = 0;
-  for (const auto& [service, keys] : services_) {
-    count += candidates(service).size();
-  }
-  return count;
-}
-
 }  // namespace cobaltgauge::core
