--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -62,29 +62,28 @@
   return listing_ ? listingRead() : readingMissing_ ? missingPageRead() : watchRead();
 }
 
-StoreRead StoreReader::listingRead() {
+StoreRead StoreReader::listRead(StoreRead::Cause cause, const ListingRange& range,
+                                const std::string& afterKey) {
   ++counters_.lists;
   StoreRead read;
-  read.cause = cause();
   read.kind = StoreRead::Kind::kList;
-  read.range = plan_.range();
-  read.afterKey = plan_.afterKey();
-  read.stale = staleWillDo_;
+  read.cause = cause;
+  read.range = range;
+  read.afterKey = afterKey;
   read.timeout = timeoutNow();
   return read;
 }
 
-StoreRead StoreReader::missingPageRead() {
-  ++counters_.lists;
-  StoreRead read;
-  read.cause = StoreRead::Cause::kMissingPage;
-  read.kind = StoreRead::Kind::kList;
-  read.range = {ListingRange::Kind::kBackends};
-  read.afterKey = missingAfter_;
-  read.timeout = timeoutNow();
+StoreRead StoreReader::listingRead() {
+  StoreRead read = listRead(cause(), plan_.range(), plan_.afterKey());
+  read.stale = staleWillDo_;
   return read;
 }
 
+StoreRead StoreReader::missingPageRead() {
+  return listRead(StoreRead::Cause::kMissingPage, {ListingRange::Kind::kBackends}, missingAfter_);
+}
+
 StoreRead StoreReader::watchRead() {
   ++counters_.watches;
   StoreRead read;
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -229,6 +229,8 @@
   bool isListingPutOff() const { return listing_ && complete_ && !reading_ && !plan_.hasBegun(); }
   /// @return true where pages are read for a view that is in use.
   bool isFilling() const { return filling_ && complete_ && !whole_; }
+  StoreRead listRead(StoreRead::Cause cause, const ListingRange& range,
+                     const std::string& afterKey);
   StoreRead listingRead();
   StoreRead missingPageRead();
   StoreRead watchRead();
