--- a/src/daemon/change_lines.cc
+++ b/src/daemon/change_lines.cc
@@ -18,37 +18,36 @@
 }  // namespace
 
 ChangeLines::ChangeLines(std::uint64_t daemon, TellOne one, TellSum sum)
-    : Daemon(daemon), One(std::move(one)), All(std::move(sum)) {}
+    : daemon_(daemon), one_(std::move(one)), all_(std::move(sum)) {}
 
-bool ChangeLines::IsDrawn(const core::ViewChange& change) const {
-  const std::uint64_t draw =
-      core::mixHash(core::hashName(change.key) + change.revision, this->Daemon);
-  return draw % std::max<std::uint64_t>(this->Fleet, 1) < kTellersOfChange;
+bool ChangeLines::isDrawn(const core::ViewChange& change) const {
+  const std::uint64_t draw = core::mixHash(core::hashName(change.key) + change.revision, daemon_);
+  return draw % std::max<std::uint64_t>(fleet_, 1) < kTellersOfChange;
 }
 
-void ChangeLines::Take(const core::ViewChange& change, core::Time now) {
-  this->OnTick(now);
-  if (this->Told < kLinesPerPeriod || this->IsDrawn(change)) {
-    ++this->Told;
-    this->One(change);
+void ChangeLines::take(const core::ViewChange& change, core::Time now) {
+  onTick(now);
+  if (told_ < kLinesPerPeriod || isDrawn(change)) {
+    ++told_;
+    one_(change);
     return;
   }
-  if (!std::exchange(this->HasCounted, true)) {
-    this->Counted.First = change.revision;
-    this->Counted.FirstKey = change.key;
+  if (!std::exchange(hasCounted_, true)) {
+    counted_.first = change.revision;
+    counted_.firstKey = change.key;
   }
-  this->Counted.Last = change.revision;
-  ++this->Counted.Counts[static_cast<std::size_t>(change.backendEvent)];
+  counted_.last = change.revision;
+  ++counted_.counts[static_cast<std::size_t>(change.backendEvent)];
 }
 
-void ChangeLines::OnTick(core::Time now) {
-  if (now - this->SecondBegan < kPeriod) {
+void ChangeLines::onTick(core::Time now) {
+  if (now - secondBegan_ < kPeriod) {
     return;
   }
-  this->SecondBegan = now;
-  this->Told = 0;
-  if (std::exchange(this->HasCounted, false)) {
-    this->All(std::exchange(this->Counted, {}));
+  secondBegan_ = now;
+  told_ = 0;
+  if (std::exchange(hasCounted_, false)) {
+    all_(std::exchange(counted_, {}));
   }
 }
 
--- a/src/daemon/change_lines.h
+++ b/src/daemon/change_lines.h
@@ -24,10 +24,10 @@
  public:
   /// Back ends that changed within a second and were not told singly.
   struct Sum {
-    std::array<std::uint64_t, core::kRegistryEvents> Counts{};  ///< By event.
-    core::Revision First = 0;
-    core::Revision Last = 0;
-    std::string FirstKey;
+    std::array<std::uint64_t, core::kRegistryEvents> counts{};  ///< By event.
+    core::Revision first = 0;
+    core::Revision last = 0;
+    std::string firstKey;
   };
   using TellOne = std::function<void(const core::ViewChange&)>;
   using TellSum = std::function<void(const Sum&)>;
@@ -36,24 +36,24 @@
   ChangeLines(std::uint64_t daemon, TellOne one, TellSum sum);
 
   /// \param fleet how many daemons there are; errs high.
-  void SetFleet(std::uint32_t fleet) { this->Fleet = fleet; }
+  void setFleet(std::uint32_t fleet) { fleet_ = fleet; }
 
   /// Take a change of a back end.
-  void Take(const core::ViewChange& change, core::Time now);
+  void take(const core::ViewChange& change, core::Time now);
   /// Tell what was counted, once a second at most.
-  void OnTick(core::Time now);
+  void onTick(core::Time now);
 
  private:
-  bool IsDrawn(const core::ViewChange& change) const;
-
-  std::uint64_t Daemon;
-  TellOne One;
-  TellSum All;
-  std::uint32_t Fleet = 1;
-  core::Time SecondBegan{};
-  std::uint32_t Told = 0;  ///< Singly, in this second.
-  Sum Counted;
-  bool HasCounted = false;
+  bool isDrawn(const core::ViewChange& change) const;
+
+  std::uint64_t daemon_;
+  TellOne one_;
+  TellSum all_;
+  std::uint32_t fleet_ = 1;
+  core::Time secondBegan_{};
+  std::uint32_t told_ = 0;  ///< Singly, in this second.
+  Sum counted_;
+  bool hasCounted_ = false;
 };
 
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -255,8 +255,8 @@
   peers_.OnTick(now);
   const std::uint32_t fleet = peers_.GetRelay().CountFleet(now);
   steering_.setFleet(fleet);
-  changeLines_.SetFleet(fleet);
-  changeLines_.OnTick(now);
+  changeLines_.setFleet(fleet);
+  changeLines_.onTick(now);
   for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
     logAdmission(change);
   }
@@ -335,7 +335,7 @@
 void TokenDaemon::onViewChange(const core::ViewChange& change) {
   const core::Time now = bootTime();
   if (change.kind == core::ViewChange::Kind::kBackend) {
-    changeLines_.Take(change, now);
+    changeLines_.take(change, now);
   } else {
     logViewChange(change, now - reader_.confirmedAt());
   }
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -160,15 +160,15 @@
 
 void logChangeSum(const ChangeLines::Sum& sum) {
   LogFields fields;
-  for (std::size_t event = 0; event < sum.Counts.size(); ++event) {
-    if (sum.Counts[event] != 0) {
+  for (std::size_t event = 0; event < sum.counts.size(); ++event) {
+    if (sum.counts[event] != 0) {
       fields.emplace_back(toString(static_cast<core::RegistryEvent>(event)),
-                          std::to_string(sum.Counts[event]));
+                          std::to_string(sum.counts[event]));
     }
   }
-  fields.emplace_back("first_key", sum.FirstKey);
-  fields.emplace_back("first_revision", std::to_string(sum.First));
-  fields.emplace_back("last_revision", std::to_string(sum.Last));
+  fields.emplace_back("first_key", sum.firstKey);
+  fields.emplace_back("first_revision", std::to_string(sum.first));
+  fields.emplace_back("last_revision", std::to_string(sum.last));
   logEvent(LogLevel::kInfo, "backends_changed", fields);
 }
 
--- a/tests/core/sampled_view_test.cc
+++ b/tests/core/sampled_view_test.cc
@@ -10,7 +10,6 @@
 namespace cobaltgauge::tests {
 namespace {
 
-using core::ReadOutcome;
 using core::StoreRead;
 using Kind = core::ListingRange::Kind;
 using namespace std::chrono_literals;
@@ -52,7 +51,7 @@
     return *read;
   }
   StoreRead answerNext() {
-    const StoreRead read = nextRead();
+    StoreRead read = nextRead();
     reader.onReply(store.answer(read), now);
     return read;
   }
--- a/tests/daemon/change_lines_test.cc
+++ b/tests/daemon/change_lines_test.cc
@@ -11,19 +11,19 @@
 using namespace std::chrono_literals;
 
 struct ChangeLinesFixture {
-  std::map<std::string, std::size_t> Singles;
-  std::vector<daemon::ChangeLines::Sum> Sums;
-  core::Time Now = 100s;
+  std::map<std::string, std::size_t> singles;
+  std::vector<daemon::ChangeLines::Sum> sums;
+  core::Time now = 100s;
 
-  std::unique_ptr<daemon::ChangeLines> Make(std::uint64_t daemon, std::uint32_t fleet) {
+  std::unique_ptr<daemon::ChangeLines> make(std::uint64_t daemon, std::uint32_t fleet) {
     auto lines = std::make_unique<daemon::ChangeLines>(
-        daemon, [this](const core::ViewChange& change) { ++this->Singles[change.key]; },
-        [this](const daemon::ChangeLines::Sum& sum) { this->Sums.push_back(sum); });
-    lines->SetFleet(fleet);
+        daemon, [this](const core::ViewChange& change) { ++singles[change.key]; },
+        [this](const daemon::ChangeLines::Sum& sum) { sums.push_back(sum); });
+    lines->setFleet(fleet);
     return lines;
   }
 
-  static core::ViewChange Vanished(std::uint64_t id) {
+  static core::ViewChange vanished(std::uint64_t id) {
     core::ViewChange change;
     change.key = "servers/" + std::to_string(id);
     change.revision = 1000 + id;
@@ -35,29 +35,29 @@
 BOOST_FIXTURE_TEST_SUITE(ChangeLinesTest, ChangeLinesFixture)
 
 BOOST_AUTO_TEST_CASE(few_changes_are_told_singly_and_without_a_sum) {
-  const auto lines = this->Make(1, 985);
+  const auto lines = make(1, 985);
   for (std::uint64_t id = 0; id < 6; ++id) {
-    lines->Take(Vanished(id), this->Now);
+    lines->take(vanished(id), now);
   }
-  lines->OnTick(this->Now + 5s);
-  BOOST_TEST(this->Singles.size() == 6U);
-  BOOST_TEST(this->Sums.empty());
+  lines->onTick(now + 5s);
+  BOOST_TEST(singles.size() == 6U);
+  BOOST_TEST(sums.empty());
 }
 
 // 985 daemons wrote ten million lines at a start and at each lapse.
 BOOST_AUTO_TEST_CASE(ten_thousand_changes_give_few_lines_that_add_up) {
-  const auto lines = this->Make(1, 985);
+  const auto lines = make(1, 985);
   for (std::uint64_t id = 0; id < 10'000; ++id) {
-    lines->Take(Vanished(id), this->Now);
+    lines->take(vanished(id), now);
   }
-  lines->OnTick(this->Now + 1s);
-  BOOST_TEST(this->Singles.size() < 100U);
-  BOOST_REQUIRE(this->Sums.size() == 1U);
+  lines->onTick(now + 1s);
+  BOOST_TEST(singles.size() < 100U);
+  BOOST_REQUIRE(sums.size() == 1U);
   const auto event = static_cast<std::size_t>(core::RegistryEvent::kVanished);
-  BOOST_TEST(this->Sums[0].Counts[event] + this->Singles.size() == 10'000U);
-  BOOST_TEST(this->Sums[0].Last == 10'999U);
-  lines->OnTick(this->Now + 3s);
-  BOOST_TEST(this->Sums.size() == 1U);
+  BOOST_TEST(sums[0].counts[event] + singles.size() == 10'000U);
+  BOOST_TEST(sums[0].last == 10'999U);
+  lines->onTick(now + 3s);
+  BOOST_TEST(sums.size() == 1U);
 }
 
 // An operator searches an id over the logs of the fleet.
@@ -65,26 +65,26 @@
   constexpr std::uint32_t kFleet = 300;
   constexpr std::uint64_t kChanges = 2000;
   for (std::uint64_t daemon = 0; daemon < kFleet; ++daemon) {
-    const auto lines = this->Make(daemon * 7919, kFleet);
+    const auto lines = make(daemon * 7919, kFleet);
     for (std::uint64_t id = 0; id < kChanges; ++id) {
-      lines->Take(Vanished(id), this->Now);
+      lines->take(vanished(id), now);
     }
   }
   // With three of 300 drawn on the mean, one change in 20 has none by chance.
-  BOOST_TEST(this->Singles.size() > kChanges * 9 / 10);
+  BOOST_TEST(singles.size() > kChanges * 9 / 10);
   std::size_t all = 0;
-  for (const auto& [key, count] : this->Singles) {
+  for (const auto& [key, count] : singles) {
     all += count;
   }
   BOOST_TEST(all < kChanges * 6);
 }
 
 BOOST_AUTO_TEST_CASE(a_lone_daemon_tells_everything_singly) {
-  const auto lines = this->Make(1, 1);
+  const auto lines = make(1, 1);
   for (std::uint64_t id = 0; id < 500; ++id) {
-    lines->Take(Vanished(id), this->Now);
+    lines->take(vanished(id), now);
   }
-  BOOST_TEST(this->Singles.size() == 500U);
+  BOOST_TEST(singles.size() == 500U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
