Ask nobody where a refusal names only the daemon that asks

Cause: a giver whose last page was lost took the daemon that asked again for whole and named it alone; the daemon drew from an empty list and divided by zero. Found by reading; the test ended with that signal. Change: it looks at what is left of the list. Measured: unit test.

--- a/src/core/relay/view_fill.cc
+++ b/src/core/relay/view_fill.cc
@@ -205,7 +205,7 @@
     std::erase(this->Whole, page.sender);
     const bool isMissing =
       this->Reader.isComplete() && !this->Reader.isWhole();
-    if (isMissing && !page.whole.empty() &&
+    if (isMissing && !this->Whole.empty() &&
         std::exchange(this->MayAskAgain, false)) {
       this->Ask(this->DrawNear(), now);
     }
--- a/tests/core/relay/view_fill_test.cc
+++ b/tests/core/relay/view_fill_test.cc
@@ -263,6 +263,23 @@
   BOOST_TEST(std::get<core::ViewPage>(messages[0].Message).revision == 0U);
 }
 
+// A giver whose last page was lost takes the daemon that asks again for whole.
+BOOST_AUTO_TEST_CASE(a_refusal_that_names_only_the_asking_daemon_leads_nowhere)
+{
+  this->Start(kManyBackends);
+  this->Run(400ms);
+  Node& node = this->At(30);
+  BOOST_REQUIRE(!node.Reader.isWhole());
+  core::ViewPage refusal;
+  refusal.sender = this->At(0).Address;
+  refusal.whole = { node.Address };
+  this->Now += 1s;
+  this->FillView(node, { this->At(0).Address });
+  node.Fill.TakeMessages();
+  BOOST_TEST(!node.Fill.OnPage(refusal, node.Clock(this->Now)));
+  BOOST_TEST(node.Fill.TakeMessages().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_page_that_is_older_than_the_view_is_not_taken)
 {
   this->Start(kManyBackends);
