--- a/tests/fuzz/fuzz_peer.cc
+++ b/tests/fuzz/fuzz_peer.cc
@@ -3,6 +3,7 @@
 #include "core/balancer.h"
 #include "core/constants.h"
 #include "core/load/fleet_load.h"
+#include "core/relay/view_fill.h"
 #include "core/relay/view_relay.h"
 #include "core/view_exchange.h"
 #include "core/view_updater.h"
@@ -26,12 +27,15 @@
   core::ViewExchange exchange{self, steering, updater, reader, random, &log};
   core::OutlierDetector outliers{1};
   core::ViewRelay relay{self, reader, updater, log, outliers, random};
+  core::ViewDifference difference{steering.backends(), steering.routes()};
+  core::ViewFill fill{self, reader, updater, steering.backends(), random};
   core::LoadMeter meter;
   core::FleetLoad load{self, meter,
                        [this](core::Time now) { return steering.backends().countSlots(now); }};
 
   void begin(core::Time now) {
     relay.SetLoad(&load);
+    relay.SetDifference(&difference);
     steering.setLoadMeter(&meter);
     relay.SetSeeds({self});
     reader.nextRead(now);
@@ -63,6 +67,17 @@
     relay.OnLoadReport(message, now);
   }
   void take(const core::LoadSummary& message, core::Time now) { relay.OnLoadSummary(message, now); }
+  void take(const core::ViewPageRequest& message, core::Time now) {
+    fill.OnRequest(message, now);
+    fill.TakeMessages();
+  }
+  void take(const core::ViewPage& message, core::Time now) {
+    core::FillPeers peers;
+    peers.Known = {message.sender};
+    fill.OnTick(peers, now);
+    fill.OnPage(message, now);
+    fill.TakeMessages();
+  }
 };
 
 /// Lets a daemon that steers by tokens take a message of a peer.
