Read one thing in one place: derived base, one way to unlink, one to forget flows

Read once more: the revision from which every change was taken stood in a member of its own beside the two that tell it; forgetting a departed back end and a change of service or address unlinked by two copies of the same steps; flows of ended and of restarted back ends were forgotten by two copies of one loop; items that changed nothing made a hub order its changes anew.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -32,7 +32,6 @@
 
 RegistryEvent BackendRegistry::put(const std::string& key, const Registration& registration,
                                    Revision revision, Time now) {
-  ++generation_;
   const auto known = entries_.find(key);
   const bool isNew = known == entries_.end();
   if (!isNew && known->second.revision >= revision) {
@@ -42,6 +41,7 @@
   if (removal != unknownRemovals_.end() && removal->second.revision >= revision) {
     return RegistryEvent::kNone;
   }
+  ++generation_;
   const std::uint64_t startedBefore = isNew ? 0 : known->second.registration.startedAtMs;
   if (registration.startedAtMs < startedBefore) {
     // A late write of the run before, which has ended.
@@ -98,10 +98,7 @@
   if (list != candidates_.end()) {
     list->second.Remove(entry.address.id);
   }
-  unlinkAddress(key, entry.address.endpoint);
-}
-
-void BackendRegistry::unlinkAddress(const std::string& key, const Endpoint& endpoint) {
+  const Endpoint& endpoint = entry.address.endpoint;
   const auto keys = endpoints_.find(endpoint);
   keys->second.erase(key);
   if (keys->second.empty()) {
@@ -128,15 +125,16 @@
 }
 
 RegistryEvent BackendRegistry::remove(const std::string& key, Revision revision, Time now) {
-  ++generation_;
   const auto known = entries_.find(key);
   if (known == entries_.end()) {
+    ++generation_;
     unknownRemovals_[key] = {revision, now};
     return RegistryEvent::kNone;
   }
   if (known->second.revision >= revision) {
     return RegistryEvent::kNone;
   }
+  ++generation_;
   Entry& entry = known->second;
   entry.revision = revision;
   entry.removalIsDated = true;
@@ -274,8 +272,7 @@
 void BackendRegistry::forget(const std::string& key, const Entry& entry) {
   tokens_.ForgetBackend(entry.address.id);
   keys_.erase(entry.address.id);
-  services_[entry.address.service].erase(key);
-  unlinkAddress(key, entry.address.endpoint);
+  unlink(key, entry);
 }
 
 void BackendRegistry::forgetDeparted(Time now) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -179,9 +179,8 @@
   const BackendAddress* findLastAt(const Endpoint& endpoint) const;
   /// Notes that an item is no longer in the store.
   void depart(const std::string& key, Entry& entry, Time now);
-  /// Takes an entry that says another service or address than before out of where it was found.
+  /// Takes an entry out of where its service and its address lead to it.
   void unlink(const std::string& key, const Entry& entry);
-  void unlinkAddress(const std::string& key, const Endpoint& endpoint);
   /// @return the candidates of a service; collected where they have not been.
   const CandidateList& candidateList(ServiceId service);
   /// Brings a list that was collected in step with an entry that has changed.
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -159,7 +159,6 @@
   if (plan_.isWhole() || !complete_) {
     sink_.onListed(listedKeys_, listedAt_, now);
     noteGapBefore(listedAt_);
-    base_ = listedAt_;
   }
   if (plan_.isWhole()) {
     onFilled();
@@ -181,7 +180,7 @@
     return;
   }
   // Of two gaps the earlier one is not remembered.
-  tellsFrom_ = gapTo_ != 0 ? gapTo_ : tellsFrom_;
+  tellsFrom_ = baseRevision();
   gapFrom_ = revision_;
   gapTo_ = listed;
 }
@@ -315,7 +314,6 @@
 void StoreReader::replace(Revision revision) {
   noteGapBefore(revision);
   adopt(revision);
-  base_ = revision;
   giveUpListing();
   onFilled();
 }
@@ -327,7 +325,6 @@
   const bool wasInUse = complete_;
   advance(revision);
   complete_ = true;
-  base_ = base_ == 0 ? revision : base_;
   tellsFrom_ = tellsFrom_ == 0 ? revision : tellsFrom_;
   if (!reading_ && !wasInUse) {
     listing_ = false;
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -196,7 +196,7 @@
   /// @return true where a complete view holds every back end.
   bool isWhole() const { return complete_ && whole_; }
   /// @return the revision from which on every change was taken; zero where nothing was listed.
-  Revision baseRevision() const { return base_; }
+  Revision baseRevision() const { return gapTo_ != 0 ? gapTo_ : tellsFrom_; }
   /// @return true where this view shows all that a view complete up to `have` lacks: every change
   /// since then was taken, or a listing was compared with a view that held as much.
   bool canTellSince(Revision have) const;
@@ -278,7 +278,6 @@
   Time lastChangeAt_{};
   Revision revision_ = 0;   ///< Changes up to this one are known; base of the next watch.
   Revision listedAt_ = 0;   ///< Of the listing's first page.
-  Revision base_ = 0;       ///< Every change since then was taken.
   Revision tellsFrom_ = 0;  ///< See canTellSince(); but for what lies between the next two.
   Revision gapFrom_ = 0;    ///< The view was complete up to here when the history was gone.
   Revision gapTo_ = 0;      ///< The listing that followed.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -226,10 +226,17 @@
   }
 }
 
-void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
-  for (const TokenFlow& flow : flows_.takeAllOf(backend)) {
+std::vector<TokenFlow> TokenSteering::forgetFlowsOf(BackendId backend) {
+  std::vector<TokenFlow> flows = flows_.takeAllOf(backend);
+  for (const TokenFlow& flow : flows) {
     outcomes_.Forget(flow.fingerprint);
     noteGone(flow.fingerprint);
+  }
+  return flows;
+}
+
+void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
+  for (const TokenFlow& flow : forgetFlowsOf(backend)) {
     resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
   }
 }
@@ -251,10 +258,7 @@
     if (outliers_ != nullptr) {
       outliers_->Forget(id);
     }
-    for (const TokenFlow& flow : flows_.takeAllOf(id)) {
-      outcomes_.Forget(flow.fingerprint);
-      noteGone(flow.fingerprint);
-    }
+    forgetFlowsOf(id);
   }
 }
 
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -198,6 +198,8 @@
   void noteGone(FlowFingerprint flow);
   /// Reports back ends whose answers are overdue.
   void noteLateAnswers(Time now);
+  /// @return the flows, which count for nothing any more.
+  std::vector<TokenFlow> forgetFlowsOf(BackendId backend);
   void resetFlowsOf(BackendId backend, RefuseReason reason);
   void resetFlowsOfEnded();
   /// Forgets what was seen of earlier runs of back ends. Their flows ended with them, and are left
