Ask once whether a view lacks back ends, send by one loop, and mend three comments

Read once more: each tick copied the known daemons for a view that had been whole since its start; whether a view is to be filled was asked by three copies of one condition; three loops sent messages in the same way; outliers were counted twice; the comment of logViewChange stood before another function, one said that daemons hear seeds where seeds need only exist. No behaviour changes.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <tuple>
 
-#include "core/constants.h"
 #include "core/hashing.h"
 
 namespace cobaltgauge::core {
--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -92,8 +92,8 @@
 
 /// Items of one page of a store's listing, about 100 KB.
 inline constexpr std::size_t kItemsOfStorePage = 500;
-/// Where the store's history is gone, daemons that hear seeds list everything again within this for
-/// each page and daemon at most: a page takes a store's link of 1,000 Mbit/s 0.8 ms.
+/// Where the store's history is gone, daemons that are no seeds list everything again within this
+/// for each page and daemon at most: a page takes a store's link of 1,000 Mbit/s 0.8 ms.
 inline constexpr Duration kListSpread = 1ms;
 /// Time between two openings that one daemon gives a back end with one slot; with more slots it is
 /// shorter. Ten daemons fill the queue of a back end with two slots in a tenth of a second, which
--- a/src/core/listing_plan.h
+++ b/src/core/listing_plan.h
@@ -55,10 +55,12 @@
   /// @return true where a page was taken since begin().
   bool hasBegun() const { return begun_; }
   /// @return true where a listing that is done has covered everything.
-  bool isWhole() const { return range_.kind == ListingRange::Kind::kEverything || isAllBackends(); }
+  bool isWhole() const {
+    return range_.kind == ListingRange::Kind::kEverything ||
+           range_.kind == ListingRange::Kind::kBackends;
+  }
 
  private:
-  bool isAllBackends() const { return range_.kind == ListingRange::Kind::kBackends; }
   void goOn(const ListingRange& range);
   /// @return true where a part that is read suffices.
   bool widen();
--- a/src/core/placement/own_demotions.cc
+++ b/src/core/placement/own_demotions.cc
@@ -11,10 +11,11 @@
   Time /*now*/)
 {
   this->Counts = false;
-  if (this->Detector == nullptr || this->Detector->CountOutliers() == 0) {
+  const std::size_t outliers =
+    this->Detector == nullptr ? 0 : this->Detector->CountOutliers();
+  if (outliers == 0) {
     return;
   }
-  const std::size_t outliers = this->Detector->CountOutliers();
   if (outliers * kBackendsPerOutlier <= candidates.size()) {
     this->Counts = true;
     return;
--- a/src/core/relay/view_fill.cc
+++ b/src/core/relay/view_fill.cc
@@ -56,7 +56,7 @@
 
 void ViewFill::OnTick(const FillPeers& peers, Time now)
 {
-  if (!this->Reader.isComplete() || this->Reader.isWhole()) {
+  if (!this->IsNeeded()) {
     return;
   }
   if (this->StoreAt == Time{}) {
@@ -203,18 +203,14 @@
   }
   if (page.revision == 0) {
     std::erase(this->Whole, page.sender);
-    const bool isMissing =
-      this->Reader.isComplete() && !this->Reader.isWhole();
-    if (isMissing && !this->Whole.empty() &&
+    if (this->IsNeeded() && !this->Whole.empty() &&
         std::exchange(this->MayAskAgain, false)) {
       this->Ask(this->DrawNear(), now);
     }
     return false;
   }
   this->NoteWhole(page.sender);
-  const bool isWanted = this->Reader.isComplete() && !this->Reader.isWhole() &&
-    page.afterKey == this->NextAfter;
-  if (!isWanted) {
+  if (!this->IsNeeded() || page.afterKey != this->NextAfter) {
     return false;
   }
   if (page.revision < this->Reader.baseRevision()) {
--- a/src/core/relay/view_fill.h
+++ b/src/core/relay/view_fill.h
@@ -67,6 +67,12 @@
            const BackendRegistry& backends,
            Random& random);
 
+  /// Tell whether a view in use lacks back ends; ticks do nothing else.
+  bool IsNeeded() const
+  {
+    return this->Reader.isComplete() && !this->Reader.isWhole();
+  }
+
   void OnTick(const FillPeers& peers, Time now);
   void OnRequest(const ViewPageRequest& request, Time now);
   /// \return whether it added back ends to this daemon's view.
--- a/src/daemon/change_lines.cc
+++ b/src/daemon/change_lines.cc
@@ -1,5 +1,6 @@
 #include "daemon/change_lines.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/hashing.h"
--- a/src/daemon/peers/peer_link.cc
+++ b/src/daemon/peers/peer_link.cc
@@ -173,6 +173,9 @@
 
 void PeerLink::FillView(core::Time now)
 {
+  if (!this->Fill.IsNeeded()) {
+    return;
+  }
   core::FillPeers peers;
   peers.Known = this->Exchange.peers();
   if (this->Relay.GetUpstream()) {
@@ -219,26 +222,21 @@
 
 void PeerLink::Send()
 {
-  for (const core::OutgoingView& outgoing : this->Exchange.takeMessages()) {
+  const auto send = [this](const auto& destinations, const auto& content) {
     std::visit(
-      [this, &outgoing](const auto& message) {
-        this->Peers.send(outgoing.destination, message);
+      [this, &destinations](const auto& message) {
+        this->Peers.send(destinations, message);
       },
-      outgoing.message);
+      content);
+  };
+  for (const core::OutgoingView& outgoing : this->Exchange.takeMessages()) {
+    send(outgoing.destination, outgoing.message);
   }
   for (const core::OutgoingFill& outgoing : this->Fill.TakeMessages()) {
-    std::visit(
-      [this, &outgoing](const auto& message) {
-        this->Peers.send(outgoing.Destination, message);
-      },
-      outgoing.Message);
+    send(outgoing.Destination, outgoing.Message);
   }
   for (const core::OutgoingRelay& outgoing : this->Relay.TakeMessages()) {
-    std::visit(
-      [this, &outgoing](const auto& message) {
-        this->Peers.send(outgoing.Destinations, message);
-      },
-      outgoing.Message);
+    send(outgoing.Destinations, outgoing.Message);
   }
 }
 
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -24,10 +24,10 @@
 /// Logs why a back end that took no connection is not taken for dead.
 void logUnproven(const core::BackendAddress& backend, core::ProbeDoubt doubt);
 
+/// Logs changes of back ends that had no lines of their own.
+void logChangeSum(const ChangeLines::Sum& sum);
 /// Logs a change of the view. @param viewAge since the view was last known to be the store's: the
 /// change cannot have been made longer ago.
-/// Tells of changes of back ends that had no lines of their own.
-void logChangeSum(const ChangeLines::Sum& sum);
 void logViewChange(const core::ViewChange& change, core::Duration viewAge);
 
 /// Logs one read of the store, its cause and what it gave.
