--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -52,14 +52,21 @@
 }
 
 std::optional<StoreRead> StoreReader::nextRead(Time now) {
-  if (reading_ || !isActive() || now < nextReadAt()) {
+  if (isReading() || !isActive() || now < nextReadAt()) {
     return std::nullopt;
   }
-  reading_ = true;
   // Who watches for others goes on doing so, since their views age meanwhile.
-  readingMissing_ = !listing_ && isFilling() && (!active_ || watchedSincePage_);
-  watchedSincePage_ = !readingMissing_;
-  return listing_ ? listingRead() : readingMissing_ ? missingPageRead() : watchRead();
+  const bool pageIsDue = isFilling() && (!active_ || watchedSincePage_);
+  underWay_ = listing_ ? UnderWay::kListing : pageIsDue ? UnderWay::kMissingPage : UnderWay::kWatch;
+  watchedSincePage_ = underWay_ != UnderWay::kMissingPage;
+  switch (underWay_) {
+    case UnderWay::kListing:
+      return listingRead();
+    case UnderWay::kMissingPage:
+      return missingPageRead();
+    default:
+      return watchRead();
+  }
 }
 
 StoreRead StoreReader::listRead(StoreRead::Cause cause, const ListingRange& range,
@@ -114,11 +121,11 @@
 }
 
 void StoreReader::onReply(const StoreReply& reply, Time now) {
-  reading_ = false;
+  const UnderWay answered = std::exchange(underWay_, UnderWay::kNothing);
   pause_ = 0ms;
   nextReadAt_ = now;
   rareReadAt_ = now;
-  if (std::exchange(readingInVain_, false)) {
+  if (answered == UnderWay::kInVain) {
     return;
   }
   if (reply.outcome == ReadOutcome::kHistoryGone) {
@@ -137,7 +144,7 @@
   }
   failuresInRow_ = 0;
   lastAnswerAt_ = now;
-  if (readingMissing_) {
+  if (answered == UnderWay::kMissingPage) {
     onMissingPage(reply, now);
   } else if (listing_) {
     onPage(reply, now);
@@ -288,8 +295,7 @@
 }
 
 void StoreReader::onResume(Time now) {
-  reading_ = false;
-  readingInVain_ = false;
+  underWay_ = UnderWay::kNothing;
   confirming_ = true;
   nextReadAt_ = now;
   rareReadAt_ = now;
@@ -300,7 +306,7 @@
     return;
   }
   listing_ = false;
-  readingInVain_ = reading_;
+  underWay_ = isReading() ? UnderWay::kInVain : UnderWay::kNothing;
   clearListing();
 }
 
@@ -326,7 +332,7 @@
   advance(revision);
   complete_ = true;
   tellsFrom_ = tellsFrom_ == 0 ? revision : tellsFrom_;
-  if (!reading_ && !wasInUse) {
+  if (!isReading() && !wasInUse) {
     listing_ = false;
     clearListing();
   }
@@ -348,7 +354,7 @@
   if (!complete_ || listing_) {
     return false;
   }
-  const bool watching = reading_ && !readingMissing_ && !readingInVain_ && !confirming_;
+  const bool watching = underWay_ == UnderWay::kWatch && !confirming_;
   return watching || now - confirmedAt_ < currentFor_;
 }
 
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -177,7 +177,7 @@
 
   /// @return when nextRead() may give a read, where none is under way.
   Time nextReadAt() const;
-  bool isReading() const { return reading_; }
+  bool isReading() const { return underWay_ != UnderWay::kNothing; }
   /// @return true while a listing is to be made or under way.
   bool isListing() const { return listing_; }
   /// @return true where the last read failed.
@@ -218,6 +218,15 @@
   const StoreReaderCounters& counters() const { return counters_; }
 
  private:
+  /// The read that nextRead() gave last and that is not answered.
+  enum class UnderWay : std::uint8_t {
+    kNothing,
+    kListing,
+    kMissingPage,  ///< For a view in use.
+    kWatch,
+    kInVain,  ///< A listing that was given up: its answer is not wanted any more.
+  };
+
   void onPage(const StoreReply& reply, Time now);
   void onMissingPage(const StoreReply& reply, Time now);
   /// Notes that a listing replaces changes that are not known.
@@ -254,14 +263,12 @@
   std::optional<Duration> othersFail_;
   Duration startBackOff_ = kReadBackOffAtStart;
   bool urgent_ = false;
-  bool reading_ = false;
+  UnderWay underWay_ = UnderWay::kNothing;
   bool listing_ = true;
   bool complete_ = false;
   bool whole_ = false;
   std::optional<std::uint32_t> samplePlace_;  ///< None: first listings are whole.
   bool filling_ = false;
-  bool readingInVain_ = false;     ///< The answer to the read under way is not wanted any more.
-  bool readingMissing_ = false;    ///< The read under way is a page for a view in use.
   std::string missingAfter_;       ///< Pages up to here were added to a view in use.
   bool watchedSincePage_ = false;  ///< Pages of a view in use take turns with watches.
   Time wantedAt_{};
