Let an announced end outlive a store that knows nothing of it

What callers would see: a back end that had announced its end is given flows again, for as long as it takes to write its end into a store that came back from a copy without it; the same where the store takes an older write late. Cause: of two things that a back end says of itself the one that the store shows last won. Change: a back end numbers what it says. Of one run the higher number wins; where numbers are not told, a copy takes no announced end back. One that a copy lacked counts as later than a ghost at its address. Why it holds: the numbers are the back end's own and rise whatever becomes of the store.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -40,7 +40,22 @@
          entry.registration.saysTheSameAs(registration);
 }
 
-RegistryEvent BackendRegistry::put(const std::string& key, const Registration& registration,
+bool BackendRegistry::isOlderStatement(const Entry& entry, const Registration& registration,
+                                       Revision revision) {
+  const Registration& known = entry.registration;
+  if (registration.startedAtMs != known.startedAtMs) {
+    return false;
+  }
+  if (registration.statement != 0 && known.statement != 0) {
+    return registration.statement < known.statement;
+  }
+  // Without numbers, a run that ends is not taken to go on because a copy does not know of its end.
+  const bool takesBackEnd =
+      known.state == BackendState::kLeaving && registration.state == BackendState::kActive;
+  return takesBackEnd && entry.revision.era < revision.era;
+}
+
+RegistryEvent BackendRegistry::put(const std::string& key, const Registration& written,
                                    Revision revision, Time now) {
   const auto known = entries_.find(key);
   const bool isNew = known == entries_.end();
@@ -51,6 +66,11 @@
   if (removal != unknownRemovals_.end() && removal->second.revision >= revision) {
     return RegistryEvent::kNone;
   }
+  const bool isOlder = !isNew && isOlderStatement(known->second, written, revision);
+  if (isOlder && known->second.present) {
+    return RegistryEvent::kNone;
+  }
+  const Registration registration = isOlder ? known->second.registration : written;
   ++generation_;
   const std::uint64_t startedBefore = isNew ? 0 : known->second.registration.startedAtMs;
   if (registration.startedAtMs < startedBefore) {
@@ -68,11 +88,13 @@
   Entry& entry = entries_[key];
   const bool sameContent =
       !isNew && entry.present && entry.registration.saysTheSameAs(registration);
+  // One that a copy lacked may come back after a ghost of the back end that had its address before.
+  const bool isWrittenAgain = !entry.present && entry.firstRevision.era < revision.era;
   entry.registration = registration;
   entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0,
                    zoneIdOf(registration.zone)};
   entry.revision = revision;
-  entry.firstRevision = isNew || hasRestarted ? revision : entry.firstRevision;
+  entry.firstRevision = isNew || hasRestarted || isWrittenAgain ? revision : entry.firstRevision;
   entry.present = true;
   entry.ended = false;
   if (!sameContent) {
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -1,7 +1,9 @@
 /// @file
 /// The back ends that registered themselves, by the key of their item in the store. A back end that
 /// left or vanished takes no new flow at once and stays reachable by its token until no flow of it
-/// can be left. Items are ordered by revision: an older one never replaces a newer one.
+/// can be left. Items are ordered by revision: an older one never replaces a newer one. What a back
+/// end says of itself is ordered by itself as well, so that an announced end outlives a store that
+/// comes back from a copy without it.
 #pragma once
 
 #include <deque>
@@ -172,6 +174,10 @@
     Time at{};
   };
 
+  /// @return true where the back end has said more since: the store took a write late, or came back
+  /// from a copy that is older than what it had said.
+  static bool isOlderStatement(const Entry& entry, const Registration& registration,
+                               Revision revision);
   PlacementCandidate candidateOf(const Entry& entry) const;
   bool hasVanished(const Entry& entry, Time since) const;
   /// @return true where the back end would take new flows but for an evacuation of its zone.
