Let no view take changes that lead across a listing it is ahead of

What callers would see: flows to a back end that is gone, from followers that had learned of it while the reader had not, for good. Cause: a listing after a lost history is compared with the reader's own view. A follower that is ahead of that view holds what the reader never saw; it took the changes all the same, from the log or pushed. Found on the way: it happens without a copy that comes back, where a history is lost. Change: updates that lead across a listing name the view it was compared with, followers remember it and refuse what does not fit them; they read for themselves then. Why it holds: changes are taken only by views that hold nothing but what the listing was compared with.

--- a/src/core/relay/view_relay.cc
+++ b/src/core/relay/view_relay.cc
@@ -333,11 +333,16 @@
   if (update.revision <= have) {
     return true;
   }
+  // This view may hold what the sender has never seen, and would keep it.
+  if (have > update.gapFrom && have < update.gapTo) {
+    return false;
+  }
   for (const StoreChange& change : changesOf(update)) {
     if (!this->Sink.onChange(change, now)) {
       return false;
     }
   }
+  this->Reader.adoptGap(update.gapFrom, update.gapTo);
   if (IsPart(update)) {
     this->Reader.advance(update.revision);
   } else {
--- a/src/core/relay/view_relay_followers.cc
+++ b/src/core/relay/view_relay_followers.cc
@@ -48,11 +48,19 @@
       update.confirmedUs = 0;
     }
   }
+  const auto [gapFrom, gapTo] = this->Reader.gap();
+  if (update.from < gapTo && gapTo <= update.revision) {
+    update.gapFrom = gapFrom;
+    update.gapTo = gapTo;
+  }
   return update;
 }
 
 std::optional<ChangeExcerpt> ViewRelay::GetChangesSince(Revision have) const
 {
+  if (!this->Reader.hasFollowedSince(have)) {
+    return std::nullopt;
+  }
   std::optional<ChangeExcerpt> excerpt = this->Log.Since(have);
   const bool byView =
     !excerpt && this->Difference != nullptr && this->Reader.canTellSince(have);
--- a/tests/core/relay/store_era_test.cc
+++ b/tests/core/relay/store_era_test.cc
@@ -110,6 +110,65 @@
   BOOST_TEST(this->At(0).Backends.size() == 201U);
 }
 
+/// The seeds are cut off while a back end is added that only the others learn
+/// of; nobody has it any more when all meet again.
+struct LostAddition : ReturningStore
+{
+  FakeStore::Copy Before;
+
+  void AddBehindTheSeeds()
+  {
+    this->Run(5s);
+    this->Before = this->Store.copy();
+    for (std::size_t i = 0; i < kSeeds; ++i) {
+      this->At(i).PeersCut = this->At(i).StoreSilent = true;
+    }
+    this->Store.put("servers/2", makeRegistration(2, "web", 1, 2));
+    this->Run(5s);
+    BOOST_TEST(this->CountThatPlaceOn(2) == this->Nodes.size() - kSeeds);
+    this->RefuseAll(true);
+  }
+
+  /// The seeds are heard before the others read.
+  void Meet()
+  {
+    for (std::size_t i = 0; i < kSeeds; ++i) {
+      Node& seed = this->At(i);
+      seed.PeersCut = seed.StoreSilent = seed.StoreRefuses = false;
+    }
+    this->Run(2s);
+    this->RefuseAll(false);
+    this->Run(kInForceWithin);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(
+  a_back_end_that_only_followers_knew_is_forgotten_with_the_copy,
+  LostAddition)
+{
+  this->AddBehindTheSeeds();
+  this->Store.comeBackFrom(this->Before);
+  this->Store.put("servers/3", makeRegistration(3, "web", 1, 3));
+  this->Meet();
+  BOOST_TEST(this->CountThatPlaceOn(2) == 0U);
+  BOOST_TEST(this->CountThatPlaceOn(3) == this->Nodes.size());
+}
+
+// The same without a copy: who reads has lost the history of a back end that
+// came and went, and compares a listing with a view that never had it.
+BOOST_FIXTURE_TEST_CASE(
+  a_back_end_that_only_followers_knew_is_forgotten_with_the_history,
+  LostAddition)
+{
+  this->AddBehindTheSeeds();
+  this->Store.put("servers/2", core::RemovedItem{});
+  this->Store.put("servers/3", makeRegistration(3, "web", 1, 3));
+  this->Store.compact();
+  this->Meet();
+  BOOST_TEST(this->CountThatPlaceOn(2) == 0U);
+  BOOST_TEST(this->CountThatPlaceOn(3) == this->Nodes.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
