Tell a version that a copy lacked when it is written again

What callers would see: an older version in force at daemons that began with the copy, until the next version is written. Cause: the reader has the version in force; when it is written again nothing changes there, so nobody was told. Change: a version that is in force and stands in a later era is recorded, whole, so that views that began with an older one get it. Why it holds: whoever is at an earlier place gets the whole set, from which any version is reached.

--- a/src/core/relay/change_log.cc
+++ b/src/core/relay/change_log.cc
@@ -11,8 +11,11 @@
 /// Count the items that a change carries.
 std::size_t WeightOf(const StoreChange& change)
 {
-  const auto* delta = std::get_if<RouteDelta>(&change.item);
-  return delta ? 1 + delta->changed.size() + delta->dropped.size() : 1;
+  if (const auto* delta = std::get_if<RouteDelta>(&change.item)) {
+    return 1 + delta->changed.size() + delta->dropped.size();
+  }
+  const auto* routes = std::get_if<RouteSet>(&change.item);
+  return routes ? 1 + routes->routes.size() : 1;
 }
 
 } // namespace
--- a/src/core/route_table.cc
+++ b/src/core/route_table.cc
@@ -58,8 +58,11 @@
 }
 
 RouteOffer RouteTable::apply(const RouteDelta& delta, Time now, Revision at) {
-  if (delta.version <= version_) {
-    return delta.version == version_ ? RouteOffer::kUnchanged : RouteOffer::kOlder;
+  if (delta.version < version_) {
+    return RouteOffer::kOlder;
+  }
+  if (delta.version == version_) {
+    return noteWrittenAgain(at) ? RouteOffer::kWrittenAgain : RouteOffer::kUnchanged;
   }
   if (delta.from != version_) {
     return RouteOffer::kGap;
@@ -79,6 +82,17 @@
   return RouteOffer::kAccepted;
 }
 
+bool RouteTable::noteWrittenAgain(Revision at) {
+  if (at.era <= changedAt_.era) {
+    return false;
+  }
+  // Who began with the copy has an older version at a later place: to it the whole set is told.
+  changedAt_ = at;
+  latest_.clear();
+  rememberedFrom_ = at;
+  return true;
+}
+
 void RouteTable::remember(const RouteDelta& delta, Revision at) {
   const bool isFirst = delta.from == 0;
   if (isFirst) {
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -25,6 +25,7 @@
 enum class RouteOffer : std::uint8_t {
   kAccepted,
   kUnchanged,
+  kWrittenAgain,  ///< Unchanged, by a copy of the store that came back without it.
   kOlder,
   kGap,  ///< It changes routes of a version that is not in force here.
 };
@@ -80,6 +81,8 @@
  private:
   void put(const Route& route);
   void remember(const RouteDelta& delta, Revision at);
+  /// Notes where the version in force stands in the store. @return whether that is in a later copy.
+  bool noteWrittenAgain(Revision at);
   void takeServices(const std::vector<ServiceTraits>& services);
 
   std::uint64_t startPoint_;
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -38,6 +38,11 @@
 
 bool ViewUpdater::take(const StoreChange& change, const RouteDelta& delta, Time now) {
   const RouteOffer offer = routes_.apply(delta, now, change.revision);
+  if (offer == RouteOffer::kWrittenAgain) {
+    // Others may have begun with a copy of the store that lacked it.
+    record(change);
+    return true;
+  }
   if (offer == RouteOffer::kUnchanged || offer == RouteOffer::kGap) {
     return offer == RouteOffer::kUnchanged;
   }
--- a/tests/core/relay/store_era_test.cc
+++ b/tests/core/relay/store_era_test.cc
@@ -93,6 +93,25 @@
   BOOST_TEST(this->CountCalls() - calls <= 5 * this->Nodes.size());
 }
 
+// The version was written again, with the number and the routes that it had
+// had before: at the daemon that reads the store nothing changed, so it told
+// nobody.
+BOOST_AUTO_TEST_CASE(
+  a_daemon_that_began_with_the_copy_gets_the_version_written_again)
+{
+  this->Run(5s);
+  const FakeStore::Copy copy = this->Store.copy();
+  this->ChangeRoutes(8);
+  this->Run(2s);
+  this->Store.comeBackFrom(copy);
+  this->Run(2s);
+  this->Grow(13);
+  this->Run(2s);
+  BOOST_TEST(this->At(12).Routes.version() == 7U);
+  this->ChangeRoutes(8);
+  BOOST_TEST((this->TimeUntilInForce(8) <= kInForceWithin));
+}
+
 // A return tells nobody of what the copy has as it was known: 450 KB for each
 // daemon where there are 10,000 back ends.
 BOOST_AUTO_TEST_CASE(what_the_copy_has_unchanged_is_not_told_again)
