Let the stand-in and the soak play a store that comes back from an older copy

The stand-in tells its era in each answer, gives revisions out again, answers a watch after one that it does not have by 410 and is told again what it lost. The soak plays it beside cuts, kills, restarts and changes: away for up to 1.5 s, back from a copy up to 6 s old, written again within 1 s.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -4,8 +4,8 @@
 
 Processes are stopped, paused, killed and started again by signal; each daemon reaches the store
 through a proxy on loopback that delays, resets, cuts one way or silences; the store is busy,
-throttling, silent or forgets its history; back ends come, leave, crash and re-use addresses; routes
-come and go. Promises are checked from what callers and back ends see. Every 15 s all faults heal and
+throttling, silent, forgets its history or comes back from an older copy; back ends come, leave,
+crash and re-use addresses; routes come and go. Promises are checked from what callers and back ends see. Every 15 s all faults heal and
 the fleet must be whole again. Ends only what it started. Exit status 0 where every promise held.
 """
 
@@ -25,6 +25,9 @@
 EXTRA = [("10.90.0.2", port) for port in (443, 8443, 9443)]
 ROUND_SECONDS = 10.0
 HEAL_SECONDS = 5.0
+OLDEST_COPY = 6.0    # The store comes back from a copy that is at most so old.
+LONGEST_AWAY = 1.5   # It is away for at most so long before.
+WRITTEN_AGAIN = 1.0  # What it lost is written again within this.
 LEAVING_BOUND = 3.0  # A back end that leaves gets no new flow after this.
 EVACUATION_BOUND = 5.0  # Back ends of a zone that is taken out get no new flow after this.
 COLD_PER_SECOND = 4  # Openings a second that a cold back end bears, from all daemons.
@@ -41,6 +44,7 @@
         self.broken, self.counts = [], {}
         self.touched = {}  # By daemon: when a fault on it ended, or None while one lasts.
         self.store_touched = time.monotonic()
+        self.copies = []  # Of the store, with their times, oldest first.
         self.left = {}     # By back end: when it announced its end.
         self.evacuated_at = None  # When zone "b" was taken out.
         self.extra = set()
@@ -129,7 +133,12 @@
 
     def store_fault(self):
         store = self.fleet.store
-        mode = self.random.choice(["busy", "throttled", "silent", "compact"])
+        if self.store_touched is None:
+            return
+        mode = self.random.choice(["busy", "throttled", "silent", "compact", "return", "return"])
+        if mode == "return":
+            self.store_return()
+            return
         self.note(f"store {mode}")
         if mode == "compact":
             store.compact()
@@ -143,6 +152,33 @@
 
         threading.Timer(self.random.uniform(0.3, 3.0), heal).start()
 
+    def keep_copy(self):
+        now = time.monotonic()
+        self.copies.append((now, self.fleet.store.copy()))
+        self.copies = [(at, copy) for at, copy in self.copies if now - at < OLDEST_COPY]
+
+    def store_return(self):
+        """The store is away for a moment, comes back from a copy, and is told again what it lost."""
+        store = self.fleet.store
+        at, copy = self.random.choice(self.copies)
+        again = self.random.uniform(0, WRITTEN_AGAIN)
+        self.note(f"store comes back from {time.monotonic() - at:.1f} s ago, "
+                  f"revision {copy[2]} after {store.revision}")
+        self.store_touched = None
+        store.set_mode("away")
+
+        def come_back():
+            store.come_back_from(copy)
+            store.set_mode("up")
+            threading.Timer(again, write_again).start()
+
+        def write_again():
+            store.write_again()
+            self.copies = []
+            self.store_touched = time.monotonic()
+
+        threading.Timer(self.random.uniform(0, LONGEST_AWAY), come_back).start()
+
     def backend_change(self):
         staying = self.staying()
         kind = self.random.choice(["add", "leave", "crash", "mute", "full", "slow"])
@@ -320,6 +356,8 @@
             next_fault = time.monotonic() + 1
             while time.monotonic() < round_end and not self.broken:
                 self.load()
+                if not self.copies or time.monotonic() - self.copies[-1][0] > 0.5:
+                    self.keep_copy()
                 if time.monotonic() >= next_fault:
                     next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
                     self.random.choice([self.daemon_fault, self.daemon_fault, self.store_fault,
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -42,11 +42,17 @@
 
 
 class Store:
-    """Items with revisions, a history and faults. `mode`: up, busy (503), throttled (429), silent."""
+    """Items with revisions, a history and faults. `mode`: up, busy (503), throttled (429), silent,
+    away (no answer, and the connection ends).
+
+    It may come back from an older copy of itself: what was written since is gone, its revisions are
+    given out again, and a number that rises with each return stands in every answer."""
 
     def __init__(self, address):
         self.lock = threading.Condition()
         self.items, self.history, self.revision, self.history_from = {}, [], 0, 0
+        self.era = 1
+        self.written = {}  # What was written last under each key; None for a removal.
         self.mode = "up"
         self.refused = set()  # Addresses that get no service.
         store = self
@@ -62,6 +68,7 @@
                 text = json.dumps(body).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
+                self.send_header("Store-Era", str(store.era))
                 self.send_header("Content-Length", str(len(text)))
                 self.end_headers()
                 self.wfile.write(text)
@@ -81,6 +88,7 @@
 
     def put(self, key, value):
         with self.lock:
+            self.written[key] = value
             self.revision += 1
             text = base64.b64encode(json.dumps(value).encode()).decode()
             item = {"key": key, "value": text, "revision": self.revision, "created": self.revision,
@@ -91,6 +99,7 @@
 
     def remove(self, key):
         with self.lock:
+            self.written[key] = None
             self.revision += 1
             self.items.pop(key, None)
             self.history.append({"key": key, "revision": self.revision, "gone": True})
@@ -100,6 +109,30 @@
         with self.lock:
             self.history, self.history_from = [], self.revision
 
+    def copy(self):
+        with self.lock:
+            return dict(self.items), list(self.history), self.revision, self.history_from
+
+    def come_back_from(self, copy):
+        with self.lock:
+            items, history, self.revision, self.history_from = copy
+            self.items, self.history = dict(items), list(history)
+            self.era += 1
+            self.lock.notify_all()
+
+    def write_again(self):
+        """What a copy lacks is written again by whoever wrote it, and removed what should be gone."""
+        with self.lock:
+            written = dict(self.written)
+        for key, value in written.items():
+            with self.lock:
+                item = self.items.get(key)
+                stands = None if item is None else json.loads(base64.b64decode(item["value"]))
+            if value is None and stands is not None:
+                self.remove(key)
+            elif value is not None and stands != value:
+                self.put(key, value)
+
     def set_mode(self, mode):
         with self.lock:
             self.mode = mode
@@ -113,6 +146,8 @@
                 self.lock.wait_for(lambda: self.mode != "silent" and caller not in self.refused,
                                    timeout=60)
                 return None, None
+            if self.mode == "away":
+                return None, None
             if self.mode != "up":
                 return (503 if self.mode == "busy" else 429), {}
             if parts.path == "/kv-range":
@@ -125,16 +160,18 @@
         return 200, {"items": page, "has-more": len(keys) > len(page), "at": self.revision}
 
     def watch(self, query):
-        after = int(query["after"])
+        after, era = int(query["after"]), self.era
         events = []
+        if after > self.revision:
+            return 410, {}
 
         def changed():
             nonlocal events
             events = [item for item in self.history if item["revision"] > after]
-            return events or self.mode != "up" or after < self.history_from
+            return events or self.mode != "up" or after < self.history_from or era != self.era
 
         self.lock.wait_for(changed, timeout=int(query["wait-ms"]) / 1000)
-        if self.mode != "up":
+        if self.mode != "up" or era != self.era:
             return None, None
         if after < self.history_from:
             return 410, {}
@@ -156,6 +193,7 @@
         self.flows, self.strays, self.openings = {}, [], []
         self.alive = True
         self.started = time.monotonic()
+        self.sequence = 0
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((address, BACKEND_PORT))
         self.listener = socket.create_server((address, BACKEND_PORT))
@@ -163,10 +201,11 @@
         threading.Thread(target=self.run, daemon=True).start()
 
     def register(self, state):
+        self.sequence += 1
         self.fleet.store.put(self.key, {
             "service": self.service, "address": f"{self.address}:{BACKEND_PORT}",
             "zone": self.zone, "version": "v1", "capacity": 2, "state": state,
-            "warmup-left-ms": self.warm_up_ms, "sequence": 1})
+            "warmup-left-ms": self.warm_up_ms, "sequence": self.sequence})
 
     def leave(self):
         self.register("draining")
--- a/src/daemon/change_lines.cc
+++ b/src/daemon/change_lines.cc
@@ -22,7 +22,8 @@
     : daemon_(daemon), one_(std::move(one)), all_(std::move(sum)) {}
 
 bool ChangeLines::isDrawn(const core::ViewChange& change) const {
-  const std::uint64_t draw = core::mixHash(core::hashName(change.key) + change.revision.number, daemon_);
+  const std::uint64_t draw =
+      core::mixHash(core::hashName(change.key) + change.revision.number, daemon_);
   return draw % std::max<std::uint64_t>(fleet_, 1) < kTellersOfChange;
 }
 
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -129,9 +129,9 @@
                 {"revision", toString(change.revision)}});
       return;
     case core::ViewChange::Kind::kRoutes:
-      logEvent(LogLevel::kInfo, "routes_in_force",
-               {{"version", std::to_string(change.version)},
-                {"revision", toString(change.revision)}});
+      logEvent(
+          LogLevel::kInfo, "routes_in_force",
+          {{"version", std::to_string(change.version)}, {"revision", toString(change.revision)}});
       return;
     case core::ViewChange::Kind::kOlderRoutes:
       logEvent(LogLevel::kWarning, "routes_refused",
@@ -140,9 +140,9 @@
                 {"revision", toString(change.revision)}});
       return;
     case core::ViewChange::Kind::kFirstListing:
-      logEvent(LogLevel::kInfo, "view_listed",
-               {{"backends", std::to_string(change.backends)},
-                {"revision", toString(change.revision)}});
+      logEvent(
+          LogLevel::kInfo, "view_listed",
+          {{"backends", std::to_string(change.backends)}, {"revision", toString(change.revision)}});
       return;
     case core::ViewChange::Kind::kWhole:
       logEvent(LogLevel::kInfo, "view_whole",
