Keep a zone out for a while where the store came back without its evacuation

What callers would see: flows to back ends of a zone that operators have taken out, from the store's return until the evacuation is written again. Cause: an item that a listing or a peer shows to be gone was taken for the operators' wish, though it may be lost with the copy. Change: a removal of a later era than the item's keeps the zone out for three seconds; written again in that time it stays out, else it ends and is logged. Lines evacuation_lost and zone_returned tell it. Why it holds: within one era nothing changes; across one the wish is kept until it can have been repeated.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -309,6 +309,9 @@
 }
 
 void BackendRegistry::forgetDeparted(Time now) {
+  const std::vector<std::string> over = evacuations_.ExpireLost(now);
+  expired_.insert(expired_.end(), over.begin(), over.end());
+  dropCandidates(!over.empty());
   const std::size_t before = entries_.size() + unknownRemovals_.size();
   for (auto item = entries_.begin(); item != entries_.end();) {
     const Entry& entry = item->second;
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -85,6 +85,9 @@
   /// Takes a whole listing, as retainOnly() does. @return keys of the evacuations that ended.
   std::vector<std::string> retainEvacuations(const std::set<std::string>& keys, Revision listedAt);
   const ZoneEvacuations& evacuations() const { return evacuations_; }
+  /// @return keys of evacuations that were lost with a copy of the store and are over since the
+  /// last call.
+  std::vector<std::string> takeExpiredEvacuations() { return std::exchange(expired_, {}); }
   /// @return true where the service has a back end that only an evacuation keeps from new flows.
   bool isEvacuated(ServiceId service) const;
 
@@ -135,7 +138,7 @@
   /// @return true where the back end vanished after `since` without having announced it.
   bool hasVanishedSince(BackendId id, Time since) const;
 
-  /// Forgets back ends that have been gone for long enough.
+  /// Forgets back ends that have been gone, and evacuations that have been lost, for long enough.
   void forgetDeparted(Time now);
 
   /// @return every registration whose item is in the store, as an item.
@@ -212,6 +215,7 @@
   std::unordered_map<ServiceId, std::deque<std::pair<Time, std::string>>> departures_;
   std::vector<BackendId> restarted_;
   ZoneEvacuations evacuations_;
+  std::vector<std::string> expired_;         ///< See takeExpiredEvacuations().
   std::map<std::string, RegionId> regions_;  ///< By zone.
   std::unordered_map<ZoneId, std::string> zoneNames_;
   /// Collected when asked for first, and kept in step from then on.
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -66,8 +66,8 @@
     if (backends_.removeEvacuation(change.key, change.revision)) {
       record(change);
     }
-    if (wasEvacuated && !isEvacuated(change.key)) {
-      reportEvacuation(change.key, change.revision, ViewChange::Kind::kEvacuationEnded);
+    if (wasEvacuated) {
+      reportRemoved(change.key, change.revision);
     }
     return true;
   }
@@ -123,6 +123,20 @@
   listener_(report);
 }
 
+void ViewUpdater::reportRemoved(const std::string& key, Revision revision) {
+  if (backends_.evacuations().IsLost(key)) {
+    reportEvacuation(key, revision, ViewChange::Kind::kEvacuationLost);
+  } else if (!isEvacuated(key)) {
+    reportEvacuation(key, revision, ViewChange::Kind::kEvacuationEnded);
+  }
+}
+
+void ViewUpdater::reportExpired() {
+  for (const std::string& key : backends_.takeExpiredEvacuations()) {
+    reportEvacuation(key, 0, ViewChange::Kind::kEvacuationEnded);
+  }
+}
+
 void ViewUpdater::onMissing(const StoreChange& item, Time now) {
   const auto* registration = std::get_if<Registration>(&item.item);
   if (registration == nullptr) {
@@ -156,7 +170,7 @@
   }
   for (const std::string& key : backends_.retainEvacuations(keys, listedAt)) {
     record({key, listedAt, RemovedItem{}});
-    reportEvacuation(key, listedAt, ViewChange::Kind::kEvacuationEnded);
+    reportRemoved(key, listedAt);
   }
   if (!std::exchange(listed_, true)) {
     ViewChange report;
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -23,6 +23,7 @@
     kWhole,
     kEvacuationBegan,
     kEvacuationEnded,
+    kEvacuationLost,  ///< With a copy of the store; its zone stays out for a while.
   };
   Kind kind = Kind::kBackend;
   std::string key;
@@ -50,6 +51,9 @@
   void onMissing(const StoreChange& item, Time now) override;
   void onWhole() override;
 
+  /// Reports evacuations that were lost and are over now; call with each tick.
+  void reportExpired();
+
  private:
   bool take(const StoreChange& change, const Registration& registration, Time now);
   bool take(const StoreChange& change, const RouteSet& routes, Time now);
@@ -61,6 +65,8 @@
   /// @return true where the zone of an evacuation's item is out.
   bool isEvacuated(const std::string& key) const;
   void reportEvacuation(const std::string& key, Revision revision, ViewChange::Kind kind);
+  /// Reports that an evacuation's item is gone.
+  void reportRemoved(const std::string& key, Revision revision);
   void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                      const std::string& service);
 
--- a/src/core/zones/zone_evacuations.cc
+++ b/src/core/zones/zone_evacuations.cc
@@ -10,7 +10,7 @@
   if (known != this->Entries.end() && known->second.At >= revision) {
     return false;
   }
-  this->Entries[key] = { zone, revision, true };
+  this->Entries[key] = { zone, revision };
   this->CollectZones();
   return true;
 }
@@ -21,12 +21,44 @@
   if (known == this->Entries.end() || known->second.At >= revision) {
     return false;
   }
-  known->second.At = revision;
-  known->second.InForce = false;
+  End(known->second, revision);
   this->CollectZones();
   return true;
 }
 
+void ZoneEvacuations::End(Entry& entry, Revision at)
+{
+  entry.Lost = (entry.InForce || entry.Lost) && entry.At.era < at.era;
+  entry.LostAt = Time{};
+  entry.InForce = false;
+  entry.At = at;
+}
+
+std::vector<std::string> ZoneEvacuations::ExpireLost(Time now)
+{
+  std::vector<std::string> over;
+  for (auto& [key, entry] : this->Entries) {
+    if (!entry.Lost) {
+      continue;
+    }
+    entry.LostAt = entry.LostAt == Time{} ? now : entry.LostAt;
+    if (now - entry.LostAt >= kEvacuationKeptFor) {
+      entry.Lost = false;
+      over.push_back(key);
+    }
+  }
+  if (!over.empty()) {
+    this->CollectZones();
+  }
+  return over;
+}
+
+bool ZoneEvacuations::IsLost(const std::string& key) const
+{
+  const auto known = this->Entries.find(key);
+  return known != this->Entries.end() && known->second.Lost;
+}
+
 std::vector<std::string> ZoneEvacuations::RetainOnly(
   const std::set<std::string>& keys,
   Revision listedAt)
@@ -35,8 +67,7 @@
   for (auto& [key, entry] : this->Entries) {
     if (entry.InForce && entry.At <= listedAt && keys.count(key) == 0) {
       // The removal's own revision is unknown; it is the listing's at most.
-      entry.At = listedAt;
-      entry.InForce = false;
+      End(entry, listedAt);
       ended.push_back(key);
     }
   }
@@ -81,7 +112,7 @@
 {
   this->Zones.clear();
   for (const auto& [key, entry] : this->Entries) {
-    if (entry.InForce) {
+    if (entry.InForce || entry.Lost) {
       this->Zones.insert(entry.Zone);
     }
   }
--- a/src/core/zones/zone_evacuations.h
+++ b/src/core/zones/zone_evacuations.h
@@ -9,15 +9,23 @@
 #include <vector>
 
 #include "core/registration.h"
+#include "core/types.h"
 
 namespace cobaltgauge::core {
 
+/// For so long a zone stays out whose evacuation was lost with the store's
+/// latest copy: operators write it again where it is still wanted.
+inline constexpr Duration kEvacuationKeptFor = std::chrono::seconds(3);
+
 /** \class ZoneEvacuations
  * \brief The evacuations in force, by the key of their item in the store.
  *
  * Items are ordered by revision: an older one never replaces a newer one, and
  * an evacuation that has ended is remembered for that.  There are as many
  * keys as zones, so nothing is ever forgotten.
+ *
+ * A removal of a later era than the item's may be nobody's wish: the store
+ * came back from a copy without it.  The zone stays out for a while then.
  */
 class ZoneEvacuations
 {
@@ -36,6 +44,13 @@
   std::vector<std::string> RetainOnly(const std::set<std::string>& keys,
                                       Revision listedAt);
 
+  /// End evacuations that were lost and have not been written again.
+  /// \return the keys of those that are over.
+  std::vector<std::string> ExpireLost(Time now);
+
+  /// Tell whether the item was lost and its zone is still kept out.
+  bool IsLost(const std::string& key) const;
+
   bool IsEvacuated(const std::string& zone) const
   {
     return this->Zones.count(zone) != 0;
@@ -65,8 +80,12 @@
     std::string Zone;
     Revision At = 0;
     bool InForce = true;
+    bool Lost = false; ///< Not in force, and its zone is out all the same.
+    Time LostAt{};     ///< Zero until ExpireLost() has seen it.
   };
 
+  static void End(Entry& entry, Revision at);
+
   /// Collect the zones anew; several keys may name one.
   void CollectZones();
 
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -252,6 +252,7 @@
   const core::Time now = bootTime();
   noticeSuspension(now);
   steering_.onTick(now);
+  updater_.reportExpired();
   peers_.OnTick(now);
   const std::uint32_t fleet = peers_.GetRelay().CountFleet(now);
   steering_.setFleet(fleet);
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -64,9 +64,14 @@
             {"revision", toString(viewRevision)}});
 }
 
+const char* eventOf(core::ViewChange::Kind kind) {
+  return kind == core::ViewChange::Kind::kEvacuationBegan  ? "zone_evacuated"
+         : kind == core::ViewChange::Kind::kEvacuationLost ? "evacuation_lost"
+                                                           : "zone_returned";
+}
+
 void logEvacuation(const core::ViewChange& change, core::Duration viewAge) {
-  const bool began = change.kind == core::ViewChange::Kind::kEvacuationBegan;
-  logEvent(LogLevel::kWarning, began ? "zone_evacuated" : "zone_returned",
+  logEvent(LogLevel::kWarning, eventOf(change.kind),
            {{"zone", change.zone},
             {"key", change.key},
             {"revision", toString(change.revision)},
@@ -119,6 +124,7 @@
   switch (change.kind) {
     case core::ViewChange::Kind::kEvacuationBegan:
     case core::ViewChange::Kind::kEvacuationEnded:
+    case core::ViewChange::Kind::kEvacuationLost:
       logEvacuation(change, viewAge);
       return;
     case core::ViewChange::Kind::kBackend:
--- a/tests/core/relay/store_era_stateful_test.cc
+++ b/tests/core/relay/store_era_stateful_test.cc
@@ -149,6 +149,19 @@
     return known;
   }
 
+  /// So does a zone that is out.
+  std::set<const Node*> DaemonsThatKeepOut(const std::string& zone)
+  {
+    std::set<const Node*> daemons;
+    for (const auto& node : this->Nodes) {
+      const bool isOut = node->Backends.evacuations().IsEvacuated(zone);
+      if (isOut && this->ZonesOut[zone]) {
+        daemons.insert(node.get());
+      }
+    }
+    return daemons;
+  }
+
   void ComeBack()
   {
     if (!this->Copy) {
@@ -159,19 +172,24 @@
     if (wasAway) {
       this->Refusal = core::ReadOutcome::kConnectionLost;
       this->RefuseAll(true);
-      this->Run(core::Duration(this->Random.below(2000) * 1000));
+      this->RunAll(core::Duration(this->Random.below(2000) * 1000));
       this->RefuseAll(false);
     }
     this->Store.comeBackFrom(*this->Copy);
     this->Copy.reset();
     const auto knownEnds = this->KnownEnds();
+    const auto knownOut = this->DaemonsThatKeepOut("b");
     if (this->Random.below(2) == 0) {
-      this->Run(core::Duration(this->Random.below(2000) * 1000));
+      this->RunAll(core::Duration(this->Random.below(2000) * 1000));
     }
     for (const auto& [node, id] : knownEnds) {
       BOOST_TEST(!node->Backends.takesNewFlows(core::BackendId{ id }),
                  "back end " << id << " is given flows again" << this->Trace);
     }
+    for (const Node* node : knownOut) {
+      BOOST_TEST(node->Backends.evacuations().IsEvacuated("b"),
+                 "the zone is given flows again" << this->Trace);
+    }
     this->WriteAgain();
   }
 
@@ -314,16 +332,29 @@
     }
   }
 
+  /// Departures and lost items are forgotten as time goes by.
+  void RunAll(core::Duration span)
+  {
+    for (const core::Time end = this->Now + span; this->Now < end;) {
+      this->Step();
+      for (auto& node : this->Nodes) {
+        if (node->Alive) {
+          node->Backends.forgetDeparted(node->Clock(this->Now));
+        }
+      }
+    }
+  }
+
   void Play(int rounds)
   {
-    this->Run(2s);
+    this->RunAll(2s);
     for (int round = 0; round < rounds; ++round) {
       for (std::size_t i = 0; i < kChangesOfRound; ++i) {
         this->Change();
-        this->Run(core::Duration(this->Random.below(600) * 1000));
+        this->RunAll(core::Duration(this->Random.below(600) * 1000));
       }
       this->Heal();
-      this->Run(kSettled);
+      this->RunAll(kSettled);
       this->Check();
     }
   }
--- a/tests/core/zones/zone_evacuations_test.cc
+++ b/tests/core/zones/zone_evacuations_test.cc
@@ -5,6 +5,8 @@
 namespace cobaltgauge::tests {
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr const char* kKey = "evacuate/a";
 
 struct ZoneEvacuationsFixture
@@ -53,6 +55,63 @@
   BOOST_TEST(this->Zones.GetContents().size() == 2U);
 }
 
+/// Places before and after the store came back from an older copy.
+constexpr core::Revision kBefore{ core::StoreEra{ 1 }, 46 };
+constexpr core::Revision kAfter{ core::StoreEra{ 2 }, 40 };
+constexpr core::Time kNow = std::chrono::seconds(100);
+
+BOOST_AUTO_TEST_CASE(a_zone_stays_out_for_a_while_where_a_copy_lacks_its_item)
+{
+  this->Zones.Put(kKey, "a", kBefore);
+  BOOST_TEST(this->Zones.RetainOnly({}, kAfter).size() == 1U);
+  BOOST_TEST(this->Zones.IsEvacuated("a"));
+  BOOST_TEST(this->Zones.IsLost(kKey));
+  BOOST_TEST(this->Zones.GetContents().empty());
+  BOOST_TEST(this->Zones.ExpireLost(kNow).empty());
+  const auto later = kNow + core::kEvacuationKeptFor;
+  BOOST_TEST(this->Zones.ExpireLost(later - 1us).empty());
+  BOOST_TEST(this->Zones.IsEvacuated("a"));
+  BOOST_TEST(this->Zones.ExpireLost(later).size() == 1U);
+  BOOST_TEST(!this->Zones.IsEvacuated("a"));
+  BOOST_TEST(this->Zones.ExpireLost(later).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_item_that_is_written_again_keeps_its_zone_out)
+{
+  this->Zones.Put(kKey, "a", kBefore);
+  this->Zones.Remove(kKey, kAfter);
+  this->Zones.ExpireLost(kNow);
+  BOOST_TEST(this->Zones.Put(kKey, "a", { core::StoreEra{ 2 }, 45 }));
+  BOOST_TEST(this->Zones.ExpireLost(kNow + 1h).empty());
+  BOOST_TEST(this->Zones.IsEvacuated("a"));
+}
+
+BOOST_AUTO_TEST_CASE(a_zone_that_operators_take_back_after_the_return_is_back)
+{
+  this->Zones.Put(kKey, "a", kBefore);
+  this->Zones.Put(kKey, "a", kAfter);
+  this->Zones.Remove(kKey, { core::StoreEra{ 2 }, 47 });
+  BOOST_TEST(!this->Zones.IsEvacuated("a"));
+}
+
+BOOST_AUTO_TEST_CASE(an_evacuation_that_was_over_before_is_not_lost)
+{
+  this->Zones.Put(kKey, "a", { core::StoreEra{ 1 }, 45 });
+  this->Zones.Remove(kKey, kBefore);
+  this->Zones.Remove(kKey, kAfter);
+  BOOST_TEST(!this->Zones.IsEvacuated("a"));
+  BOOST_TEST(!this->Zones.IsLost(kKey));
+}
+
+// Two returns in a row, before anybody could write.
+BOOST_AUTO_TEST_CASE(a_lost_evacuation_outlives_another_return)
+{
+  this->Zones.Put(kKey, "a", kBefore);
+  this->Zones.RetainOnly({}, kAfter);
+  this->Zones.Remove(kKey, { core::StoreEra{ 3 }, 39 });
+  BOOST_TEST(this->Zones.IsEvacuated("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
