--- a/src/core/relay/view_relay_followers.cc
+++ b/src/core/relay/view_relay_followers.cc
@@ -48,17 +48,16 @@
       update.confirmedUs = 0;
     }
   }
-  const auto [gapFrom, gapTo] = this->Reader.gap();
-  if (update.from < gapTo && gapTo <= update.revision) {
-    update.gapFrom = gapFrom;
-    update.gapTo = gapTo;
+  const HistoryGap& gap = this->Reader.history().GetGap();
+  if (update.from < gap.To && gap.To <= update.revision) {
+    update.gap = gap;
   }
   return update;
 }
 
 std::optional<ChangeExcerpt> ViewRelay::GetChangesSince(Revision have) const
 {
-  if (!this->Reader.hasFollowedSince(have)) {
+  if (!this->Reader.history().Covers(have)) {
     return std::nullopt;
   }
   std::optional<ChangeExcerpt> excerpt = this->Log.Since(have);
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -7,52 +7,6 @@
 
 namespace cobaltgauge::core {
 
-const char* toString(ReadOutcome outcome) {
-  switch (outcome) {
-    case ReadOutcome::kAnswered:
-      return "answered";
-    case ReadOutcome::kHistoryGone:
-      return "history_gone";
-    case ReadOutcome::kThrottled:
-      return "throttled";
-    case ReadOutcome::kUnavailable:
-      return "unavailable";
-    case ReadOutcome::kTimedOut:
-      return "timed_out";
-    case ReadOutcome::kConnectionLost:
-      return "connection_lost";
-    case ReadOutcome::kMalformed:
-      return "malformed";
-    case ReadOutcome::kEraOver:
-      return "era_over";
-  }
-  return "invalid";
-}
-
-const char* toString(StoreRead::Cause cause) {
-  switch (cause) {
-    case StoreRead::Cause::kFirstListing:
-      return "first_listing";
-    case StoreRead::Cause::kNextPage:
-      return "next_page";
-    case StoreRead::Cause::kListAgain:
-      return "list_again";
-    case StoreRead::Cause::kCatchUp:
-      return "catch_up";
-    case StoreRead::Cause::kGap:
-      return "gap";
-    case StoreRead::Cause::kRetry:
-      return "retry";
-    case StoreRead::Cause::kConfirm:
-      return "confirm";
-    case StoreRead::Cause::kFollowStore:
-      return "follow_store";
-    case StoreRead::Cause::kMissingPage:
-      return "missing_page";
-  }
-  return "invalid";
-}
-
 std::optional<StoreRead> StoreReader::nextRead(Time now) {
   if (isReading() || !isActive() || now < nextReadAt()) {
     return std::nullopt;
@@ -209,31 +163,19 @@
 }
 
 void StoreReader::noteGapBefore(Revision listed) {
-  if (!complete_) {
-    tellsFrom_ = listed;
-    return;
+  if (complete_) {
+    history_.Cross({revision_, listed});
+  } else {
+    history_.Begin(listed);
   }
-  rememberGap(revision_, listed);
-}
-
-void StoreReader::rememberGap(Revision from, Revision to) {
-  // Of two gaps the earlier one is not remembered.
-  tellsFrom_ = baseRevision();
-  gapFrom_ = from;
-  gapTo_ = to;
 }
 
-void StoreReader::adoptGap(Revision from, Revision to) {
-  if (to > gapTo_ && to > revision_) {
-    rememberGap(from, to);
+void StoreReader::adoptGap(const HistoryGap& gap) {
+  if (gap.To > revision_) {
+    history_.Cross(gap);
   }
 }
 
-bool StoreReader::hasFollowedSince(Revision have) const {
-  const bool isInGap = have > gapFrom_ && have < gapTo_;
-  return have >= tellsFrom_ && !isInGap;
-}
-
 void StoreReader::onMissingPage(const StoreReply& reply, Time now) {
   // Current pages are not older than this view: every event that it took is in them.
   for (const StoreChange& change : reply.changes) {
@@ -368,7 +310,7 @@
   const bool wasInUse = complete_;
   advance(revision);
   complete_ = true;
-  tellsFrom_ = tellsFrom_ == 0 ? revision : tellsFrom_;
+  history_.BeginIfNew(revision);
   if (!isReading() && !wasInUse) {
     listing_ = false;
     clearListing();
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -33,59 +33,12 @@
 #include "core/listing_plan.h"
 #include "core/random.h"
 #include "core/registration.h"
+#include "core/relay/followed_history.h"
+#include "core/store_read.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
 
-/// One read to be made.
-struct StoreRead {
-  enum class Kind : std::uint8_t { kList, kWatch };
-  /// Why it is made, for logs and metrics; each read costs the store.
-  enum class Cause : std::uint8_t {
-    kFirstListing,  ///< This daemon has no view.
-    kNextPage,      ///< A listing goes on.
-    kListAgain,     ///< The store dropped the history that a watch would need.
-    kCatchUp,       ///< A stale listing is to be brought up to date.
-    kGap,           ///< A peer told of changes that only the store can give.
-    kRetry,         ///< The last read failed.
-    kConfirm,       ///< What a lost read missed is not known, or a suspension is over.
-    kFollowStore,   ///< This daemon reads for itself and its followers.
-    kMissingPage,   ///< A view that is in use lacks back ends.
-  };
-  Kind kind = Kind::kList;
-  Cause cause = Cause::kFirstListing;
-  ListingRange range{};        ///< Listing: the items that are read.
-  bool stale = false;          ///< Listing: an answer that is seconds old will do.
-  std::string afterKey;        ///< Listing: the page begins after this key; empty for the first.
-  Revision afterRevision = 0;  ///< Watch: only changes after this revision.
-  std::chrono::milliseconds wait{0};  ///< Watch: how long the store may wait for a change.
-  Duration timeout{};                 ///< When to give the read up.
-};
-
-enum class ReadOutcome : std::uint8_t {
-  kAnswered,
-  kHistoryGone,     ///< The watch begins before the history that the store kept.
-  kThrottled,       ///< Too many reads.
-  kUnavailable,     ///< The store said that nothing was done.
-  kTimedOut,        ///< No answer in time.
-  kConnectionLost,  ///< Refused, reset or closed.
-  kMalformed,       ///< The answer cannot be understood as a whole.
-  kEraOver,         ///< An older copy of the store than one that has answered before.
-};
-
-const char* toString(ReadOutcome outcome);
-const char* toString(StoreRead::Cause cause);
-
-/// What a read gave.
-struct StoreReply {
-  ReadOutcome outcome = ReadOutcome::kAnswered;
-  std::string reason;  ///< Of a failure.
-  Revision at = 0;     ///< The store's revision; of a failure its era alone.
-  bool hasMore = false;
-  std::string lastKey;  ///< Of a listing's page; the next one begins after it.
-  std::vector<StoreChange> changes;
-};
-
 /// Takes what the reader learns, in the order of the store's answers.
 class StoreSink {
  public:
@@ -128,9 +81,8 @@
 
   /// Takes over changes that make the view complete up to a revision and came from elsewhere.
   void adopt(Revision revision);
-  /// Takes over that a listing of a peer's, complete up to `to`, was compared with a view that was
-  /// complete up to `from`.
-  void adoptGap(Revision from, Revision to);
+  /// Takes over that changes of a peer lead across a gap in the history that it has followed.
+  void adoptGap(const HistoryGap& gap);
   /// Takes over a whole view that replaced this one.
   void replace(Revision revision);
 
@@ -209,16 +161,12 @@
   bool isComplete() const { return complete_; }
   /// @return true where a complete view holds every back end.
   bool isWhole() const { return complete_ && whole_; }
-  /// @return the view that the last listing was compared with, and the listing; zeros: none.
-  std::pair<Revision, Revision> gap() const { return {gapFrom_, gapTo_}; }
+  /// @return which part of the store's history this view has followed.
+  const FollowedHistory& history() const { return history_; }
   /// @return the revision from which on every change was taken; zero where nothing was listed.
-  Revision baseRevision() const { return gapTo_ != 0 ? gapTo_ : tellsFrom_; }
-  /// @return true where every change after `have` was taken, or a listing was compared with a view
-  /// that held as much. A view complete up to a place between that view and the listing may hold
-  /// what nobody here has seen, so nothing that it lacks can be told from here.
-  bool hasFollowedSince(Revision have) const;
+  Revision baseRevision() const { return history_.GetBase(); }
   /// @return true where this view shows all that a view complete up to `have` lacks.
-  bool canTellSince(Revision have) const { return isWhole() && hasFollowedSince(have); }
+  bool canTellSince(Revision have) const { return isWhole() && history_.Covers(have); }
 
   /// Sets how long at most a view in use waits before it is listed again for want of history:
   /// a peer may bring it up to date meanwhile, for far less.
@@ -255,7 +203,6 @@
   void onMissingPage(const StoreReply& reply, Time now);
   /// Notes that a listing replaces changes that are not known.
   void noteGapBefore(Revision listed);
-  void rememberGap(Revision from, Revision to);
   void onEvents(const StoreReply& reply, Time now);
   void onFailure(ReadOutcome outcome, Time now);
   void beginListing();
@@ -312,9 +259,7 @@
   Revision watchedFrom_ = 0;  ///< Base of the watch that is under way, or was last.
   Revision revision_ = 0;     ///< Changes up to this one are known; base of the next watch.
   Revision listedAt_ = 0;     ///< Of the listing's first page.
-  Revision tellsFrom_ = 0;    ///< See hasFollowedSince(); but for what lies between the next two.
-  Revision gapFrom_ = 0;      ///< The view was complete up to here when the history was gone.
-  Revision gapTo_ = 0;        ///< The listing that followed.
+  FollowedHistory history_;
   Duration listPause_{};
   ListingPlan plan_;
   std::set<std::string> listedKeys_;
--- a/src/core/view_messages.h
+++ b/src/core/view_messages.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/registration.h"
+#include "core/relay/followed_history.h"
 #include "core/types.h"
 
 namespace cobaltgauge::core {
@@ -142,11 +143,9 @@
   std::uint64_t readerRank = 0;  ///< Of the daemon whose reading showed that.
   Revision from = 0;             ///< A view complete up to here is brought up to `revision`.
   Revision revision = 0;         ///< Zero: the sender has no view.
-  /// Where the sender last compared a listing with its view, and the changes lead across that: the
-  /// view was complete up to `gapFrom`, the listing up to `gapTo`. Zeros: they do not. A view that
-  /// is complete up to a place between the two cannot take these changes.
-  Revision gapFrom = 0;
-  Revision gapTo = 0;
+  /// Where the changes lead across a gap in the history that the sender has followed. A view that
+  /// is complete up to a place in it cannot take them.
+  HistoryGap gap;
   bool leaving = false;  ///< The sender stops; look for another daemon.
   bool full = false;     ///< Not subscribed; one of `peers` may have room.
   std::vector<ViewBackend> backends;
--- a/src/net/peer_fields.h
+++ b/src/net/peer_fields.h
@@ -39,6 +39,7 @@
 concept IsMessage = std::same_as<std::remove_const_t<M>, T>;
 
 auto fieldsOf(IsMessage<core::Revision> auto& m) { return std::tie(m.era, m.number); }
+auto fieldsOf(IsMessage<core::HistoryGap> auto& m) { return std::tie(m.From, m.To); }
 auto fieldsOf(IsMessage<core::IpAddress> auto& m) { return std::tie(m.isV6, m.bytes); }
 auto fieldsOf(IsMessage<core::Endpoint> auto& m) { return std::tie(m.address, m.port); }
 auto fieldsOf(IsMessage<core::MemberIdentity> auto& m) {
@@ -121,8 +122,8 @@
 }
 auto fieldsOf(IsMessage<core::ViewUpdate> auto& m) {
   return std::tie(m.sender, m.echoUs, m.clockUs, m.confirmedUs, m.readerRank, m.from, m.revision,
-                  m.gapFrom, m.gapTo, m.leaving, m.full, m.backends, m.removals, m.routes, m.peers,
-                  m.outliers, m.evacuations, m.daemons);
+                  m.gap, m.leaving, m.full, m.backends, m.removals, m.routes, m.peers, m.outliers,
+                  m.evacuations, m.daemons);
 }
 auto fieldsOf(IsMessage<core::OutlierObservation> auto& m) {
   return std::tie(m.backend, m.reporter);
--- a/tests/core/relay/store_era_test.cc
+++ b/tests/core/relay/store_era_test.cc
@@ -124,7 +124,7 @@
   this->Store.comeBackFrom(copy);
   this->ChangeRoutes(9);
   BOOST_TEST((this->TimeUntilInForce(9) <= kInForceWithin));
-  const core::Revision before = this->At(0).Reader.gap().first;
+  const core::Revision before = this->At(0).Reader.history().GetGap().From;
   BOOST_TEST(this->At(0).Backends.changesSince(before).dated.empty());
   BOOST_TEST(this->At(0).Backends.size() == 201U);
 }
