--- a/tests/fuzz/fuzz_store_items.cc
+++ b/tests/fuzz/fuzz_store_items.cc
@@ -1,23 +1,55 @@
 /// @file
-/// libFuzzer target: an answer of the platform's store, and what the view does with it.
+/// libFuzzer target: an answer of the platform's store, what the view does with it, and what a
+/// reader does with it as any answer of a store that comes back from older copies.
 #include "core/backend_registry.h"
+#include "core/store_reader.h"
 #include "core/view_updater.h"
 #include "platform/store_items.h"
+#include "sim/seeded_random.h"
+
+namespace {
+
+using namespace cobaltgauge;
+using namespace std::chrono_literals;
+
+struct View {
+  core::EqualWeights weights;
+  core::BackendRegistry backends{60s, weights};
+  core::RouteTable routes{1};
+  core::ViewUpdater updater{backends, routes, [](const core::ViewChange&) {}};
+};
+
+core::StoreReply parse(const std::string& body, std::uint8_t era) {
+  constexpr int kOk = 200;
+  return platform::StoreItems().parse(
+      {net::HttpFailure::kNone, kOk, {{"store-era", std::to_string(era)}}, body});
+}
+
+/// The answer comes again and again, of eras that the bytes of the answer choose.
+void giveToReader(const std::string& body) {
+  View view;
+  sim::SeededRandom random(1);
+  core::StoreReader reader(view.updater, random);
+  core::Time now = 100s;
+  for (std::size_t i = 0; i < std::min<std::size_t>(body.size(), 8); ++i) {
+    now = std::max(now, reader.nextReadAt());
+    if (reader.nextRead(now)) {
+      reader.onReply(parse(body, static_cast<std::uint8_t>(body[i]) % 4), now);
+    }
+  }
+}
+
+}  // namespace
 
 // NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  using namespace cobaltgauge;
-  constexpr int kOk = 200;
   const std::string body(reinterpret_cast<const char*>(data), size);
-  const core::StoreReply reply =
-      platform::StoreItems().parse({net::HttpFailure::kNone, kOk, {}, body});
-  core::EqualWeights weights;
-  core::BackendRegistry backends(std::chrono::seconds(60), weights);
-  core::RouteTable routes(1);
-  core::ViewUpdater updater(backends, routes, [](const core::ViewChange&) {});
+  const core::StoreReply reply = parse(body, 0);
+  View view;
   for (const core::StoreChange& change : reply.changes) {
-    updater.onChange(change, std::chrono::seconds(100));
+    view.updater.onChange(change, 100s);
   }
-  updater.onListed({}, reply.at, std::chrono::seconds(100));
+  view.updater.onListed({}, reply.at, 100s);
+  giveToReader(body);
   return 0;
 }
