Order what a back end says by its numbers only within one run, and leave an unchanged version in place

What callers would see: a back end that starts again under its id, on a platform that does not tell starts, would be kept at its earlier address until its numbers had caught up; each daemon was told all routes at each return of the store, 22 KB where there are 250. Cause: reading the change once more: numbers were compared where nothing says that the run is the same; a version that a listing shows as it was known counted as written again. Change: within an era numbers count only where a start is told and the item was there throughout; a listing of a later era leaves a version in force where it is, as it does back ends.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -43,7 +43,10 @@
 bool BackendRegistry::isOlderStatement(const Entry& entry, const Registration& registration,
                                        Revision revision) {
   const Registration& known = entry.registration;
-  if (registration.startedAtMs != known.startedAtMs) {
+  const bool isOfLaterEra = entry.revision.era < revision.era;
+  // Where starts are not told, or its item was gone, the numbers may have begun anew.
+  const bool isSameRun = known.startedAtMs != 0 && entry.present;
+  if (registration.startedAtMs != known.startedAtMs || (!isOfLaterEra && !isSameRun)) {
     return false;
   }
   if (registration.statement != 0 && known.statement != 0) {
@@ -52,7 +55,7 @@
   // Without numbers, a run that ends is not taken to go on because a copy does not know of its end.
   const bool takesBackEnd =
       known.state == BackendState::kLeaving && registration.state == BackendState::kActive;
-  return takesBackEnd && entry.revision.era < revision.era;
+  return takesBackEnd && isOfLaterEra;
 }
 
 RegistryEvent BackendRegistry::put(const std::string& key, const Registration& written,
--- a/src/core/route_table.h
+++ b/src/core/route_table.h
@@ -59,6 +59,12 @@
   /// remembered any more.
   std::optional<std::vector<StoreChange>> deltasSince(Revision have) const;
 
+  /// @return true where a listing of a later era shows the version in force as it was known before.
+  bool knowsFromEarlierEra(ConfigurationVersion version, Revision revision) const {
+    return version == version_ && changedAt_.era < revision.era &&
+           changedAt_.number == revision.number;
+  }
+
   /// @return the route of an address, or null.
   RouteEntry* find(const Endpoint& endpoint);
   /// @return true where a version dropped this route and none has brought it back.
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -10,15 +10,20 @@
 }
 
 void ViewUpdater::onListedItem(const StoreChange& item, Time now) {
-  const auto* registration = std::get_if<Registration>(&item.item);
-  // Telling each daemon of every back end again would cost 450 KB where there are 10,000.
-  const bool isKnown = registration != nullptr &&
-                       backends_.knowsFromEarlierEra(item.key, *registration, item.revision);
-  if (!isKnown) {
+  // Telling each daemon of everything again would cost 450 KB where there are 10,000 back ends.
+  if (!isKnownFromEarlierEra(item)) {
     onChange(item, now);
   }
 }
 
+bool ViewUpdater::isKnownFromEarlierEra(const StoreChange& item) const {
+  if (const auto* registration = std::get_if<Registration>(&item.item)) {
+    return backends_.knowsFromEarlierEra(item.key, *registration, item.revision);
+  }
+  const auto* routes = std::get_if<RouteSet>(&item.item);
+  return routes != nullptr && routes_.knowsFromEarlierEra(routes->version, item.revision);
+}
+
 bool ViewUpdater::take(const StoreChange& change, const Registration& registration, Time now) {
   const RegistryEvent event = backends_.put(change.key, registration, change.revision, now);
   if (event != RegistryEvent::kNone) {
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -55,6 +55,7 @@
   void reportExpired();
 
  private:
+  bool isKnownFromEarlierEra(const StoreChange& item) const;
   bool take(const StoreChange& change, const Registration& registration, Time now);
   bool take(const StoreChange& change, const RouteSet& routes, Time now);
   bool take(const StoreChange& change, const RouteDelta& delta, Time now);
--- a/tests/core/announced_ends_test.cc
+++ b/tests/core/announced_ends_test.cc
@@ -23,8 +23,11 @@
   core::BackendRegistry backends{60s, weights};
   core::Time now = 100s;
 
+  std::uint64_t startedAtMs = 0;
+
   RegistryEvent say(BackendState state, std::uint64_t statement, Revision revision) {
     core::Registration registration = makeRegistration(1, "web", 1, 1);
+    registration.startedAtMs = startedAtMs;
     registration.state = state;
     registration.statement = statement;
     return backends.put(kKey, registration, revision, now);
@@ -56,12 +59,24 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_older_statement_that_the_store_takes_late_changes_nothing) {
+  startedAtMs = 5;
   say(BackendState::kActive, 10, 20);
   say(BackendState::kLeaving, 12, 21);
   BOOST_TEST((say(BackendState::kActive, 11, 22) == RegistryEvent::kNone));
   BOOST_TEST(!takesNewFlows());
 }
 
+// It has started again under its id, and begins its numbers anew.
+BOOST_AUTO_TEST_CASE(numbers_that_begin_anew_are_taken) {
+  say(BackendState::kActive, 10, 20);
+  BOOST_TEST((say(BackendState::kLeaving, 1, 21) == RegistryEvent::kLeaving));
+  startedAtMs = 5;
+  say(BackendState::kLeaving, 10, 22);
+  backends.remove(kKey, 23, now);
+  say(BackendState::kActive, 1, 24);
+  BOOST_TEST(takesNewFlows());
+}
+
 BOOST_AUTO_TEST_CASE(a_back_end_that_left_and_is_back_in_a_copy_takes_no_new_flow) {
   say(BackendState::kActive, 10, {StoreEra{1}, 20});
   say(BackendState::kLeaving, 12, {StoreEra{1}, 46});
--- a/tests/core/relay/store_era_test.cc
+++ b/tests/core/relay/store_era_test.cc
@@ -129,6 +129,19 @@
   BOOST_TEST(this->At(0).Backends.size() == 201U);
 }
 
+BOOST_AUTO_TEST_CASE(a_version_that_the_copy_has_unchanged_is_not_told_again)
+{
+  this->ChangeRoutes(8);
+  this->Run(5s);
+  const core::Revision written = this->Store.revision();
+  this->Store.comeBackFrom(this->Store.copy());
+  this->Run(2s);
+  for (const auto& node : this->Nodes) {
+    BOOST_TEST((node->Reader.revision().era == this->Store.era()));
+    BOOST_TEST(node->Routes.changedAt() == written);
+  }
+}
+
 /// The seeds are cut off while a back end is added that only the others learn
 /// of; nobody has it any more when all meet again.
 struct LostAddition : ReturningStore
