Failing tests of a log that begins before what its listing showed

The logs: the daemon that read the store had started at 22.19 and listed pages at 58 and 60; its followers at 58 went on to 61 and never had 59 and 60, one of them the announced end.

--- a/tests/core/relay/change_log_test.cc
+++ b/tests/core/relay/change_log_test.cc
@@ -151,6 +151,51 @@
   BOOST_TEST(log.Since(log.GetBase())->Changes.size() <= core::kMostBatches);
 }
 
+// Seen: a back end that had announced its end got flows from followers 3.0 s
+// later.  The daemon that read the store had just started: a later page of its
+// first listing showed the end, newer than the first page, from which the log
+// began.  The watch from there showed it again, and nothing had changed.
+BOOST_AUTO_TEST_CASE(a_first_listing_that_shows_more_than_its_place_is_no_base)
+{
+  core::ChangeLog log;
+  log.Append(Removal(40));
+  log.Append(Removal(60));
+  log.Begin(58);
+  log.Close(61);
+  BOOST_TEST(!log.Since(58).has_value());
+  BOOST_TEST(!log.Since(59).has_value());
+  BOOST_REQUIRE(log.Since(60).has_value());
+  BOOST_TEST(log.Since(60)->Changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(
+  what_a_later_listing_shows_beyond_its_place_is_told_from_there)
+{
+  core::ChangeLog log;
+  log.Close(50);
+  log.MarkIndivisible();
+  log.Append(Removal(55));
+  log.Append(Removal(60));
+  log.Close(58);
+  log.Close(61);
+  const auto fromPlace = log.Since(58);
+  BOOST_REQUIRE(fromPlace.has_value());
+  BOOST_REQUIRE(fromPlace->Changes.size() == 1U);
+  BOOST_TEST(fromPlace->Changes[0].revision == 60U);
+  BOOST_TEST(log.Since(50)->Changes.size() >= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_batch_that_is_left_out_is_no_base_for_what_it_showed)
+{
+  core::ChangeLog log;
+  log.Close(50);
+  for (std::size_t i = 0; i <= core::kHeaviestLog; ++i) {
+    log.Append(Removal(51 + i));
+  }
+  log.Close(58);
+  BOOST_TEST(!log.Since(58).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
