Let the log of changes begin after all that its listing showed

What callers saw: new flows to a back end 3.01 s after it had announced its end, through daemons that followed one that had just started. The log began at the place of the first page and dropped the rest; the watch from there showed the newer items again, which the view had, so nobody recorded them. Followers at the first page's place were told that nothing had changed. Change: a log that keeps nothing of a batch begins after the newest change that it showed; one that keeps it tells what is newer than the batch's place with the next batch as well. Why it holds: whoever is at a place that the log covers is told each change after it; whoever is not is told by the view, or reads.

--- a/src/core/relay/change_log.cc
+++ b/src/core/relay/change_log.cc
@@ -1,6 +1,7 @@
 #include "core/relay/change_log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/constants.h"
@@ -32,6 +33,7 @@
   const std::size_t weight = WeightOf(change);
   this->PendingWeight += weight;
   this->HeaviestPending = std::max(this->HeaviestPending, weight);
+  this->NewestPending = std::max(this->NewestPending, change.revision);
   // Nothing is kept of a batch that will be left out anyway.
   if (this->PendingWeight <= kHeaviestLog) {
     this->Pending.push_back(std::move(change));
@@ -46,19 +48,30 @@
   const bool isFirst = std::exchange(this->Complete, complete) == 0;
   const std::size_t weight = std::exchange(this->PendingWeight, 0);
   const std::size_t heaviest = std::exchange(this->HeaviestPending, 0);
+  const Revision newest = std::exchange(this->NewestPending, 0);
   const bool isWhole = std::exchange(this->Indivisible, false);
   std::vector<StoreChange> changes = std::exchange(this->Pending, {});
   const std::size_t lightest = isWhole ? weight : heaviest;
   if (isFirst || lightest > kHeaviestBatch || weight > kHeaviestLog) {
-    this->Clear();
+    this->Clear(newest);
     return;
   }
+  std::vector<StoreChange> beyond;
+  std::copy_if(changes.begin(),
+               changes.end(),
+               std::back_inserter(beyond),
+               [&complete](const StoreChange& change) {
+                 return change.revision > complete;
+               });
   if (weight <= kHeaviestBatch) {
     this->AddBatch({ complete, std::move(changes), weight });
   } else {
     this->AddInParts(std::move(changes), complete);
   }
   this->DropOldest();
+  for (StoreChange& change : beyond) {
+    this->Append(std::move(change));
+  }
 }
 
 void ChangeLog::AddInParts(std::vector<StoreChange> changes, Revision complete)
@@ -103,11 +116,11 @@
   }
 }
 
-void ChangeLog::Clear()
+void ChangeLog::Clear(const Revision& shown)
 {
   this->Batches.clear();
   this->Weight = 0;
-  this->Base = this->Complete;
+  this->Base = std::max(this->Complete, shown);
 }
 
 std::optional<ChangeExcerpt> ChangeLog::Since(Revision have) const
--- a/src/core/relay/change_log.h
+++ b/src/core/relay/change_log.h
@@ -23,7 +23,10 @@
  * \brief What changed from one revision to the next.
  *
  * Changes are appended as they are taken and closed by the revision up to
- * which the view is then complete.  The log is bounded.  A heavy batch is
+ * which the view is then complete.  The pages of a listing may show changes
+ * that are newer than its place; a watch from there shows them again, as
+ * nothing new.  They belong to the next batch as well, or the log begins after
+ * them.  The log is bounded.  A heavy batch is
  * divided by revision, so that it is passed on in parts; what cannot be
  * divided is left out, and peers that lack it read the store.
  */
@@ -69,7 +72,8 @@
     std::size_t Weight = 0;
   };
 
-  void Clear();
+  /// Forget everything.  \param shown the newest change that was appended.
+  void Clear(const Revision& shown);
   /// Add what was collected as batches that are light enough.
   void AddInParts(std::vector<StoreChange> changes, Revision complete);
   void AddBatch(Batch batch);
@@ -77,6 +81,7 @@
 
   std::deque<Batch> Batches;
   std::vector<StoreChange> Pending;
+  Revision NewestPending = 0;
   std::size_t HeaviestPending = 0; ///< Weight of a single change.
   std::size_t PendingWeight = 0;
   bool Indivisible = false;
