Review: a late write of a dead target makes daemons reset live flows

Cause: BackendRegistry takes the first item that a daemon has seen of a backend for its first registration. A daemon that starts while the late write of a dead target is in the store takes the live target at the same address for superseded, for good. Nothing is fixed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -323,6 +323,9 @@
         sock.setblocking(False)
         self.selector.register(sock, selectors.EVENT_READ, handler)
 
+    def remove(self, sock):
+        self.selector.unregister(sock)
+
     def after(self, seconds, call):
         with self.lock:
             self.count += 1
@@ -350,7 +353,8 @@
 class Target:
     """A target: records itself in the store, holds flows and runs requests."""
 
-    def __init__(self, world, address, port, service, zone):
+    def __init__(self, world, address, port, service, zone, cold_seconds=0.0):
+        self.warm_at = time.monotonic() + cold_seconds
         self.world, self.service, self.zone = world, service, zone
         self.address, self.port = address, port
         self.id = random.getrandbits(40) | 1
@@ -369,7 +373,8 @@
     def entry(self):
         return {"service": self.service, "address": f"{self.address}:{self.port}",
                 "zone": self.zone, "version": "v1", "capacity": 2, "state": self.state,
-                "warmup-left-ms": 0, "sequence": self.sequence}
+                "warmup-left-ms": max(0, int((self.warm_at - time.monotonic()) * 1000)),
+                "sequence": self.sequence}
 
     def beat(self):
         if not self.registered:
@@ -378,6 +383,14 @@
         self.world.store.put_entry(self.key, self.entry())
         self.world.loop.after(HEARTBEAT_SECONDS, self.beat)
 
+    def crash(self):
+        """Ends without a word; its entry stays until it lapses."""
+        self.registered = False
+        self.world.loop.remove(self.socket)
+        self.socket.close()
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
     def leave_silently(self):
         """Takes its entry away without `draining` and serves on."""
         self.registered = False
@@ -575,7 +588,8 @@
         self.log = os.path.join(world.folder, name + ".log")
         self.process, self.is_in, self.missed = None, False, 0
         self.ends = []  # Statuses of processes that ended by themselves.
-        self.stopping = False
+        self.stopping = False  # Is not started again.
+        self.struck = False  # Killed by the test and started again.
 
     def write_settings(self):
         world = self.world
@@ -612,13 +626,21 @@
         status = process.wait()
         if self.stopping or self.world.closing:
             return
-        self.ends.append(status)
-        self.world.record.write(f"daemon {self.name} ended by itself with status {status}")
+        if not self.struck:
+            self.ends.append(status)
+            self.world.record.write(f"daemon {self.name} ended by itself with status {status}")
+        self.struck = False
         time.sleep(0.5)
         if not self.world.closing and not self.stopping:
             self.start()
 
+    def strike(self):
+        """Kills the process; the platform starts it again after a short delay."""
+        self.struck = True
+        self.process.kill()
+
     def kill(self):
+        """Takes the machine away for the rest of the run."""
         self.stopping = True
         self.process.kill()
         self.process.wait()
@@ -691,6 +713,12 @@
             daemon.probe()
             time.sleep(max(0.0, began + PROBE_SECONDS - time.monotonic()))
 
+    def start_target_at(self, address, service, zone, cold_seconds):
+        """Starts a target at the address of one that has ended."""
+        target = Target(self, address, self.target_port, service, zone, cold_seconds)
+        self.targets.append(target)
+        return target
+
     def start_target(self, service, zone):
         number = len(self.targets) + 1
         target = Target(self, self.network.host_address(10 + zone, number), self.target_port,
