Review: pages of listings as the platform gives them, and who reset a flow

The stand-in for the store ends a page at 1 MB as well as at 500 items; review/2 names the daemon that a reset flow passes.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,8 +72,9 @@
     standins.ask_on(flows)
     time.sleep(standins.BOUNDS["flow-ms"] / 1000)
     world.record.say(f"states of the flows: {standins.count_by(flow.state for _, flow in flows)}")
-    return [f"client {client.address}:{flow.port} got a reset of the system at {flow.ended_at:.3f}; "
-            f"its target {new.key} lives, holds the flow and sent none"
+    return [f"client {client.address}:{flow.port} got a reset of the system at {flow.ended_at:.3f} "
+            f"through {world.route(client, flow).name}; its target {new.key} lives, holds the flow "
+            f"and sent none"
             for client, flow in flows
             if flow.state == "reset" and flow.ended_by == "system" and
             ((client.address, flow.port), flow.to) in new.flows]
--- a/review/standins.py
+++ b/review/standins.py
@@ -38,6 +38,7 @@
 HEADER = struct.Struct("<IBIHIIIHHI")  # sum, flags, echo, len, seq, ack, src, dport, sport, dst
 HEARTBEAT_SECONDS = 1.2
 HISTORY_SECONDS = 20.0
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20  # Of a listing.
 SYN_COPIES_SECONDS = (0.2, 0.6)
 SYN_LIMIT_SECONDS = 1.4
 RETRANSMIT_SECONDS = (0.2, 0.4, 0.8, 1.6, 1.6)
@@ -267,14 +268,21 @@
         prefix = query.get("path-prefix", "")
         with self.changed:
             if parts.path == "/kv-range":
-                keys = sorted(key for key in self.items
-                              if key.startswith(prefix) and key > query.get("after", ""))
-                return 200, {"items": [self.items[key] for key in keys[:500]],
-                             "has-more": len(keys) > 500, "at": self.revision}
+                return self.range(prefix, query.get("after", ""))
             if parts.path != "/kv-watch":
                 return 404, {}
             return self.watch(name, int(query["after"]), prefix, int(query["wait-ms"]) / 1000)
 
+    def range(self, prefix, after):
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        page, size = [], 0
+        for key in keys[:PAGE_ITEMS]:
+            size += len(self.items[key].get("value", ""))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(self.items[key])
+        return 200, {"items": page, "has-more": len(keys) > len(page), "at": self.revision}
+
     def watch(self, name, after, prefix, wait):
         self.watchers[name] = time.monotonic()
 
