Registrations reset no flow; the backend at the address does

Cause: a daemon concluded from revisions which backend of an address is the later one, with the first revision that it had itself seen of each. A delayed write of a backend that had ended, applied after its item had expired, looks like the first write of a new backend to every daemon that did not know the old item. Such a daemon took the live backend for superseded, reset its flows, and never looked at the address again: neither the removal of the late item nor a heartbeat ended the verdict. Daemons that had watched all along named the ended backend in packets of the live one's flows, which the live one ignores. And flows that a daemon had seen before it knew their backend were reset when that backend registered.

Change: the items alone cannot tell a delayed write from a new backend, so no flow is reset because of them. Packets of open flows go to the address for whichever backend is there; it has the flow, or resets it rightly. Idle flows of an address at which another backend registers get a keepalive, a copy of the client's last acknowledgement, so that a backend that does not have them resets them before the next request. Claims order the backends of an address for new flows by the items in the store alone, and are evaluated again with every change at the address. The refusal reason backend_ended is gone.

Why it holds: only one process runs at an address, and it knows its flows, so neither an order of arrival nor a wrong view can reset a live flow.

--- a/src/core/backend_candidates.cc
+++ b/src/core/backend_candidates.cc
@@ -15,12 +15,14 @@
           entry.weight,
           entry.warmUntil,
           region == regions_.end() ? kNoRegion : region->second,
-          entry.address.zone};
+          entry.address.zone,
+          entry.claim == AddressClaim::kContested};
 }
 
 bool BackendRegistry::isServing(const Entry& entry) const {
   // If two backends have the same token, only the first accepts flows.
-  return tokens_.OwnsHash(entry.address.id) && entry.present && !entry.superseded &&
+  return tokens_.OwnsHash(entry.address.id) && entry.present &&
+         entry.claim != AddressClaim::kSuperseded &&
          entry.registration.state == BackendState::kActive;
 }
 
@@ -110,7 +112,8 @@
 
 bool BackendRegistry::wasRemovedUnannounced(const Entry& entry, Time since) const {
   const bool unannounced = entry.registration.state == BackendState::kActive;
-  return !entry.present && !entry.superseded && unannounced && entry.removedAt > since &&
+  const bool isAddressFree = entry.claim == AddressClaim::kUndisputed;
+  return !entry.present && isAddressFree && unannounced && entry.removedAt > since &&
          !evacuations_.IsEvacuated(entry.registration.zone);
 }
 
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -1,7 +1,7 @@
 #include "core/backend_registry.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 #include "core/hashing.h"
 
@@ -80,6 +80,7 @@
   if (registration.startedAtMs < startedBefore) {
     // A delayed write of the previous incarnation.
     known->second.revision = revision;
+    updateClaims(known->second.address.endpoint);
     return RegistryEvent::kNone;
   }
   const bool hasRestarted = startedBefore != 0 && registration.startedAtMs > startedBefore;
@@ -92,15 +93,11 @@
   Entry& entry = entries_[key];
   const bool sameContent =
       !isNew && entry.present && entry.registration.hasSameContentAs(registration);
-  // A backend that the restored store lacked may be written after a stale one at its address.
-  const bool isRewritten = !entry.present && entry.firstRevision.era < revision.era;
   entry.registration = registration;
   entry.address = {registration.id, serviceIdOf(registration.service), registration.endpoint, 0,
                    zoneIdOf(registration.zone)};
   entry.revision = revision;
-  entry.firstRevision = isNew || hasRestarted || isRewritten ? revision : entry.firstRevision;
   entry.present = true;
-  entry.superseded = false;
   if (!sameContent) {
     entry.warmUntil = now + registration.remainingWarmUp;
     entry.weight = weights_.weightOf(registration);
@@ -111,7 +108,7 @@
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
   tokens_.AddAddress(registration.endpoint);
-  markSuperseded(registration.endpoint);
+  updateClaims(registration.endpoint);
   refreshCandidate(entry);
   if (isNew) {
     return RegistryEvent::kAdded;
@@ -141,21 +138,31 @@
   if (keys->second.empty()) {
     endpoints_.erase(keys);
     tokens_.RemoveAddress(endpoint);
+    return;
   }
+  updateClaims(endpoint);
 }
 
-void BackendRegistry::markSuperseded(const Endpoint& endpoint) {
-  // A listing returns the backends of an address in any order.
-  const std::set<std::string>& keys = endpoints_[endpoint];
-  Revision last = 0;
-  for (const std::string& key : keys) {
-    const Entry& entry = entries_.at(key);
-    last = std::max(last, entry.present ? entry.firstRevision : 0);
+AddressClaimant BackendRegistry::claimantOf(const Entry& entry) {
+  return {entry.registration.startedAtMs, entry.present, entry.revision};
+}
+
+void BackendRegistry::updateClaims(const Endpoint& endpoint) {
+  const auto keys = endpoints_.find(endpoint);
+  if (keys == endpoints_.end()) {
+    return;
   }
-  for (const std::string& key : keys) {
+  AddressClaims claims;
+  for (const std::string& key : keys->second) {
+    claims.Add(claimantOf(entries_.at(key)));
+  }
+  for (const std::string& key : keys->second) {
     Entry& entry = entries_.at(key);
-    if (!entry.superseded && entry.revision < last) {
-      entry.superseded = true;
+    const AddressClaim claim = claims.GetClaim(claimantOf(entry));
+    if (claim > entry.claim) {
+      reassigned_.push_back(entry.address.id);
+    }
+    if (std::exchange(entry.claim, claim) != claim) {
       refreshCandidate(entry);
     }
   }
@@ -187,6 +194,7 @@
   entry.removedAt = now;
   removals_[entry.address.service].emplace_back(now, key);
   refreshCandidate(entry);
+  updateClaims(entry.address.endpoint);
 }
 
 std::vector<std::string> BackendRegistry::retainOnly(const std::set<std::string>& keys,
@@ -216,8 +224,7 @@
   const Entry* last = nullptr;
   for (const std::string& key : keys->second) {
     const Entry& entry = entries_.at(key);
-    const bool isLater = last == nullptr || std::tie(entry.present, entry.revision) >
-                                                std::tie(last->present, last->revision);
+    const bool isLater = last == nullptr || IsLaterClaimant(claimantOf(entry), claimantOf(*last));
     last = isLater ? &entry : last;
   }
   return last == nullptr ? nullptr : &last->address;
@@ -248,9 +255,9 @@
   return isPresent ? &entry->second.registration : nullptr;
 }
 
-bool BackendRegistry::isSuperseded(BackendId id) const {
+AddressClaim BackendRegistry::claimOf(BackendId id) const {
   const auto key = keys_.find(id);
-  return key != keys_.end() && entries_.at(key->second).superseded;
+  return key == keys_.end() ? AddressClaim::kUndisputed : entries_.at(key->second).claim;
 }
 
 bool BackendRegistry::putEvacuation(const std::string& key, const std::string& zone,
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/addresses/address_claim.h"
 #include "core/placement/candidate_list.h"
 #include "core/placement_weights.h"
 #include "core/registration.h"
@@ -110,10 +111,10 @@
   std::vector<BackendId> takeRestarted() { return std::exchange(restarted_, {}); }
   /// @return the latest registration of the backend, or null.
   const Registration* registrationOf(BackendId id) const;
-  /// @return true if another backend registered at the same address after the last update of this
-  /// one. If each of two backends was updated after the other one's first registration, for example
-  /// by a delayed write, neither is superseded.
-  bool isSuperseded(BackendId id) const;
+  /// @return what the other registrations at its address tell about a backend.
+  AddressClaim claimOf(BackendId id) const;
+  /// @return backends at whose address another one has registered since the last call.
+  std::vector<BackendId> takeReassigned() { return std::exchange(reassigned_, {}); }
   /// @return true if the backend may get new flows.
   bool takesNewFlows(BackendId id) const;
 
@@ -166,9 +167,8 @@
     Registration registration;
     BackendAddress address;
     Revision revision = 0;
-    Revision firstRevision = 0;          ///< Of its first known item.
-    bool present = true;                 ///< Its item is in the store.
-    bool superseded = false;             ///< A later backend registered at its address.
+    bool present = true;  ///< Its item is in the store.
+    AddressClaim claim = AddressClaim::kUndisputed;
     bool isRemovalRevisionExact = true;  ///< If false, `revision` is an upper bound.
     Time removedAt{};
     Time warmUntil{};
@@ -192,7 +192,9 @@
   bool isCandidate(const Entry& entry) const;
   /// Clears all cached candidate lists if evacuations have changed.
   void clearCandidatesIf(bool changed);
-  void markSuperseded(const Endpoint& endpoint);
+  static AddressClaimant claimantOf(const Entry& entry);
+  /// Evaluates the claims of all backends at an address after one of them has changed.
+  void updateClaims(const Endpoint& endpoint);
   /// @return the current or latest backend at an address, or null.
   const BackendAddress* findLastAt(const Endpoint& endpoint) const;
   /// Records that an item is no longer in the store.
@@ -219,6 +221,7 @@
   /// Removal times and keys by service, oldest first, until discarded.
   std::unordered_map<ServiceId, std::deque<std::pair<Time, std::string>>> removals_;
   std::vector<BackendId> restarted_;
+  std::vector<BackendId> reassigned_;  ///< See takeReassigned().
   ZoneEvacuations evacuations_;
   std::vector<std::string> expired_;         ///< See takeExpiredEvacuations().
   std::map<std::string, RegionId> regions_;  ///< By zone.
--- a/src/core/placement/local_demotions.h
+++ b/src/core/placement/local_demotions.h
@@ -1,5 +1,5 @@
 /// @file
-/// Demotions based on the observations of this daemon.
+/// Demotions based on the observations and the view of this daemon.
 #pragma once
 
 #include <vector>
@@ -32,6 +32,19 @@
   const BackendHealth& Health;
 };
 
+/** \class ContestedAddressDemotion
+ * \brief Deprioritizes backends whose address seems to have been reassigned.
+ */
+class ContestedAddressDemotion : public Demotion
+{
+public:
+  bool IsDeprioritized(const PlacementCandidate& candidate,
+                       Time /*now*/) const override
+  {
+    return candidate.isContested;
+  }
+};
+
 /** \class OutlierDemotion
  * \brief Deprioritizes outliers if they are few among the candidates.
  *
--- a/src/core/placement/placement_candidate.h
+++ b/src/core/placement/placement_candidate.h
@@ -18,6 +18,8 @@
   Time warmUntil{}; ///< End of the warm-up.
   RegionId region = kNoRegion;
   ZoneId zone = kNoZone;
+  /// A later registration is at its address; see AddressClaim::kContested.
+  bool isContested = false;
 };
 
 } // namespace cobaltgauge::core
--- a/src/core/token_flows.cc
+++ b/src/core/token_flows.cc
@@ -53,6 +53,17 @@
   return backends;
 }
 
+std::vector<TokenFlow> TokenFlows::takeAcknowledgements(BackendId backend) {
+  std::vector<TokenFlow> taken;
+  for (TokenFlow& flow : lruOrder_) {
+    if (flow.backend == backend && !flow.closed && !flow.lastAcknowledgement.empty()) {
+      taken.push_back(flow);
+      flow.lastAcknowledgement.clear();
+    }
+  }
+  return taken;
+}
+
 std::vector<TokenFlow> TokenFlows::removeFlowsOf(BackendId backend) {
   std::vector<TokenFlow> taken;
   for (auto flow = lruOrder_.begin(); flow != lruOrder_.end();) {
--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -25,6 +25,8 @@
   std::uint32_t acknowledgement = 0;
   bool closed = false;     ///< Closed by the client; kept for trailing packets.
   bool responded = false;  ///< The client acknowledged a response of the backend.
+  /// The client's last packet if it carried no data, else empty.
+  std::vector<std::uint8_t> lastAcknowledgement = {};
 };
 
 class TokenFlows {
@@ -50,6 +52,9 @@
   std::uint32_t openFlowCount(BackendId backend) const;
   /// @return all backends with open flows.
   std::vector<BackendId> backendsWithFlows() const;
+  /// @return the open flows of a backend whose last packet was an acknowledgement, which is removed
+  /// from them.
+  std::vector<TokenFlow> takeAcknowledgements(BackendId backend);
   /// Removes all open flows of a backend. @return the removed flows.
   std::vector<TokenFlow> removeFlowsOf(BackendId backend);
 
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -36,6 +36,7 @@
       chooser_(
           {backends_, routes_, flows_, pacer_, warmUpBudget_, responseTimes_, random, spillover_}) {
   chooser_.AddDemotion(suspectDemotion_);
+  chooser_.AddDemotion(contestedAddressDemotion_);
   chooser_.AddDemotion(outlierDemotion_);
   chooser_.AddDemotion(unreachableGroups_);
 }
@@ -55,15 +56,12 @@
   if (backend == nullptr) {
     return steerUnknownBackend(packet);
   }
-  if (backends_.isSuperseded(backend->id)) {
-    resetFlowsOf(backend->id, RefuseReason::kBackendEnded);
-    return refuse(RefuseReason::kBackendEnded, RefusalCertainty::kOutcomeUnknown);
-  }
   if (options_.resetDeadFlows && health_.isDead(backend->id)) {
     return refuse(RefuseReason::kBackendDead, RefusalCertainty::kOutcomeUnknown);
   }
   observePacket(packet, *backend, now);
-  return forward(*backend, RouteReason::kCarriedToken);
+  // The view may name another backend of the address than the one that has the flow.
+  return forward(*backend, RouteReason::kCarriedToken, Recipient::kAnyAtAddress);
 }
 
 Verdict TokenSteering::steerUnknownBackend(const PacketSummary& packet) {
@@ -72,11 +70,10 @@
   if (!endpoint) {
     return Drop{DropReason::kUnknownToken};
   }
-  // Without an id, any backend at the address receives the packet. A backend that does not have the
-  // flow resets it, which is correct because the original backend has ended.
   BackendAddress backend;
   backend.endpoint = *endpoint;
-  return ForwardToBackend{backend, routes_.version(), RouteReason::kResolvedToken, packet.token};
+  return ForwardToBackend{backend, routes_.version(), RouteReason::kResolvedToken, packet.token,
+                          Recipient::kAnyAtAddress};
 }
 
 std::optional<std::uint16_t> TokenSteering::takeDiscoveredPort() {
@@ -102,7 +99,9 @@
     TokenFlow learned{fingerprint, packet.flow, backend.id};
     learned.acknowledgement = packet.acknowledgement;
     learned.responded = true;
-    recordData(packet, flows_.put(learned, now), backend, now);
+    flow = &flows_.put(learned, now);
+    retainAcknowledgement(packet, *flow);
+    recordData(packet, *flow, backend, now);
     return;
   }
   const bool newBytes = packet.acknowledgement != flow->acknowledgement;
@@ -110,10 +109,19 @@
     recordResponse(*flow, backend, now);
     flow->acknowledgement = packet.acknowledgement;
   }
+  retainAcknowledgement(packet, *flow);
   recordData(packet, *flow, backend, now);
   flows_.touch(*flow, now);
 }
 
+void TokenSteering::retainAcknowledgement(const PacketSummary& packet, TokenFlow& flow) {
+  if (packet.dataLength == 0) {
+    flow.lastAcknowledgement.assign(packet.bytes.begin(), packet.bytes.end());
+  } else {
+    flow.lastAcknowledgement.clear();
+  }
+}
+
 void TokenSteering::recordResponse(TokenFlow& flow, const BackendAddress& backend, Time now) {
   health_.onResponse(flow.backend, now);
   recordDomainResponse(flow.backend, now);
@@ -168,8 +176,9 @@
   return Refuse{RefusalForm::kReset, certainty, reason, std::chrono::seconds(1)};
 }
 
-Verdict TokenSteering::forward(const BackendAddress& backend, RouteReason reason) const {
-  return ForwardToBackend{backend, routes_.version(), reason, backends_.tokenFor(backend)};
+ForwardToBackend TokenSteering::forward(const BackendAddress& backend, RouteReason reason,
+                                        Recipient recipient) const {
+  return {backend, routes_.version(), reason, backends_.tokenFor(backend), recipient};
 }
 
 void TokenSteering::reportLateResponses(Time now) {
@@ -226,7 +235,7 @@
       outliers_->OnLateResponse(backend);
     }
     if (options_.resetDeadFlows) {
-      resetFlowsOf(backend, RefuseReason::kBackendDead);
+      resetFlowsOf(backend);
     }
   }
 }
@@ -240,18 +249,24 @@
   return flows;
 }
 
-void TokenSteering::resetFlowsOf(BackendId backend, RefuseReason reason) {
+void TokenSteering::resetFlowsOf(BackendId backend) {
   for (const TokenFlow& flow : discardFlowsOf(backend)) {
-    resets_.push_back({flow.key, flow.acknowledgement, backend, reason});
+    resets_.push_back({flow.key, flow.acknowledgement, backend, RefuseReason::kBackendDead});
   }
 }
 
 std::vector<FlowReset> TokenSteering::takeResets() { return std::exchange(resets_, {}); }
 
-void TokenSteering::resetFlowsOfEndedBackends() {
-  for (const BackendId id : flows_.backendsWithFlows()) {
-    if (backends_.isSuperseded(id)) {
-      resetFlowsOf(id, RefuseReason::kBackendEnded);
+void TokenSteering::sendKeepAlivesToReassigned() {
+  for (const BackendId id : backends_.takeReassigned()) {
+    const BackendAddress* backend = backends_.find(id);
+    if (backend == nullptr || flows_.openFlowCount(id) == 0) {
+      continue;
+    }
+    const ForwardToBackend recipient =
+        forward(*backend, RouteReason::kCarriedToken, Recipient::kAnyAtAddress);
+    for (TokenFlow& flow : flows_.takeAcknowledgements(id)) {
+      keepAlives_.push_back({flow.key, recipient, std::move(flow.lastAcknowledgement)});
     }
   }
 }
@@ -285,7 +300,7 @@
   if (admission_ != nullptr) {
     admission_->Expire(now);
   }
-  resetFlowsOfEndedBackends();
+  sendKeepAlivesToReassigned();
   backends_.discardExpired(now);
   routes_.discardRemoved(now, options_.longestFlow);
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -3,8 +3,9 @@
 /// without state; only connection attempts need a decision. See docs/design/004-carried-token.md.
 ///
 /// Invariants:
-///  - An established flow is never moved to another backend. It is reset only if its backend has
-///    ended, its backend was unresponsive and failed a probe, or its route was removed.
+///  - An established flow is never moved to another backend. It is reset only if its backend was
+///    unresponsive and failed a probe, or its route was removed. Registrations reset no flow: only
+///    the backend at an address knows whether it has a flow.
 ///  - A connection attempt is refused only if the view is known to be current.
 #pragma once
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "core/admission/priority_admission.h"
@@ -91,11 +93,10 @@
     viewCoversAllBackends_ = coversAllBackends;
   }
   bool hasCompleteView() const { return viewComplete_; }
-  /// To be called after the view has changed. Resets idle flows of backends whose address was
-  /// reassigned, so that no further request is sent on them.
+  /// To be called after the view has changed.
   void onViewChanged() {
     discardRestartedBackends();
-    resetFlowsOfEndedBackends();
+    sendKeepAlivesToReassigned();
   }
   /// To be called after the process was suspended. Connection attempts are dropped until
   /// onQueueDrained(), because clients have retransmitted the queued ones and a second response
@@ -156,6 +157,9 @@
 
   /// @return flows that are to be reset at their clients because the backend is gone.
   std::vector<FlowReset> takeResets();
+  /// @return packets to be sent on idle flows, so that none of them is used for a further request
+  /// if its backend has ended.
+  std::vector<FlowKeepAlive> takeKeepAlives() { return std::exchange(keepAlives_, {}); }
 
   BackendRegistry& backends() { return backends_; }
   const BackendRegistry& backends() const { return backends_; }
@@ -185,6 +189,8 @@
   /// @return true if operators have evacuated zones of the route's backends.
   bool isEvacuated(const Route& route) const;
   void observePacket(const PacketSummary& packet, const BackendAddress& backend, Time now);
+  /// Keeps the packet for keepalives if it carries no data.
+  static void retainAcknowledgement(const PacketSummary& packet, TokenFlow& flow);
   /// Records a response of a flow's backend. @param backend the backend of the flow.
   void recordResponse(TokenFlow& flow, const BackendAddress& backend, Time now);
   void recordDomainResponse(BackendId backend, Time now);
@@ -201,13 +207,16 @@
   void reportLateResponses(Time now);
   /// Removes all open flows of a backend. @return the removed flows.
   std::vector<TokenFlow> discardFlowsOf(BackendId backend);
-  void resetFlowsOf(BackendId backend, RefuseReason reason);
-  void resetFlowsOfEndedBackends();
+  /// Resets all open flows of a dead backend.
+  void resetFlowsOf(BackendId backend);
+  /// Prepares keepalives on the flows of backends whose address may have been reassigned.
+  void sendKeepAlivesToReassigned();
   /// Removes the state of earlier incarnations of backends. Their flows are left to the backends to
   /// reset, since some may belong to the new incarnation.
   void discardRestartedBackends();
   Verdict refuse(RefuseReason reason, RefusalCertainty certainty) const;
-  Verdict forward(const BackendAddress& backend, RouteReason reason) const;
+  ForwardToBackend forward(const BackendAddress& backend, RouteReason reason,
+                           Recipient recipient = Recipient::kBackend) const;
 
   TokenSteeringOptions options_;
   Random& random_;
@@ -224,6 +233,7 @@
   std::unordered_map<Endpoint, Time, EndpointHash>
       emptySince_;  ///< Start time, by route without backends.
   std::vector<FlowReset> resets_;
+  std::vector<FlowKeepAlive> keepAlives_;
   VerdictCounters counters_;
   OpeningDecision decision_;
   OutlierDetector* outliers_ = nullptr;
@@ -233,6 +243,7 @@
   LoadMeter* load_ = nullptr;
   ResponseTimeTracker responseTimes_;
   SuspectDemotion suspectDemotion_{health_};
+  ContestedAddressDemotion contestedAddressDemotion_;
   OutlierDemotion outlierDemotion_;
   ZoneSpillover spillover_;
   BackendChooser chooser_;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <span>
 #include <string>
 
 namespace cobaltgauge::core {
@@ -58,10 +59,11 @@
   std::uint32_t length = 0;  ///< Inner packet length in bytes.
   // The fields below are set only for packet formats that carry a token.
   SteeringToken token = kNoToken;
-  std::uint32_t openingRetransmission = 0;  ///< Number of earlier copies from the client.
-  std::uint32_t acknowledgement = 0;        ///< Last acknowledgement number of the client.
-  std::uint32_t sequence = 0;               ///< Sequence number of the first data byte.
-  std::uint32_t dataLength = 0;             ///< Data length in bytes.
+  std::uint32_t openingRetransmission = 0;   ///< Number of earlier copies from the client.
+  std::uint32_t acknowledgement = 0;         ///< Last acknowledgement number of the client.
+  std::uint32_t sequence = 0;                ///< Sequence number of the first data byte.
+  std::uint32_t dataLength = 0;              ///< Data length in bytes.
+  std::span<const std::uint8_t> bytes = {};  ///< The packet; valid only during the call.
 };
 
 /// Keyed 64-bit hash of a flow key. Never zero.
--- a/src/core/verdict.cc
+++ b/src/core/verdict.cc
@@ -92,8 +92,6 @@
       return "no_route";
     case RefuseReason::kRouteDropped:
       return "route_dropped";
-    case RefuseReason::kBackendEnded:
-      return "backend_ended";
     case RefuseReason::kEvacuated:
       return "evacuated";
     case RefuseReason::kOverloaded:
--- a/src/core/verdict.h
+++ b/src/core/verdict.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstddef>
 #include <variant>
+#include <vector>
 
 #include "core/configuration.h"
 #include "core/types.h"
@@ -50,13 +51,12 @@
   kPartitioned,   ///< A network partition may hide records of the flow.
   kNoRoute,       ///< No current route has this address and port.
   kRouteDropped,  ///< The route of the flow was removed.
-  kBackendEnded,  ///< The backend has ended; another one uses its address.
   kBackendDead,   ///< The backend was unresponsive and failed a probe.
   kEvacuated,     ///< Operators evacuated the zones of all backends.
   kWarmingUp,     ///< All backends are at their warm-up rate limits.
   kOverloaded,    ///< Backends are overloaded; higher priorities are admitted.
 };
-inline constexpr std::size_t kRefuseReasons = 11;
+inline constexpr std::size_t kRefuseReasons = 10;
 
 /// Whether a refused request may have been executed.
 enum class RefusalCertainty : std::uint8_t {
@@ -64,12 +64,20 @@
   kOutcomeUnknown,  ///< A copy may have reached a backend.
 };
 
+/// Which backend may accept a packet at the address it is sent to.
+enum class Recipient : std::uint8_t {
+  kBackend,  ///< Only the selected one.
+  /// Whichever runs there. It has the flow, or resets it because the flow's backend has ended.
+  kAnyAtAddress,
+};
+
 /// Forward the packet to a backend.
 struct ForwardToBackend {
   BackendAddress backend;
   ConfigurationVersion version = 0;
   RouteReason reason = RouteReason::kKnownFlow;
   SteeringToken token = kNoToken;  ///< Written into the packet unless kNoToken.
+  Recipient recipient = Recipient::kBackend;
 };
 
 /// Forward the packet to the daemon that can decide.
@@ -101,6 +109,14 @@
   RefuseReason reason = RefuseReason::kBackendDead;
 };
 
+/// A copy of the client's last acknowledgement, sent to an address whose backend may have changed.
+/// A backend that has the flow ignores it; any other one resets the flow.
+struct FlowKeepAlive {
+  FlowKey flow;
+  ForwardToBackend forward;
+  std::vector<std::uint8_t> packet;
+};
+
 using Verdict = std::variant<ForwardToBackend, ForwardToPeer, Refuse, Drop>;
 
 /// Packet counters by verdict.
--- a/src/daemon/backend_probes.cc
+++ b/src/daemon/backend_probes.cc
@@ -33,6 +33,10 @@
     packets_.refuse(reset.flow, reset.acknowledgement);
     logReset(reset, reader_.revision());
   }
+  for (const core::FlowKeepAlive& keepAlive : steering_.takeKeepAlives()) {
+    packets_.sendKeepAlive(keepAlive);
+    logKeepAlive(keepAlive, reader_.revision());
+  }
   executeReachabilityAndGroupProbes(now);
 }
 
--- a/src/daemon/backend_probes.h
+++ b/src/daemon/backend_probes.h
@@ -1,6 +1,6 @@
 /// @file
-/// Executes the probes and resets that the steering has requested, and reports reachability
-/// changes to peers and the log.
+/// Executes the probes, resets and keepalives that the steering has requested, and reports
+/// reachability changes to peers and the log.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -21,7 +21,8 @@
   BackendProbes(asio::io_context& context, core::TokenSteering& steering, PacketPort& packets,
                 PeerLink& peers, const core::StoreReader& reader);
 
-  /// Starts all pending probes, sends pending resets, and reports changes of the reachability.
+  /// Starts all pending probes, sends pending resets and keepalives, and reports changes of the
+  /// reachability.
   void executePending(core::Time now);
   /// Like executePending(), but without failure probes of single backends and without resets.
   void executeReachabilityAndGroupProbes(core::Time now);
--- a/src/daemon/packet_port.cc
+++ b/src/daemon/packet_port.cc
@@ -86,8 +86,7 @@
   }
   const core::Verdict verdict = steering_.onPacket(*summary, now);
   if (const auto* forward = std::get_if<core::ForwardToBackend>(&verdict)) {
-    format_.prepareForward(*forward, datagram);
-    counters_.sentToBackends += send(forward->backend.endpoint, datagram) ? 1U : 0U;
+    counters_.sentToBackends += this->forward(*forward, datagram) ? 1U : 0U;
   } else if (std::holds_alternative<core::Refuse>(verdict)) {
     refuse(summary->flow, summary->acknowledgement);
   }
@@ -122,6 +121,17 @@
   counters_.refusalsSent += send(format_.clientEndpoint(flow, local_), refusal) ? 1U : 0U;
 }
 
+void PacketPort::sendKeepAlive(const core::FlowKeepAlive& keepAlive) {
+  std::vector<std::uint8_t> datagram(format_.prefixBytes());
+  datagram.insert(datagram.end(), keepAlive.packet.begin(), keepAlive.packet.end());
+  counters_.keepAlivesSent += forward(keepAlive.forward, datagram) ? 1U : 0U;
+}
+
+bool PacketPort::forward(const core::ForwardToBackend& forward, std::span<std::uint8_t> datagram) {
+  format_.prepareForward(forward, datagram);
+  return send(forward.backend.endpoint, datagram);
+}
+
 bool PacketPort::send(const core::Endpoint& destination, net::ByteView bytes) {
   asio::error_code error;
   socket_.send_to(asio::buffer(bytes.data(), bytes.size()), net::toUdp(destination), 0, error);
--- a/src/daemon/packet_port.h
+++ b/src/daemon/packet_port.h
@@ -21,6 +21,7 @@
   std::uint64_t received = 0;
   std::uint64_t sentToBackends = 0;
   std::uint64_t refusalsSent = 0;
+  std::uint64_t keepAlivesSent = 0;
   std::uint64_t sendErrors = 0;
   std::uint64_t retried = 0;  ///< Packets reprocessed after the view changed.
   std::array<std::uint64_t, net::kPacketFormatErrorCount> formatErrors{};
@@ -39,6 +40,8 @@
   /// Reprocesses queued packets. Must be called when the view has changed.
   void retryPending(core::Time now);
 
+  void sendKeepAlive(const core::FlowKeepAlive& keepAlive);
+
   /// Sends a refusal of the flow to its client.
   void refuse(const core::FlowKey& flow, std::uint32_t acknowledgement);
 
@@ -62,6 +65,7 @@
   void onPacket(std::span<std::uint8_t> datagram, core::Time arrivedAt, core::Time now);
   void queueIfViewIncomplete(const core::Verdict& verdict, net::ByteView packet,
                              core::Time arrivedAt);
+  bool forward(const core::ForwardToBackend& forward, std::span<std::uint8_t> datagram);
   bool send(const core::Endpoint& destination, net::ByteView bytes);
 
   net::PacketFormat& format_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -100,6 +100,15 @@
             {"revision", toString(viewRevision)}});
 }
 
+void logKeepAlive(const core::FlowKeepAlive& keepAlive, core::Revision viewRevision) {
+  logEvent(LogLevel::kInfo, "flow_keepalive",
+           {{"flow", formatFlow(keepAlive.flow)},
+            {"reason", "address_reassigned"},
+            {"backend", hex(keepAlive.forward.backend.id)},
+            {"address", net::formatEndpoint(keepAlive.forward.backend.endpoint)},
+            {"revision", toString(viewRevision)}});
+}
+
 void logReset(const core::FlowReset& reset, core::Revision viewRevision) {
   logEvent(LogLevel::kWarning, "flow_reset",
            {{"flow", formatFlow(reset.flow)},
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -15,6 +15,9 @@
 void logVerdict(const core::PacketSummary& packet, const core::Verdict& verdict,
                 const core::TokenSteering& steering, core::Revision viewRevision);
 
+/// Logs that a keepalive was sent on a flow.
+void logKeepAlive(const core::FlowKeepAlive& keepAlive, core::Revision viewRevision);
+
 /// Logs that a flow was reset because its backend is gone.
 void logReset(const core::FlowReset& reset, core::Revision viewRevision);
 
--- a/tests/core/tokens/address_token_steering_test.cc
+++ b/tests/core/tokens/address_token_steering_test.cc
@@ -99,6 +99,7 @@
   BOOST_REQUIRE(forward != nullptr);
   BOOST_TEST((forward->backend.endpoint == opened.backend.endpoint));
   BOOST_TEST((forward->backend.id == core::kNoBackend));
+  BOOST_TEST((forward->recipient == core::Recipient::kAnyAtAddress));
   BOOST_TEST((forward->reason == RouteReason::kResolvedToken));
 }
 
--- a/tests/daemon/packet_port_test.cc
+++ b/tests/daemon/packet_port_test.cc
@@ -84,6 +84,21 @@
   BOOST_TEST(receivedByBackend() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(keepalive_is_sent_to_any_backend_at_the_address) {
+  core::FlowKeepAlive keepAlive;
+  keepAlive.forward.backend.id = core::BackendId{9};
+  keepAlive.forward.backend.endpoint = net::fromUdp(backend.local_endpoint());
+  keepAlive.forward.recipient = core::Recipient::kAnyAtAddress;
+  keepAlive.packet = opening();
+  port.sendKeepAlive(keepAlive);
+  std::vector<std::uint8_t> received(64);
+  received.resize(backend.receive(asio::buffer(received)));
+  std::vector<std::uint8_t> expected(8, 0);
+  expected.insert(expected.end(), keepAlive.packet.begin(), keepAlive.packet.end());
+  BOOST_TEST(received == expected);
+  BOOST_TEST(port.counters().keepAlivesSent == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_packets_are_counted_by_reason) {
   sendToPort({1, 2, 3});
   const auto index = static_cast<std::size_t>(net::PacketFormatError::kShort);
--- a/tests/platform/packet_header_test.cc
+++ b/tests/platform/packet_header_test.cc
@@ -88,6 +88,20 @@
   BOOST_TEST(std::vector<std::uint8_t>(datagram.begin() + 8, datagram.end()) == expected);
 }
 
+// Zero lets any backend at the address accept the packet.
+BOOST_AUTO_TEST_CASE(stamp_names_no_backend_if_any_may_accept_the_packet) {
+  std::vector<std::uint8_t> datagram(8, 0xff);
+  const std::vector<std::uint8_t> packet = opening();
+  datagram.insert(datagram.end(), packet.begin(), packet.end());
+  core::ForwardToBackend forward;
+  forward.backend.id = core::BackendId{0x1fa13cd8c2};
+  forward.recipient = core::Recipient::kAnyAtAddress;
+  format.prepareForward(forward, datagram);
+  BOOST_TEST(std::vector<std::uint8_t>(datagram.begin(), datagram.begin() + 8) ==
+             std::vector<std::uint8_t>(8, 0));
+  BOOST_TEST(std::vector<std::uint8_t>(datagram.begin() + 8, datagram.end()) == packet);
+}
+
 BOOST_AUTO_TEST_CASE(refusal_is_a_reset_packet) {
   const std::optional<core::PacketSummary> summary = format.read(opening());
   const std::vector<std::uint8_t> reset = format.refusal(summary->flow, 0);
