An ignored update moves its item to the store's revision

After a restore of the store, or a delayed update, daemons ordered the backends of an address differently: one that knew a later update of a backend ignored the item and kept the old revision, while one that started then found the item at the new one. The two disagreed on which backend of the address takes new flows.

An ignored update changes no content, but now sets the revision. The update of an earlier incarnation did so already; both are one case now.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -70,19 +70,18 @@
   if (removal != unknownRemovals_.end() && removal->second.revision >= revision) {
     return RegistryEvent::kNone;
   }
-  const bool isOutdated = !isNew && isOlderUpdate(known->second, update, revision);
-  if (isOutdated && known->second.present) {
-    return RegistryEvent::kNone;
-  }
-  const Registration registration = isOutdated ? known->second.registration : update;
   ++generation_;
+  const bool isOutdated = !isNew && isOlderUpdate(known->second, update, revision);
   const std::uint64_t startedBefore = isNew ? 0 : known->second.registration.startedAtMs;
-  if (registration.startedAtMs < startedBefore) {
-    // A delayed write of the previous incarnation.
+  const bool isOfEarlierIncarnation = update.startedAtMs < startedBefore;
+  if (isOfEarlierIncarnation || (isOutdated && known->second.present)) {
+    // A delayed write. The known content stands, but at the revision at which all daemons find the
+    // item from now on.
     known->second.revision = revision;
     updateClaims(known->second.address.endpoint);
     return RegistryEvent::kNone;
   }
+  const Registration registration = isOutdated ? known->second.registration : update;
   const bool hasRestarted = startedBefore != 0 && registration.startedAtMs > startedBefore;
   const bool tookNewFlows = !isNew && takesNewFlows(known->second.address.id);
   const bool draining = registration.state == BackendState::kDraining;
--- a/tests/support/store_fixtures.h
+++ b/tests/support/store_fixtures.h
@@ -72,6 +72,11 @@
     return revision();
   }
 
+  /// Replaces the value of an item without a new revision, as a heartbeat does.
+  void refresh(const std::string& key, decltype(core::StoreChange::item) item) {
+    items_.at(key).item = std::move(item);
+  }
+
   /// Discards the history.
   void compact() {
     history_.clear();
