A removed incarnation no longer hides an earlier one

A backend whose host set its clock back, or whose start time was wrong once, got no new flows for up to a minute from daemons that remembered the removed incarnation with the later start time, while daemons that had started since used it.

Start times still order the writes of two incarnations while the later one is registered. Once its item is gone, what the store shows counts again, as it does for a daemon that starts. The state of the removed incarnation is discarded as after any restart.

The test failed before: earlier_incarnation_is_accepted_after_removal_of_the_ later_one, "check registry.takesNewFlows(BackendId{1}) has failed".

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -74,7 +74,7 @@
   const bool isOutdated = !isNew && isOlderUpdate(known->second, update, revision);
   const std::uint64_t startedBefore = isNew ? 0 : known->second.registration.startedAtMs;
   const bool isOfEarlierIncarnation = update.startedAtMs < startedBefore;
-  if (isOfEarlierIncarnation || (isOutdated && known->second.present)) {
+  if (!isNew && known->second.present && (isOfEarlierIncarnation || isOutdated)) {
     // A delayed write. The known content stands, but at the revision at which all daemons find the
     // item from now on.
     known->second.revision = revision;
@@ -82,7 +82,7 @@
     return RegistryEvent::kNone;
   }
   const Registration registration = isOutdated ? known->second.registration : update;
-  const bool hasRestarted = startedBefore != 0 && registration.startedAtMs > startedBefore;
+  const bool hasRestarted = startedBefore != 0 && registration.startedAtMs != startedBefore;
   const bool tookNewFlows = !isNew && takesNewFlows(known->second.address.id);
   const bool draining = registration.state == BackendState::kDraining;
   if (!isNew && (known->second.registration.service != registration.service ||
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -230,6 +230,16 @@
               RegistryEvent::kRefreshed));
 }
 
+// Guards against daemons that ignore a backend because of an incarnation that the store no longer
+// shows, such as one that reported a wrong start time.
+BOOST_AUTO_TEST_CASE(earlier_incarnation_is_accepted_after_removal_of_the_later_one) {
+  registry.put("servers/1", startedAt(2000), 1, now);
+  registry.remove("servers/1", 2, now);
+  BOOST_TEST((registry.put("servers/1", startedAt(1000), 3, now) == RegistryEvent::kRestarted));
+  BOOST_TEST(registry.takesNewFlows(BackendId{1}));
+  BOOST_TEST((registry.takeRestarted() == std::vector<BackendId>{BackendId{1}}));
+}
+
 BOOST_AUTO_TEST_CASE(removal_does_not_supersede_other_backends) {
   registry.put("servers/a", makeRegistration(1, "web", 1, 1), 10, now);
   registry.put("servers/b", makeRegistration(2, "web", 1, 1), 20, now);
