A dead state ends when the address is reassigned

Open flows of a live backend could be reset for up to three seconds by a daemon that had found the previous backend of the address dead, if a delayed write brought back that backend's item: the flows counted for it, and its dead state was kept until a probe confirmed or refuted it.

A probe is a connection to an address. When another backend registers there, the health record of the previous one is discarded, as after a restart.

The test failed before: dead_state_ends_when_the_address_is_reassigned, "check this->IsKept(this->Watching, 500) has failed".

--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -257,17 +257,23 @@
 
 std::vector<FlowReset> TokenSteering::takeResets() { return std::exchange(resets_, {}); }
 
-void TokenSteering::sendKeepAlivesToReassigned() {
+void TokenSteering::onReassignedAddresses() {
   for (const BackendId id : backends_.takeReassigned()) {
-    const BackendAddress* backend = backends_.find(id);
-    if (backend == nullptr || flows_.openFlowCount(id) == 0) {
-      continue;
-    }
-    const ForwardToBackend recipient =
-        forward(*backend, RouteReason::kCarriedToken, Recipient::kAnyAtAddress);
-    for (TokenFlow& flow : flows_.takeAcknowledgements(id)) {
-      keepAlives_.push_back({flow.key, recipient, std::move(flow.lastAcknowledgement)});
-    }
+    // Probes of the address concern the other backend from now on.
+    health_.remove(id);
+    sendKeepAlives(id);
+  }
+}
+
+void TokenSteering::sendKeepAlives(BackendId id) {
+  const BackendAddress* backend = backends_.find(id);
+  if (backend == nullptr || flows_.openFlowCount(id) == 0) {
+    return;
+  }
+  const ForwardToBackend recipient =
+      forward(*backend, RouteReason::kCarriedToken, Recipient::kAnyAtAddress);
+  for (TokenFlow& flow : flows_.takeAcknowledgements(id)) {
+    keepAlives_.push_back({flow.key, recipient, std::move(flow.lastAcknowledgement)});
   }
 }
 
@@ -300,7 +306,7 @@
   if (admission_ != nullptr) {
     admission_->Expire(now);
   }
-  sendKeepAlivesToReassigned();
+  onReassignedAddresses();
   backends_.discardExpired(now);
   routes_.discardRemoved(now, options_.longestFlow);
 }
--- a/src/core/token_steering.h
+++ b/src/core/token_steering.h
@@ -96,7 +96,7 @@
   /// To be called after the view has changed.
   void onViewChanged() {
     discardRestartedBackends();
-    sendKeepAlivesToReassigned();
+    onReassignedAddresses();
   }
   /// To be called after the process was suspended. Connection attempts are dropped until
   /// onQueueDrained(), because clients have retransmitted the queued ones and a second response
@@ -209,8 +209,10 @@
   std::vector<TokenFlow> discardFlowsOf(BackendId backend);
   /// Resets all open flows of a dead backend.
   void resetFlowsOf(BackendId backend);
-  /// Prepares keepalives on the flows of backends whose address may have been reassigned.
-  void sendKeepAlivesToReassigned();
+  /// Handles backends whose address may have been reassigned.
+  void onReassignedAddresses();
+  /// Prepares keepalives on the idle flows of a backend.
+  void sendKeepAlives(BackendId id);
   /// Removes the state of earlier incarnations of backends. Their flows are left to the backends to
   /// reset, since some may belong to the new incarnation.
   void discardRestartedBackends();
--- a/tests/core/addresses/reassigned_address_test.cc
+++ b/tests/core/addresses/reassigned_address_test.cc
@@ -27,6 +27,7 @@
   core::TokenSteering StartedLater{ AddressTokens(), Weights, Random };
   core::Time Now = 100s;
   const std::vector<std::uint8_t> Acknowledgement{ 7, 8, 9 };
+  std::uint16_t NextPort = 1000;
 
   ReassignedAddressFixture()
   {
@@ -68,6 +69,49 @@
     this->Send(daemon, port);
   }
 
+  /// Add backends at other addresses.
+  void PutOthers(core::TokenSteering& daemon)
+  {
+    for (std::uint8_t host = 11; host <= 16; ++host) {
+      daemon.backends().put(TokenFixture::keyOf(host),
+                            makeRegistration(host, "web", 1, host),
+                            core::Revision(host),
+                            this->Now);
+    }
+  }
+
+  /// Open flows until a backend has one, and leave that one unanswered until
+  /// the backend is to be probed.
+  void Suspect(core::TokenSteering& daemon, std::uint64_t id)
+  {
+    BackendId opened = core::kNoBackend;
+    for (; opened != BackendId{ id }; ++this->NextPort) {
+      BOOST_REQUIRE(this->NextPort < 2000);
+      this->Now += 100ms;
+      core::PacketSummary packet =
+        TokenFixture::packet(this->NextPort, PacketKind::kOpening);
+      opened = TokenFixture::backendOf(daemon.onPacket(packet, this->Now));
+      packet.kind = PacketKind::kContinuing;
+      packet.token =
+        daemon.backends().tokenFor(*daemon.backends().find(opened));
+      packet.acknowledgement = 1;
+      if (opened != BackendId{ id }) {
+        daemon.onPacket(packet, this->Now);
+      }
+    }
+    this->Now += core::kResponseTimeout + 10ms;
+    BOOST_REQUIRE(daemon.health().isSuspected(BackendId{ id }, this->Now));
+    BOOST_REQUIRE(!daemon.takeProbes(this->Now).empty());
+  }
+
+  void MarkDead(core::TokenSteering& daemon, std::uint64_t id)
+  {
+    this->Suspect(daemon, id);
+    daemon.onProbe(BackendId{ id }, core::ProbeResult::kTimedOut, this->Now);
+    BOOST_REQUIRE(daemon.health().isDead(BackendId{ id }));
+    daemon.takeResets();
+  }
+
   /// Send a packet of an established flow at the shared address.
   core::Verdict Send(core::TokenSteering& daemon,
                      std::uint16_t port,
@@ -168,6 +212,19 @@
   BOOST_TEST(this->Watching.takeKeepAlives().empty());
 }
 
+// Guards against resets of flows of the current backend because the previous
+// one was found dead and a delayed write brought its item back.
+BOOST_AUTO_TEST_CASE(dead_state_ends_when_the_address_is_reassigned)
+{
+  this->Put(this->Watching, 1, 10);
+  this->PutOthers(this->Watching);
+  this->MarkDead(this->Watching, 1);
+  this->Put(this->Watching, 2, 20);
+  BOOST_TEST(this->IsKept(this->Watching, 500));
+  this->Put(this->Watching, 1, 30);
+  BOOST_TEST(this->IsKept(this->Watching, 500));
+}
+
 // A second response to a retransmitted connection attempt would break the flow
 // if its first backend is alive.
 BOOST_AUTO_TEST_CASE(pending_connection_attempt_stays_at_a_contested_backend)
