A connection to a shared address is no response of one backend

A backend that had ended and whose item a delayed write had brought back got new flows for as long as the item stayed: its connection attempts went unanswered, it was suspected and probed, and the probe connected to the current backend at the address, which cleared the suspicion.

While two backends are registered at an address, a probe that connects is inconclusive: the suspicion stays until a response to a flow or until the other item is gone.

--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -259,6 +259,18 @@
   return key == keys_.end() ? AddressClaim::kUndisputed : entries_.at(key->second).claim;
 }
 
+bool BackendRegistry::sharesAddress(BackendId id) const {
+  const BackendAddress* backend = find(id);
+  if (backend == nullptr) {
+    return false;
+  }
+  const std::set<std::string>& keys = endpoints_.at(backend->endpoint);
+  return std::any_of(keys.begin(), keys.end(), [this, id](const std::string& key) {
+    const Entry& entry = entries_.at(key);
+    return entry.present && entry.address.id != id;
+  });
+}
+
 bool BackendRegistry::putEvacuation(const std::string& key, const std::string& zone,
                                     Revision revision) {
   const bool isNewer = evacuations_.Put(key, zone, revision);
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -113,6 +113,8 @@
   const Registration* registrationOf(BackendId id) const;
   /// @return what the other registrations at its address tell about a backend.
   AddressClaim claimOf(BackendId id) const;
+  /// @return true if another backend is registered at the same address.
+  bool sharesAddress(BackendId id) const;
   /// @return backends at whose address another one has registered since the last call.
   std::vector<BackendId> takeReassigned() { return std::exchange(reassigned_, {}); }
   /// @return true if the backend may get new flows.
--- a/src/core/token_steering.cc
+++ b/src/core/token_steering.cc
@@ -230,7 +230,9 @@
     health_.onProbe(backend, ProbeResult::kRefused, now);
     return;
   }
-  if (health_.onProbe(backend, result, now)) {
+  // The other backend may have accepted the connection.
+  const bool isAmbiguous = result == ProbeResult::kConnected && backends_.sharesAddress(backend);
+  if (health_.onProbe(backend, isAmbiguous ? ProbeResult::kInconclusive : result, now)) {
     if (outliers_ != nullptr) {
       outliers_->OnLateResponse(backend);
     }
--- a/tests/core/addresses/reassigned_address_test.cc
+++ b/tests/core/addresses/reassigned_address_test.cc
@@ -225,6 +225,24 @@
   BOOST_TEST(this->IsKept(this->Watching, 500));
 }
 
+// Guards against a backend that has ended but seems to respond, because a
+// connection to its address reaches the current backend there.
+BOOST_AUTO_TEST_CASE(connection_to_a_shared_address_proves_no_response)
+{
+  this->Put(this->Watching, 1, 10);
+  this->PutOthers(this->Watching);
+  this->Put(this->Watching, 2, 20);
+  this->Put(this->Watching, 1, 30);
+  this->Suspect(this->Watching, 1);
+  this->Watching.onProbe(
+    BackendId{ 1 }, core::ProbeResult::kConnected, this->Now);
+  BOOST_TEST(this->Watching.health().isSuspected(BackendId{ 1 }, this->Now));
+  this->Remove(this->Watching, 2, 31);
+  this->Watching.onProbe(
+    BackendId{ 1 }, core::ProbeResult::kConnected, this->Now);
+  BOOST_TEST(!this->Watching.health().isSuspected(BackendId{ 1 }, this->Now));
+}
+
 // A second response to a retransmitted connection attempt would break the flow
 // if its first backend is alive.
 BOOST_AUTO_TEST_CASE(pending_connection_attempt_stays_at_a_contested_backend)
