A shared hash token belongs to the same backend at all daemons

Two backends whose ids share a 32-bit hash token were told apart by order of arrival: the one that a daemon knew first had the token. Daemons that began at different times sent packets with it to different backends, and gave new flows to different ones of the two. When the owner left, the other one did not get the token until its next update.

The lowest id owns the token, and the next one when it is discarded. Candidate lists follow the change of owner.

The test failed before: shared_hash_token_belongs_to_the_same_backend_ everywhere, "check index->OwnsHash(first) has failed" where the other one was added first.

--- a/src/core/backend_candidates.cc
+++ b/src/core/backend_candidates.cc
@@ -75,6 +75,13 @@
   }
 }
 
+void BackendRegistry::refreshCandidate(std::optional<BackendId> changed) {
+  const auto key = changed ? keys_.find(*changed) : keys_.end();
+  if (key != keys_.end()) {
+    refreshCandidate(entries_.at(key->second));
+  }
+}
+
 const PlacementCandidate* BackendRegistry::findCandidate(BackendId id) {
   const BackendAddress* address = find(id);
   return address == nullptr ? nullptr : candidateList(address->service).Find(id);
--- a/src/core/backend_registry.cc
+++ b/src/core/backend_registry.cc
@@ -103,7 +103,7 @@
   }
   zoneNames_.try_emplace(entry.address.zone, registration.zone);
   keys_[registration.id] = key;
-  tokens_.AddBackend(registration.id);
+  refreshCandidate(tokens_.AddBackend(registration.id));
   services_[entry.address.service].insert(key);
   endpoints_[registration.endpoint].insert(key);
   tokens_.AddAddress(registration.endpoint);
@@ -325,7 +325,7 @@
 }
 
 void BackendRegistry::unindex(const std::string& key, const Entry& entry) {
-  tokens_.RemoveBackend(entry.address.id);
+  refreshCandidate(tokens_.RemoveBackend(entry.address.id));
   keys_.erase(entry.address.id);
   unlink(key, entry);
 }
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -205,6 +205,8 @@
   void unlink(const std::string& key, const Entry& entry);
   /// @return the candidates of a service; built on first use.
   const CandidateList& candidateList(ServiceId service);
+  /// Updates a cached candidate list after a change of the owner of a hash token.
+  void refreshCandidate(std::optional<BackendId> changed);
   /// Updates a cached candidate list after a change of an entry.
   void refreshCandidate(const Entry& entry);
   /// Removes an entry from all indexes.
--- a/src/core/tokens/token_index.cc
+++ b/src/core/tokens/token_index.cc
@@ -1,5 +1,7 @@
 #include "core/tokens/token_index.h"
 
+#include <algorithm>
+
 #include "core/hashing.h"
 
 namespace cobaltgauge::core {
@@ -17,16 +19,38 @@
   return SteeringToken{ hash == 0 ? 1 : hash };
 }
 
-void TokenIndex::AddBackend(BackendId id)
+std::optional<BackendId> TokenIndex::AddBackend(BackendId id)
 {
-  this->Ids.try_emplace(HashTokenOf(id), id);
+  BackendId& owner = this->Ids.try_emplace(HashTokenOf(id), id).first->second;
+  if (owner == id) {
+    return std::nullopt;
+  }
+  const BackendId previous = owner;
+  owner = std::min(id, previous);
+  this->WithoutHash.insert(std::max(id, previous));
+  return owner == id ? std::optional(previous) : std::nullopt;
 }
 
-void TokenIndex::RemoveBackend(BackendId id)
+std::optional<BackendId> TokenIndex::RemoveBackend(BackendId id)
 {
-  if (this->OwnsHash(id)) {
-    this->Ids.erase(HashTokenOf(id));
+  const bool isOwner = this->OwnsHash(id);
+  this->WithoutHash.erase(id);
+  if (!isOwner) {
+    return std::nullopt;
+  }
+  const SteeringToken token = HashTokenOf(id);
+  this->Ids.erase(token);
+  const auto next = std::find_if(
+    this->WithoutHash.begin(),
+    this->WithoutHash.end(),
+    [token](BackendId other) { return HashTokenOf(other) == token; });
+  if (next == this->WithoutHash.end()) {
+    return std::nullopt;
   }
+  const BackendId owner = *next;
+  this->Ids.emplace(token, owner);
+  this->WithoutHash.erase(next);
+  return owner;
 }
 
 bool TokenIndex::OwnsHash(BackendId id) const
--- a/src/core/tokens/token_index.h
+++ b/src/core/tokens/token_index.h
@@ -21,7 +21,7 @@
  * \brief Finds registered backends by address token or hash token.
  *
  * An address token shared by two addresses is used by neither of them.  A hash
- * token shared by two ids belongs to the one added first.
+ * token shared by several ids belongs to the lowest, at all daemons alike.
  */
 class TokenIndex
 {
@@ -33,8 +33,10 @@
   {
   }
 
-  void AddBackend(BackendId id);
-  void RemoveBackend(BackendId id);
+  /// \return the backend that no longer owns its hash token, if any.
+  std::optional<BackendId> AddBackend(BackendId id);
+  /// \return the backend that owns its hash token from now on, if any.
+  std::optional<BackendId> RemoveBackend(BackendId id);
   /// Check whether the hash token of a backend belongs to it.
   bool OwnsHash(BackendId id) const;
 
@@ -57,6 +59,8 @@
 
   TokenResolver* Resolver;
   std::unordered_map<SteeringToken, BackendId> Ids; ///< By hash token.
+  /// Backends whose hash token belongs to another one; very few.
+  std::set<BackendId> WithoutHash;
   std::unordered_map<SteeringToken, std::set<Endpoint>> Addresses;
 };
 
--- a/tests/core/backend_registry_test.cc
+++ b/tests/core/backend_registry_test.cc
@@ -67,6 +67,16 @@
   BOOST_TEST(registry.takesNewFlows(BackendId{other}));
   BOOST_TEST(!registry.takesNewFlows(BackendId{id}));
   BOOST_TEST((registry.findByToken(core::HashTokenOf(BackendId{id}))->id == BackendId{other}));
+  // The order in which a daemon hears of them makes no difference.
+  core::BackendRegistry reversed{60s, weights};
+  reversed.put("servers/b", makeRegistration(id, "web", 1, 2), 2, now);
+  BOOST_TEST(reversed.findCandidate(BackendId{id}) != nullptr);
+  reversed.put("servers/a", makeRegistration(other, "web", 1, 1), 3, now);
+  BOOST_TEST(reversed.findCandidate(BackendId{other}) != nullptr);
+  BOOST_TEST(reversed.findCandidate(BackendId{id}) == nullptr);
+  reversed.remove("servers/a", 4, now);
+  reversed.discardExpired(now + 60s);
+  BOOST_TEST(reversed.findCandidate(BackendId{id}) != nullptr);
 }
 
 core::Registration startedAt(std::uint64_t startedAtMs, std::uint64_t id = 1) {
--- a/tests/core/tokens/token_index_test.cc
+++ b/tests/core/tokens/token_index_test.cc
@@ -49,6 +49,29 @@
   BOOST_TEST(!hashes.Find(this->AddressToken(address)).has_value());
 }
 
+// Guards against daemons that send packets with a shared hash token to
+// different backends, depending on which one they knew first.
+BOOST_AUTO_TEST_CASE(shared_hash_token_belongs_to_the_same_backend_everywhere)
+{
+  std::map<core::SteeringToken, BackendId> seen;
+  BackendId second{ 1 };
+  while (seen.try_emplace(core::HashTokenOf(second), second).second) {
+    second = BackendId{ static_cast<std::uint64_t>(second) + 1 };
+  }
+  const BackendId first = seen.at(core::HashTokenOf(second));
+  core::TokenIndex reversed(nullptr);
+  this->Index.AddBackend(first);
+  this->Index.AddBackend(second);
+  reversed.AddBackend(second);
+  reversed.AddBackend(first);
+  for (core::TokenIndex* index : { &this->Index, &reversed }) {
+    BOOST_TEST(index->OwnsHash(first));
+    BOOST_TEST(!index->OwnsHash(second));
+    index->RemoveBackend(first);
+    BOOST_TEST(index->OwnsHash(second));
+  }
+}
+
 // About one pair in 256 of the ports of a host shares a token.
 BOOST_AUTO_TEST_CASE(colliding_address_tokens_are_replaced_by_hashes)
 {
