--- a/src/core/addresses/address_claim.cc
+++ b/src/core/addresses/address_claim.cc
@@ -1,5 +1,6 @@
 #include "core/addresses/address_claim.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace cobaltgauge::core {
--- a/src/core/addresses/address_claim.h
+++ b/src/core/addresses/address_claim.h
@@ -3,7 +3,6 @@
 /// there.  See docs/design/014-reassigned-addresses.md.
 #pragma once
 
-#include <algorithm>
 #include <cstdint>
 
 #include "core/revision.h"
--- a/src/core/backend_candidates.cc
+++ b/src/core/backend_candidates.cc
@@ -20,7 +20,7 @@
 }
 
 bool BackendRegistry::isServing(const Entry& entry) const {
-  // If two backends have the same token, only the first accepts flows.
+  // If several backends have the same hash token, only its owner accepts flows.
   return tokens_.OwnsHash(entry.address.id) && entry.present &&
          entry.claim != AddressClaim::kSuperseded &&
          entry.registration.state == BackendState::kActive;
--- a/src/core/backend_registry.h
+++ b/src/core/backend_registry.h
@@ -1,9 +1,10 @@
 /// @file
 /// Registered backends by the key of their store item. A backend that is draining or was removed
 /// gets no new flows and stays reachable by its token until it can have no flows left. Items are
-/// ordered by revision: an older one never replaces a newer one. Registration updates of a backend
-/// are also ordered by its own numbers, so that an announced shutdown survives a restore of the
-/// store from a copy without it.
+/// ordered by revision: an older one never replaces a newer one. Which backend of an address takes
+/// new flows depends on the items in the store alone; see core/addresses/address_claim.h.
+/// Registration updates of a backend are also ordered by its own numbers, so that an announced
+/// shutdown survives a restore of the store from a copy without it.
 #pragma once
 
 #include <deque>
--- a/src/daemon/packet_port.h
+++ b/src/daemon/packet_port.h
@@ -40,6 +40,7 @@
   /// Reprocesses queued packets. Must be called when the view has changed.
   void retryPending(core::Time now);
 
+  /// Sends a copy of a client's packet to the address of its flow.
   void sendKeepAlive(const core::FlowKeepAlive& keepAlive);
 
   /// Sends a refusal of the flow to its client.
