--- a/tests/core/addresses/reassigned_address_test.cc
+++ b/tests/core/addresses/reassigned_address_test.cc
@@ -11,20 +11,13 @@
 using core::PacketKind;
 using core::Recipient;
 
-core::TokenSteeringOptions AddressTokens()
-{
-  core::TokenSteeringOptions options;
-  options.localAddress = endpoint(1, 200, 0).address;
-  return options;
-}
-
 /// A daemon that has watched the store all along, and one that starts later.
 struct ReassignedAddressFixture
 {
   sim::SeededRandom Random{ 1 };
   core::EqualWeights Weights;
-  core::TokenSteering Watching{ AddressTokens(), Weights, Random };
-  core::TokenSteering StartedLater{ AddressTokens(), Weights, Random };
+  core::TokenSteering Watching{ addressTokenOptions(), Weights, Random };
+  core::TokenSteering StartedLater{ addressTokenOptions(), Weights, Random };
   core::Time Now = 100s;
   const std::vector<std::uint8_t> Acknowledgement{ 7, 8, 9 };
   std::uint16_t NextPort = 1000;
@@ -179,7 +172,8 @@
 BOOST_AUTO_TEST_CASE(idle_flows_of_a_reassigned_address_get_one_keepalive)
 {
   for (const std::uint64_t start : { 0U, 1000U }) {
-    core::TokenSteering daemon(AddressTokens(), this->Weights, this->Random);
+    core::TokenSteering daemon(
+      addressTokenOptions(), this->Weights, this->Random);
     daemon.routes().offer(makeRoutes(1, { { 1, "web" } }), this->Now);
     daemon.setViewState(true, true);
     this->Put(daemon, 1, 10, start);
--- a/tests/core/addresses/view_agreement_model.h
+++ b/tests/core/addresses/view_agreement_model.h
@@ -22,7 +22,7 @@
 {
 public:
   explicit ViewingDaemon(core::Random& random)
-    : Steering(MakeOptions(), this->Weights, random)
+    : Steering(addressTokenOptions(), this->Weights, random)
     , Updater(this->Steering.backends(),
               this->Steering.routes(),
               [](const core::ViewChange&) {})
@@ -71,13 +71,6 @@
   }
 
 private:
-  static core::TokenSteeringOptions MakeOptions()
-  {
-    core::TokenSteeringOptions options;
-    options.localAddress = endpoint(1, 200, 0).address;
-    return options;
-  }
-
   core::EqualWeights Weights;
   core::TokenSteering Steering;
   core::ViewUpdater Updater;
--- a/tests/core/addresses/view_agreement_property_test.cc
+++ b/tests/core/addresses/view_agreement_property_test.cc
@@ -3,27 +3,15 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
-#include <utility>
-#include <vector>
 
+#include "support/command_sequences.h"
 #include "view_agreement_model.h"
 
 namespace cobaltgauge::tests {
 namespace {
 
-using Command = std::pair<unsigned, unsigned>;
-
 constexpr int kMaxCommands = 120;
 
-rc::Gen<std::vector<Command>> MakeCommands()
-{
-  const auto command = rc::gen::resize(
-    rc::kNominalSize,
-    rc::gen::pair(rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 10000U)));
-  return rc::gen::resize(kMaxCommands,
-                         rc::gen::container<std::vector<Command>>(command));
-}
-
 BOOST_AUTO_TEST_SUITE(ViewAgreementTest)
 
 // Guards against verdicts that depend on what one daemon has seen, such as the
@@ -34,7 +22,7 @@
   std::size_t compared = 0;
   const auto property = [&](bool reportsStarts) {
     ViewAgreementModel model(reportsStarts);
-    for (const auto& [command, choice] : *MakeCommands()) {
+    for (const auto& [command, choice] : *makeCommands(kMaxCommands)) {
       model.Execute(command, choice);
     }
     model.CompareDaemons();
--- a/tests/core/tokens/address_token_steering_test.cc
+++ b/tests/core/tokens/address_token_steering_test.cc
@@ -12,20 +12,13 @@
 using core::RefuseReason;
 using core::RouteReason;
 
-core::TokenSteeringOptions AddressTokenOptions()
-{
-  core::TokenSteeringOptions options;
-  options.localAddress = endpoint(1, 200, 0).address;
-  return options;
-}
-
 /// A daemon that uses address tokens, and one that has no view yet.
 struct AddressTokenFixture
 {
   sim::SeededRandom Random{ 1 };
   core::EqualWeights Weights;
-  core::TokenSteering Steering{ AddressTokenOptions(), Weights, Random };
-  core::TokenSteering WithoutView{ AddressTokenOptions(), Weights, Random };
+  core::TokenSteering Steering{ addressTokenOptions(), Weights, Random };
+  core::TokenSteering WithoutView{ addressTokenOptions(), Weights, Random };
   core::Time Now = 100s;
   core::Revision Revision = 0;
 
@@ -187,7 +180,7 @@
 BOOST_AUTO_TEST_CASE(colliding_address_tokens_on_one_host_use_hashes)
 {
   const auto& codec = core::AddressTokenCodec(
-    *AddressTokenOptions().localAddress, AddressTokenOptions().hashSeed);
+    *addressTokenOptions().localAddress, addressTokenOptions().hashSeed);
   const core::PortCheck check = codec.GetPortCheck(this->TokenOfHost(1));
   std::uint16_t port = 8001;
   while (!check.Matches(port)) {
--- a/tests/core/tokens/token_steering_model.h
+++ b/tests/core/tokens/token_steering_model.h
@@ -197,10 +197,8 @@
 
   void RestartDaemon(ModelDaemon& daemon)
   {
-    core::TokenSteeringOptions options;
-    options.localAddress = endpoint(1, 200, 0).address;
     daemon.Steering = std::make_unique<core::TokenSteering>(
-      options, daemon.Weights, this->Random);
+      addressTokenOptions(), daemon.Weights, this->Random);
     daemon.KnownDraining.clear();
   }
 
--- a/tests/core/tokens/token_steering_stateful_test.cc
+++ b/tests/core/tokens/token_steering_stateful_test.cc
@@ -2,27 +2,15 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
-#include <utility>
-#include <vector>
 
+#include "support/command_sequences.h"
 #include "token_steering_model.h"
 
 namespace cobaltgauge::tests {
 namespace {
 
-using Command = std::pair<unsigned, unsigned>;
-
 constexpr int kMaxCommands = 400;
 
-rc::Gen<std::vector<Command>> MakeCommands()
-{
-  const auto command = rc::gen::resize(
-    rc::kNominalSize,
-    rc::gen::pair(rc::gen::inRange(0U, 1000U), rc::gen::inRange(0U, 10000U)));
-  return rc::gen::resize(kMaxCommands,
-                         rc::gen::container<std::vector<Command>>(command));
-}
-
 BOOST_AUTO_TEST_SUITE(TokenSteeringStatefulTest)
 
 BOOST_AUTO_TEST_CASE(random_commands_keep_flows_and_their_routes)
@@ -32,7 +20,7 @@
   const bool holds = rc::check(
     "flows keep their backend; new flows go to backends of their route", [&] {
       TokenSteeringModel model;
-      for (const auto& [command, choice] : *MakeCommands()) {
+      for (const auto& [command, choice] : *makeCommands(kMaxCommands)) {
         model.Execute(command, choice);
         if (!model.Violations.empty()) {
           RC_FAIL(model.Violations.front());
--- a/tests/support/token_fixtures.h
+++ b/tests/support/token_fixtures.h
@@ -14,6 +14,13 @@
 
 using namespace std::chrono_literals;
 
+/// @return options of a daemon that uses address tokens.
+inline core::TokenSteeringOptions addressTokenOptions() {
+  core::TokenSteeringOptions options;
+  options.localAddress = endpoint(1, 200, 0).address;
+  return options;
+}
+
 /// Routes 10.90.0.1:443 to the service "web" with three backends. Tests advance `now`.
 struct TokenFixture {
   sim::SeededRandom random{1};
