Soak: addresses are reused while delayed writes are applied

The soak never gave an address to a second backend and its store applied every write at once, so it could not meet the fault of the late write. A new fault crashes a backend, starts another one at its address two seconds later, lets the first one's item expire, and applies a write of it after that.

It wakes its receiving thread when it crashes, which otherwise kept the port.

A packet of a flow that a backend does not hold stays a violation, except where a crashed backend of the same address held it: only the present backend can tell, and resets the flow.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -5,8 +5,8 @@
 Daemons are stopped, suspended, killed and restarted. Each daemon connects to the store through a
 proxy that delays, resets, stalls or blocks the connection in one direction. The store is busy,
 throttling or unresponsive, loses its history or is restored from an older snapshot. Backends start,
-drain, crash and become unresponsive, overloaded or slow; zones and routes change. The guarantees
-are checked from the view of clients and backends. After each round of faults, all faults end and
+drain, crash and become unresponsive, overloaded or slow; addresses are reused while the store
+applies a delayed write of the previous backend; zones and routes change. The guarantees are checked from the view of clients and backends. After each round of faults, all faults end and
 the fleet must recover. The exit status is 0 if no guarantee was violated.
 """
 
@@ -35,6 +35,9 @@
 MAX_WARM_UP_FLOWS_PER_SECOND = WARM_UP_FLOWS_PER_SECOND * 1.5 + 5  # In any one second.
 WARM_UP_MS = 2000
 MIN_BACKENDS_IN_ZONE = 3  # Backends kept active in zone "a".
+ADDRESS_REUSE_SECONDS = 2.1  # From a crash until another backend starts at the address.
+EXPIRY_SECONDS = 3.6  # From the last write of a backend until its item expires.
+MAX_WRITE_DELAY_SECONDS = 6.0
 FAULT_FREE_SECONDS = 4.0  # The time limits apply after this long without faults.
 MAX_FLOWS = 24
 
@@ -50,6 +53,7 @@
         self.evacuated_at = None  # Time of the evacuation of zone "b"; None if it is in use.
         self.extra_routes = set()
         self.next_host = 10
+        self.pending_reuses = 0  # Reused addresses whose delayed write is not over.
         self.proxies = {}
 
     def log_event(self, description):
@@ -213,6 +217,31 @@
             backend.crash()
             threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
 
+    def reuse_address(self):
+        """Crashes a backend and starts another one at its address. A write of the first one, whose
+        item has expired meanwhile, is applied late."""
+        active = self.active_backends()
+        backend, store = self.random.choice(active), self.fleet.store
+        if backend.zone == "a" and self.count_in_zone("a") < MIN_BACKENDS_IN_ZONE:
+            return
+        written = store.last_written[backend.key]
+        late = self.random.uniform(EXPIRY_SECONDS, MAX_WRITE_DELAY_SECONDS)
+        self.log_event("address is reused")
+        self.pending_reuses += 1
+
+        def end():
+            store.remove(backend.key)
+            self.pending_reuses -= 1
+
+        backend.crash()
+        for delay, action, arguments in [
+                (ADDRESS_REUSE_SECONDS, self.fleet.start_backend,
+                 (backend.address, "web", backend.zone)),
+                (EXPIRY_SECONDS, store.remove, (backend.key,)),
+                (late, store.put, (backend.key, written)),
+                (late + EXPIRY_SECONDS, end, ())]:
+            threading.Timer(delay, action, arguments).start()
+
     def impair_temporarily(self, backends, attribute):
         """Sets an attribute (unresponsive, overloaded, slow) of backends for up to 3 s."""
         for backend in backends:
@@ -294,10 +323,17 @@
     def check_misrouted_packets(self):
         for backend in self.fleet.backends:
             for flow in backend.misrouted_flows:
-                self.report_violation(f"backend {backend.id:x} received a packet of flow {flow}, "
-                                      "which it does not hold")
+                if not self.is_of_previous_backend(flow, backend.address):
+                    self.report_violation(f"backend {backend.id:x} received a packet of flow "
+                                          f"{flow}, which it does not hold")
             backend.misrouted_flows.clear()
 
+    def is_of_previous_backend(self, flow, address):
+        """Returns whether a crashed backend of the address held the flow. Only the present backend
+        can tell that, and resets the flow."""
+        return any(other.address == address and not other.alive and flow in other.flows
+                   for other in self.fleet.backends)
+
     def check_draining(self):
         for backend, since in self.draining_since.items():
             for opened, _ in backend.openings:
@@ -336,7 +372,8 @@
     def check_recovery(self):
         """Checks that each daemon serves with the current view after all faults have ended."""
         wait_until(lambda: self.store_fault_ended_at is not None
-                   and all(t is not None for t in self.fault_ended_at.values()),
+                   and all(t is not None for t in self.fault_ended_at.values())
+                   and self.pending_reuses == 0,
                    "all faults have ended")
         time.sleep(RECOVERY_SECONDS)
         version = self.fleet.version
@@ -384,6 +421,7 @@
                     next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
                     self.random.choice([self.daemon_fault, self.daemon_fault, self.store_fault,
                                         self.backend_change, self.route_change,
+                                        self.reuse_address,
                                         self.zone_change, self.zone_crash, self.overload])()
                 self.check_misrouted_packets()
                 self.check_draining()
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -213,8 +213,12 @@
         self.register("draining")
 
     def crash(self):
-        """Closes the sockets without announcing a shutdown."""
+        """Closes the sockets without announcing a shutdown, so that the address can be reused."""
         self.alive = False
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)  # Wakes run(), which keeps the port in use.
+        except OSError:
+            pass  # The socket is not connected.
         self.socket.close()
         self.listener.close()
 
@@ -224,14 +228,16 @@
                 datagram = self.socket.recv(2048)
             except OSError:
                 return
+            if not datagram:
+                return  # Shut down.
             self.on_datagram(datagram)
 
     def on_datagram(self, datagram):
         target, packet = struct.unpack("!Q", datagram[:8])[0], datagram[8:]
         _, flags, echo, _, sequence, _, source, port, source_port, destination = \
             HEADER.unpack(packet[:HEADER.size])
-        if target != self.id:
-            return  # Addressed to another incarnation of a backend at this address.
+        if target not in (0, self.id):
+            return  # Addressed to another backend of this address; 0 addresses any.
         flow = (source, source_port, destination, port)
         if self.slow:
             time.sleep(SLOW_REPLY_DELAY_SECONDS)
