Remove an unused list of flows; one way to crash a backend in the soak

TokenFlows::backendsWithFlows() had no caller since registrations reset no flow. The soak repeated the crash of a backend and the expiry of its item in three places; crash() does both now.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -6,8 +6,9 @@
 proxy that delays, resets, stalls or blocks the connection in one direction. The store is busy,
 throttling or unresponsive, loses its history or is restored from an older snapshot. Backends start,
 drain, crash and become unresponsive, overloaded or slow; addresses are reused while the store
-applies a delayed write of the previous backend; zones and routes change. The guarantees are checked from the view of clients and backends. After each round of faults, all faults end and
-the fleet must recover. The exit status is 0 if no guarantee was violated.
+applies a delayed write of the previous backend; zones and routes change. The guarantees are checked
+from the view of clients and backends. After each round of faults, all faults end and the fleet must
+recover. The exit status is 0 if no guarantee was violated.
 """
 
 import argparse
@@ -214,14 +215,17 @@
             backend.drain()
             self.draining_since[backend] = time.monotonic()
         else:
-            backend.crash()
-            threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
+            self.crash(backend)
+
+    def crash(self, backend):
+        """Crashes a backend, whose item expires."""
+        backend.crash()
+        threading.Timer(EXPIRY_SECONDS, self.fleet.store.remove, (backend.key,)).start()
 
     def reuse_address(self):
         """Crashes a backend and starts another one at its address. A write of the first one, whose
         item has expired meanwhile, is applied late."""
-        active = self.active_backends()
-        backend, store = self.random.choice(active), self.fleet.store
+        backend, store = self.random.choice(self.active_backends()), self.fleet.store
         if backend.zone == "a" and self.count_in_zone("a") < MIN_BACKENDS_IN_ZONE:
             return
         written = store.last_written[backend.key]
@@ -233,11 +237,10 @@
             store.remove(backend.key)
             self.pending_reuses -= 1
 
-        backend.crash()
+        self.crash(backend)
         for delay, action, arguments in [
                 (ADDRESS_REUSE_SECONDS, self.fleet.start_backend,
                  (backend.address, "web", backend.zone)),
-                (EXPIRY_SECONDS, store.remove, (backend.key,)),
                 (late, store.put, (backend.key, written)),
                 (late + EXPIRY_SECONDS, end, ())]:
             threading.Timer(delay, action, arguments).start()
@@ -261,8 +264,7 @@
             return
         self.log_event(f"crash zone b, {len(lost)} backends")
         for backend in lost:
-            backend.crash()
-            threading.Timer(3.6, self.fleet.store.remove, (backend.key,)).start()
+            self.crash(backend)
             self.next_host += 1
             self.fleet.start_backend(self.fleet.host_address(2, self.next_host), "web", "b",
                                      WARM_UP_MS)
--- a/src/core/token_flows.cc
+++ b/src/core/token_flows.cc
@@ -44,15 +44,6 @@
   return found == openCounts_.end() ? 0 : found->second;
 }
 
-std::vector<BackendId> TokenFlows::backendsWithFlows() const {
-  std::vector<BackendId> backends;
-  backends.reserve(openCounts_.size());
-  for (const auto& [backend, count] : openCounts_) {
-    backends.push_back(backend);
-  }
-  return backends;
-}
-
 std::vector<TokenFlow> TokenFlows::takeAcknowledgements(BackendId backend) {
   std::vector<TokenFlow> taken;
   for (TokenFlow& flow : lruOrder_) {
--- a/src/core/token_flows.h
+++ b/src/core/token_flows.h
@@ -50,8 +50,6 @@
 
   /// @return the number of open flows of the backend.
   std::uint32_t openFlowCount(BackendId backend) const;
-  /// @return all backends with open flows.
-  std::vector<BackendId> backendsWithFlows() const;
   /// @return the open flows of a backend whose last packet was an acknowledgement, which is removed
   /// from them.
   std::vector<TokenFlow> takeAcknowledgements(BackendId backend);
