Check the limits of a document before anything is built from it

Cause: Document parsed a value that begins with a brace into a tree of nlohmann::json and converted it to MessagePack; the conversion calls itself once for each level, and the limit on the depth was applied to its result.

Change: src/decoding has a parser for each encoding. It scans a document with the library's event interface, which keeps no stack frame for a level, and counts levels and values against limits; the tree is built only of what is within them. A MessagePack document may declare no more values than it has bytes: the library allocates what a header declares (nested headers of a megabyte declared 690 MB, of address space only). The reasons name the limit and quote nothing of the document, so they are short.

Test: ForeignEntriesTest/deeply_nested_json_names_no_backend fails on the code before ("memory access violation at address 0x7fff7ce0bff8: no mapping at fault address"). The two MessagePack cases pass there: that limit held.

Why it holds: no function of the program sees a document that the scan did not accept, and the scan's own memory is one bit for each level of JSON and one counter for each of at most 16 levels of MessagePack.

--- /dev/null
+++ b/tests/platform/foreign_entries_test.cc
@@ -0,0 +1,96 @@
+/// Entries that another writer may put into the store. Each names no backend and leaves the other
+/// entries of the response in effect.
+#include <openssl/evp.h>
+
+#include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/store_items.h"
+#include "support/nested_documents.h"
+
+namespace cobaltgauge::tests {
+namespace {
+
+constexpr std::size_t kMaxReasonBytes = 500;
+
+std::string encodeBase64(const std::string& bytes) {
+  std::string encoded((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
+                                   reinterpret_cast<const unsigned char*>(bytes.data()),
+                                   static_cast<int>(bytes.size()));
+  encoded.resize(static_cast<std::size_t>(size));
+  return encoded;
+}
+
+nlohmann::json item(const std::string& key, const std::string& value, std::uint64_t revision) {
+  return {{"key", key}, {"value", encodeBase64(value)}, {"revision", revision}};
+}
+
+std::string validServer() {
+  return R"({"service":"web","address":"10.128.0.9:8080","zone":"a","capacity":2,)"
+         R"("state":"ready"})";
+}
+
+/// @return the reply to a listing that holds the entry between two valid ones, encoded as
+///     MessagePack, as bodies are on this platform.
+core::StoreReply list(const std::string& key, const std::string& value) {
+  const nlohmann::json body = {{"items",
+                                {item("servers/i-1", validServer(), 1), item(key, value, 2),
+                                 item("servers/i-3", validServer(), 3)}},
+                               {"has-more", false},
+                               {"at", 9}};
+  const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
+  return platform::StoreItems().parse(
+      {net::HttpFailure::kNone, 200, {}, std::string(bytes.begin(), bytes.end())});
+}
+
+/// Checks that the entry is unreadable, for a short reason, and the others are read.
+void checkIsRefused(const std::string& value, const std::string& key = "servers/i-2") {
+  const core::StoreReply reply = list(key, value);
+  BOOST_REQUIRE(reply.outcome == core::ReadOutcome::kSucceeded);
+  BOOST_REQUIRE(reply.changes.size() == 3U);
+  BOOST_TEST(std::holds_alternative<core::Registration>(reply.changes[0].item));
+  BOOST_TEST(std::holds_alternative<core::Registration>(reply.changes[2].item));
+  const auto* unreadable = std::get_if<core::UnreadableItem>(&reply.changes[1].item);
+  BOOST_REQUIRE(unreadable != nullptr);
+  BOOST_TEST(!unreadable->reason.empty());
+  BOOST_TEST(unreadable->reason.size() <= kMaxReasonBytes);
+}
+
+std::string inField(const std::string& field, const std::string& json) {
+  return "{\"" + field + "\":" + json + "}";
+}
+
+BOOST_AUTO_TEST_SUITE(ForeignEntriesTest)
+
+// Guards against the end of every daemon by a stack overflow, again and again, while an entry of
+// another writer with deeply nested lists is in the store.
+BOOST_AUTO_TEST_CASE(deeply_nested_json_names_no_backend) {
+  checkIsRefused(inField("service", nestedLists(250'000)));
+  checkIsRefused(inField("service", nestedTables(150'000)));
+  checkIsRefused(inField("other", nestedLists(500'000)));
+  checkIsRefused(inField("service", std::string(500'000, '[')));
+  checkIsRefused(nestedTables(170'000));
+  checkIsRefused(inField("routes", nestedLists(250'000)), "op/config");
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_msgpack_names_no_backend) {
+  checkIsRefused(nestedMsgpackLists(1'000'000));
+  checkIsRefused("\x81\xa7service" + nestedMsgpackLists(900'000));
+  checkIsRefused("\x81\xa6routes" + nestedMsgpackLists(900'000), "op/config");
+}
+
+BOOST_AUTO_TEST_CASE(msgpack_that_declares_more_than_it_holds_names_no_backend) {
+  std::string bytes;
+  while (bytes.size() < 100) {
+    bytes += "\xdf\x7f\xff\xff\xff";
+  }
+  checkIsRefused(bytes);
+  checkIsRefused(bytes + std::string(900'000, '\x01'));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace cobaltgauge::tests
