A refused item is logged once, in a short line, and counted

Operators saw: an item that cannot be read had a log line for each listing and each daemon, with text of the item in it: a state or an address of 900,000 bytes made a line of that size, which the buffer of 256 KiB dropped whole. Its size was told nowhere and no metric counted it. Bytes other than line ends and quotes went to the log as they were.

RefusedItems remembers up to 1,024 items by key and revision, so that only a new one is reported: with key, size, reason and revision, at most 8 lines a second and a summary of the others. A value of a log line has at most 512 bytes of its text, and all but printable ASCII is escaped. A key beyond the 200 bytes that the store accepts names nothing.

--- a/src/core/constants.h
+++ b/src/core/constants.h
@@ -336,4 +336,7 @@
 inline constexpr std::size_t kMaxLogItems = 1024;
 inline constexpr std::size_t kMaxLogBatches = 256;
 
+/// Maximum number of unreadable items that are remembered, with keys of up to 200 bytes each.
+inline constexpr std::size_t kMaxRefusedItems = 1024;
+
 }  // namespace cobaltgauge::core
--- a/src/core/registration.h
+++ b/src/core/registration.h
@@ -107,7 +107,8 @@
 /// An item that cannot be parsed. A backend with its key gets no new flows and keeps its open ones;
 /// the routes in effect stay.
 struct UnreadableItem {
-  std::string reason;
+  std::string reason;    ///< At most a few hundred bytes.
+  std::size_t size = 0;  ///< Size of the value in bytes.
 };
 
 /// One change in the store.
--- a/src/core/view_updater.cc
+++ b/src/core/view_updater.cc
@@ -5,6 +5,9 @@
 namespace cobaltgauge::core {
 
 bool ViewUpdater::onChange(const StoreChange& change, Time now) {
+  if (!std::holds_alternative<UnreadableItem>(change.item)) {
+    refused_.remove(change.key);
+  }
   return std::visit([this, &change, now](const auto& item) { return apply(change, item, now); },
                     change.item);
 }
@@ -88,12 +91,7 @@
 }
 
 bool ViewUpdater::apply(const StoreChange& change, const UnreadableItem& unreadable, Time now) {
-  ViewChange report;
-  report.kind = ViewChange::Kind::kUnreadable;
-  report.key = change.key;
-  report.revision = change.revision;
-  report.reason = unreadable.reason;
-  listener_(report);
+  reportUnreadable(change, unreadable);
   if (const Registration* known = backends_.findPresent(change.key)) {
     // The writer may not be the backend itself, so the item only stops new flows.
     Registration drained = *known;
@@ -144,6 +142,9 @@
 }
 
 void ViewUpdater::onMissingItem(const StoreChange& item, Time now) {
+  if (const auto* unreadable = std::get_if<UnreadableItem>(&item.item)) {
+    reportUnreadable(item, *unreadable);
+  }
   const auto* registration = std::get_if<Registration>(&item.item);
   if (registration == nullptr) {
     return;
@@ -170,6 +171,7 @@
   if (log_ != nullptr) {
     log_->MarkIndivisible();
   }
+  refused_.retainOnly(keys);
   for (const std::string& key : backends_.retainOnly(keys, listedAt, now)) {
     record({key, listedAt, RemovedItem{}});
     reportBackend(key, listedAt, RegistryEvent::kRemoved, "");
@@ -187,6 +189,19 @@
   }
 }
 
+void ViewUpdater::reportUnreadable(const StoreChange& change, const UnreadableItem& unreadable) {
+  if (!refused_.add(change.key, change.revision)) {
+    return;
+  }
+  ViewChange report;
+  report.kind = ViewChange::Kind::kUnreadable;
+  report.key = change.key;
+  report.revision = change.revision;
+  report.reason = unreadable.reason;
+  report.size = unreadable.size;
+  listener_(report);
+}
+
 void ViewUpdater::reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                                 const std::string& service) {
   if (event == RegistryEvent::kNone || event == RegistryEvent::kRefreshed) {
--- a/src/core/view_updater.h
+++ b/src/core/view_updater.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "core/refused_items.h"
 #include "core/relay/change_log.h"
 #include "core/store_reader.h"
 #include "core/token_steering.h"
@@ -32,6 +33,7 @@
   std::string zone;                  ///< Of an evacuation.
   ConfigurationVersion version = 0;  ///< Of the route set.
   std::string reason;                ///< Why an item cannot be read.
+  std::size_t size = 0;              ///< Size in bytes of an item that cannot be read.
   /// Of a first listing or a full view, whose backends are not reported one by one.
   std::size_t backends = 0;
 };
@@ -54,6 +56,9 @@
   /// Reports lost evacuations that have expired; call with each tick.
   void reportExpiredEvacuations();
 
+  /// Items that cannot be read, each of which is reported once.
+  const RefusedItems& refusedItems() const { return refused_; }
+
  private:
   bool isKnownFromEarlierEra(const StoreChange& item) const;
   bool apply(const StoreChange& change, const Registration& registration, Time now);
@@ -70,11 +75,13 @@
   void reportRemoved(const std::string& key, Revision revision);
   void reportBackend(const std::string& key, Revision revision, RegistryEvent event,
                      const std::string& service);
+  void reportUnreadable(const StoreChange& change, const UnreadableItem& unreadable);
 
   BackendRegistry& backends_;
   RouteTable& routes_;
   Listener listener_;
   ChangeLog* log_;
+  RefusedItems refused_;
   bool listed_ = false;            ///< The first listing is complete.
   bool hasAllBackends_ = false;    ///< Every backend is known.
   std::size_t addedBackends_ = 0;  ///< Until every backend is known.
--- a/src/daemon/log.cc
+++ b/src/daemon/log.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -14,6 +15,7 @@
 #include <sstream>
 
 #include "daemon/log_buffer.h"
+#include "decoding/excerpt.h"
 
 namespace cobaltgauge::daemon {
 namespace {
@@ -53,25 +55,13 @@
   return "invalid";
 }
 
-std::string quoteIfNeeded(const std::string& value) {
-  const bool needsNoQuotes =
-      !value.empty() && value.find_first_of(" \"=\n\t\\") == std::string::npos;
-  if (needsNoQuotes) {
-    return value;
-  }
-  std::ostringstream out;
-  out << '"';
-  for (const char character : value) {
-    if (character == '"' || character == '\\') {
-      out << '\\' << character;
-    } else if (character == '\n') {
-      out << "\\n";
-    } else {
-      out << character;
-    }
-  }
-  out << '"';
-  return out.str();
+/// @return whether a value can stand in a line as it is.
+bool isPlain(const std::string& value) {
+  return !value.empty() && value.size() <= kMaxLogValueBytes &&
+         std::all_of(value.begin(), value.end(), [](char character) {
+           return character > ' ' && character <= '~' && character != '"' && character != '=' &&
+                  character != '\\';
+         });
 }
 
 void formatRecord(const logging::record_view& record, logging::formatting_ostream& stream) {
@@ -99,6 +89,13 @@
                                    static_cast<int>(minLevel));
 }
 
+std::string formatLogValue(const std::string& value) {
+  if (isPlain(value)) {
+    return value;
+  }
+  return '"' + decoding::Excerpt(value, kMaxLogValueBytes) + '"';
+}
+
 void flushLog() { buffer().flush(STDOUT_FILENO); }
 
 std::uint64_t droppedLogLines() { return buffer().dropped(); }
@@ -108,7 +105,7 @@
   std::ostringstream line;
   line << "level=" << levelName(level) << " daemon=" << processName() << " event=" << event;
   for (const auto& [key, value] : fields) {
-    line << ' ' << key << '=' << quoteIfNeeded(value);
+    line << ' ' << key << '=' << formatLogValue(value);
   }
   BOOST_LOG_SEV(logger, static_cast<int>(level)) << line.str();
 }
--- a/src/daemon/log.h
+++ b/src/daemon/log.h
@@ -13,6 +13,9 @@
 /// Key and value pairs of a record, in output order.
 using LogFields = std::vector<std::pair<const char*, std::string>>;
 
+/// Maximum size of a value in a line, before it is escaped.
+inline constexpr std::size_t kMaxLogValueBytes = 512;
+
 /// Sets up logging to standard output. Must be called once. Records are buffered until flushLog().
 void initializeLog(LogLevel minLevel, const std::string& daemonName);
 
@@ -25,8 +28,12 @@
 /// @return the number of lines dropped because the buffer was full.
 std::uint64_t droppedLogLines();
 
+/// @return the value as it stands in a line. Empty values and values with spaces, quotes,
+///     backslashes, '=' or characters other than printable ASCII are quoted and escaped as in JSON;
+///     values longer than kMaxLogValueBytes are shortened.
+std::string formatLogValue(const std::string& value);
+
 /// Writes one record: time=... level=... daemon=... event=... and the fields.
-/// Empty values and values with spaces, tabs, newlines, quotes, backslashes or '=' are quoted.
 void logEvent(LogLevel level, const char* event, const LogFields& fields = {});
 
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -69,6 +69,10 @@
           static_cast<std::uint64_t>(core::memberIdOf(settings_.name)),
           [](const core::ViewChange& change) { logViewChange(change, core::Duration{0}); },
           &logChangeSummary),
+      unreadableLogger_(
+          static_cast<std::uint64_t>(core::memberIdOf(settings_.name)),
+          [](const core::ViewChange& change) { logViewChange(change, core::Duration{0}); },
+          &logUnreadableSummary),
       updater_(
           steering_.backends(), steering_.routes(),
           [this](const core::ViewChange& change) { onViewChange(change); }, &changes_),
@@ -83,6 +87,7 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
 bool TokenDaemon::open() {
+  unreadableLogger_.disableSampling();
   packets_.setBatchListener([this](core::Time now) { onBatch(now); });
   packets_.setDrainedListener([this](core::Time now) { onDrained(now); });
   packets_.setVerdictListener([this](const core::PacketSummary& packet,
@@ -208,7 +213,7 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
-  const TokenMetricSources sources{steering_,  reader_,    peers_,    packets_,
+  const TokenMetricSources sources{steering_,  reader_,    updater_,  peers_,    packets_,
                                    latencies_, admission_, isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
@@ -259,6 +264,7 @@
   steering_.setFleetSize(fleetSize);
   changeLogger_.setFleetSize(fleetSize);
   changeLogger_.onTick(now);
+  unreadableLogger_.onTick(now);
   for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
     logAdmission(change);
   }
@@ -339,6 +345,8 @@
   const core::Time now = bootTime();
   if (change.kind == core::ViewChange::Kind::kBackend) {
     changeLogger_.add(change, now);
+  } else if (change.kind == core::ViewChange::Kind::kUnreadable) {
+    unreadableLogger_.add(change, now);
   } else {
     logViewChange(change, now - reader_.confirmedAt());
   }
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -79,6 +79,7 @@
   core::LocalCapacityEstimator localCapacity_;
   core::ChangeLog changes_;
   ViewChangeLogger changeLogger_;
+  ViewChangeLogger unreadableLogger_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
   PeerLink peers_;
--- a/src/daemon/token_log.cc
+++ b/src/daemon/token_log.cc
@@ -168,6 +168,7 @@
       logEvent(LogLevel::kError, "item_unreadable",
                {{"key", change.key},
                 {"revision", toString(change.revision)},
+                {"bytes", std::to_string(change.size)},
                 {"reason", change.reason}});
       return;
   }
@@ -187,6 +188,15 @@
   logEvent(LogLevel::kInfo, "backends_changed", fields);
 }
 
+void logUnreadableSummary(const ViewChangeLogger::Summary& summary) {
+  const auto event = static_cast<std::size_t>(core::RegistryEvent::kNone);
+  logEvent(LogLevel::kError, "items_unreadable",
+           {{"items", std::to_string(summary.counts[event])},
+            {"first_key", summary.firstKey},
+            {"first_revision", toString(summary.first)},
+            {"last_revision", toString(summary.last)}});
+}
+
 void logStoreRead(const core::StoreRead& read, const core::StoreReply& reply,
                   core::Duration latency, core::Revision viewRevision) {
   const bool isList = read.kind == core::StoreRead::Kind::kList;
--- a/src/daemon/token_log.h
+++ b/src/daemon/token_log.h
@@ -34,6 +34,8 @@
 void logViewChange(const core::ViewChange& change, core::Duration viewAge);
 
 /// Logs a read of the store with its cause and outcome.
+/// Logs how many items that cannot be read were not logged one by one.
+void logUnreadableSummary(const ViewChangeLogger::Summary& summary);
 void logStoreRead(const core::StoreRead& read, const core::StoreReply& reply,
                   core::Duration latency, core::Revision viewRevision);
 
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -10,6 +10,7 @@
 
 #include "core/store_reader.h"
 #include "core/token_steering.h"
+#include "core/view_updater.h"
 #include "daemon/packet_port.h"
 #include "daemon/peers/peer_link.h"
 
@@ -37,6 +38,7 @@
 struct TokenMetricSources {
   const core::TokenSteering& steering;
   const core::StoreReader& reader;
+  const core::ViewUpdater& updater;
   const PeerLink& peers;
   const PacketPort& packets;
   const LatencyHistograms& latencies;
--- a/src/daemon/view_change_logger.cc
+++ b/src/daemon/view_change_logger.cc
@@ -21,6 +21,9 @@
     : daemon_(daemon), logChange_(std::move(logChange)), logSummary_(std::move(logSummary)) {}
 
 bool ViewChangeLogger::isSampled(const core::ViewChange& change) const {
+  if (!samplesChanges_) {
+    return false;
+  }
   const std::uint64_t hash =
       core::mixHash(core::hashName(change.key) + change.revision.number, daemon_);
   return hash % std::max<std::uint64_t>(fleetSize_, 1) < kLoggersPerChange;
--- a/src/daemon/view_change_logger.h
+++ b/src/daemon/view_change_logger.h
@@ -38,6 +38,8 @@
 
   /// \param fleetSize number of daemons, which may be overestimated.
   void setFleetSize(std::uint32_t fleetSize) { fleetSize_ = fleetSize; }
+  /// Beyond the rate limit, logs no change individually.
+  void disableSampling() { samplesChanges_ = false; }
 
   /// Logs a backend change or counts it in the summary.
   void add(const core::ViewChange& change, core::Time now);
@@ -51,6 +53,7 @@
   LogChange logChange_;
   LogSummary logSummary_;
   std::uint32_t fleetSize_ = 1;
+  bool samplesChanges_ = true;
   core::Time periodStart_{};
   std::uint32_t loggedInPeriod_ = 0;  ///< Changes logged individually in this period.
   Summary suppressed_;
--- a/tests/daemon/view_change_logger_test.cc
+++ b/tests/daemon/view_change_logger_test.cc
@@ -87,6 +87,19 @@
   BOOST_TEST(linesByKey.size() == 500U);
 }
 
+// Guards against a line for each of many entries of another writer in a small fleet.
+BOOST_AUTO_TEST_CASE(without_sampling_the_number_of_lines_is_limited) {
+  const auto logger = make(1, 1);
+  logger->disableSampling();
+  for (std::uint64_t id = 0; id < 3000; ++id) {
+    logger->add(makeRemoval(id), now);
+  }
+  logger->onTick(now + 1s);
+  BOOST_TEST(linesByKey.size() == 8U);
+  BOOST_REQUIRE(summaries.size() == 1U);
+  BOOST_TEST(summaries[0].counts[static_cast<std::size_t>(core::RegistryEvent::kRemoved)] == 2992U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -90,6 +90,28 @@
   checkIsRefused(bytes + std::string(900'000, '\x01'));
 }
 
+// Guards against log lines as long as the entry.
+BOOST_AUTO_TEST_CASE(reason_is_short_whatever_the_entry_holds) {
+  const std::string longText(900'000, 'x');
+  checkIsRefused(inField("service", "\"" + longText));
+  checkIsRefused(R"({"service":"web","address":")" + longText + R"(","zone":"a"})");
+  checkIsRefused(R"({"service":"web","address":"10.0.0.1:1","zone":"a","capacity":2,"state":")" +
+                 longText + "\"}");
+  checkIsRefused(longText);
+  checkIsRefused(inField(longText, "1"));
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_item_has_the_size_of_its_value) {
+  const core::StoreReply reply = list("servers/i-2", nestedLists(1000));
+  BOOST_TEST(std::get<core::UnreadableItem>(reply.changes.at(1).item).size == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(key_beyond_the_limit_names_no_backend) {
+  checkIsRefused(validServer(), "servers/i-" + std::string(300'000, '2'));
+  const core::StoreReply reply = list("servers/i-" + std::string(300'000, '2'), validServer());
+  BOOST_TEST(reply.changes.at(1).key.size() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
