HTTP server: a request has one deadline, and new clients are served

Operators saw, with the readiness and admin ports: a client that sent a byte every few seconds kept its connection for good, since each byte began the ten seconds anew; so did one that announced a body of a gigabyte. 64 of them occupied the limit, and then nobody was served, probes of /ready included: a daemon that works looks unready.

Change: ten seconds from the end of a response to the end of the next one, whatever arrives. A body of more than 4 KiB closes the connection. Beyond 64 connections the oldest is closed for the new one.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -7,6 +7,7 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <chrono>
+#include <list>
 #include <utility>
 
 #include "net/address.h"
@@ -16,9 +17,9 @@
 
 constexpr std::size_t kReadBytes = 4096;
 constexpr std::size_t kMaxTargetBytes = 4096;
-constexpr int kMaxConnections = 64;
-/// Closes unresponsive connections, so that they do not use up the connection limit.
-constexpr auto kIdleTimeout = std::chrono::seconds(10);
+/// Requests have no use for a body; a short one is ignored. The parser limits the header.
+constexpr std::size_t kMaxBodyBytes = 4096;
+constexpr std::size_t kMaxConnections = 64;
 constexpr int kMethodNotAllowed = 405;
 
 const char* reasonPhrase(int status) {
@@ -45,7 +46,8 @@
 
 struct HttpServer::Shared {
   Handler handler;
-  int connections = 0;
+  std::list<Connection*> connections;  ///< Oldest first.
+  std::chrono::milliseconds exchangeTimeout = kExchangeTimeout;
   bool closed = false;
 };
 
@@ -53,31 +55,47 @@
 class HttpServer::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(asio::ip::tcp::socket socket, std::shared_ptr<Shared> shared)
-      : socket_(std::move(socket)), idle_(socket_.get_executor()), shared_(std::move(shared)) {
-    ++shared_->connections;
+      : socket_(std::move(socket)), deadline_(socket_.get_executor()), shared_(std::move(shared)) {
+    position_ = shared_->connections.insert(shared_->connections.end(), this);
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
     settings_ = http_parser_settings{};
     settings_.on_url = [](http_parser* parser, const char* data, std::size_t size) {
       return static_cast<Connection*>(parser->data)->onTarget(data, size);
     };
+    settings_.on_body = [](http_parser* parser, const char*, std::size_t size) {
+      return static_cast<Connection*>(parser->data)->onBody(size);
+    };
     settings_.on_message_complete = [](http_parser* parser) {
       static_cast<Connection*>(parser->data)->complete_ = true;
       http_parser_pause(parser, 1);
       return 0;
     };
   }
-  ~Connection() { --shared_->connections; }
+  ~Connection() { shared_->connections.erase(position_); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  void receive() {
-    idle_.expires_after(kIdleTimeout);
-    idle_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
+  /// Waits for a request and answers it.
+  void serve() {
+    deadline_.expires_after(shared_->exchangeTimeout);
+    deadline_.async_wait([weak = weak_from_this()](const asio::error_code& error) {
       if (const auto self = weak.lock(); self != nullptr && !error) {
         self->close();
       }
     });
+    receive();
+  }
+
+  void close() {
+    deadline_.cancel();
+    asio::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  void receive() {
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](const asio::error_code& error, std::size_t size) {
@@ -89,12 +107,16 @@
         });
   }
 
- private:
   int onTarget(const char* data, std::size_t size) {
     target_.append(data, size);
     return target_.size() > kMaxTargetBytes ? 1 : 0;
   }
 
+  int onBody(std::size_t size) {
+    bodyBytes_ += size;
+    return bodyBytes_ > kMaxBodyBytes ? 1 : 0;
+  }
+
   void parse(std::size_t size) {
     http_parser_execute(&parser_, &settings_, buffer_.data(), size);
     if (complete_) {
@@ -121,29 +143,25 @@
             return;
           }
           self->reset();
-          self->receive();
+          self->serve();
         });
   }
 
   void reset() {
     complete_ = false;
     target_.clear();
+    bodyBytes_ = 0;
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
   }
 
-  void close() {
-    idle_.cancel();
-    asio::error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-    socket_.close(ignored);
-  }
-
   asio::ip::tcp::socket socket_;
-  asio::steady_timer idle_;
+  asio::steady_timer deadline_;
   std::shared_ptr<Shared> shared_;
+  std::list<Connection*>::iterator position_;
   std::array<char, kReadBytes> buffer_{};
   std::string target_;
+  std::size_t bodyBytes_ = 0;
   std::string output_;
   http_parser parser_{};
   http_parser_settings settings_{};
@@ -168,7 +186,7 @@
     acceptor_.bind(local, error);
   }
   if (!error) {
-    acceptor_.listen(kMaxConnections, error);
+    acceptor_.listen(static_cast<int>(kMaxConnections), error);
   }
   if (error) {
     lastReason_ = "cannot listen on " + formatEndpoint(endpoint) + ": " + error.message();
@@ -178,6 +196,10 @@
   return true;
 }
 
+void HttpServer::setExchangeTimeout(std::chrono::milliseconds timeout) {
+  shared_->exchangeTimeout = timeout;
+}
+
 std::uint16_t HttpServer::port() const { return acceptor_.local_endpoint().port(); }
 
 void HttpServer::accept() {
@@ -185,8 +207,12 @@
     if (error == asio::error::operation_aborted) {
       return;
     }
-    if (!error && shared_->connections < kMaxConnections) {
-      std::make_shared<Connection>(std::move(socket), shared_)->receive();
+    if (!error) {
+      // A new client is served even if others hold all connections open.
+      if (shared_->connections.size() >= kMaxConnections) {
+        shared_->connections.front()->close();
+      }
+      std::make_shared<Connection>(std::move(socket), shared_)->serve();
     }
     accept();
   });
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,10 +1,12 @@
 /// @file
 /// Asynchronous HTTP server for GET requests: readiness, metrics and admin pages. Uses http-parser.
-/// Limits the number of connections to protect the process's file descriptors.
+/// Limits the number of connections to protect the process's file descriptors; beyond the limit, a
+/// new connection replaces the oldest.
 #pragma once
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -19,6 +21,10 @@
   std::string body;
 };
 
+/// Maximum time from the end of a response, or the start of the connection, to the end of the next
+/// response. Received bytes do not extend it.
+inline constexpr std::chrono::milliseconds kExchangeTimeout{10'000};
+
 class HttpServer {
  public:
   /// Called with the path of each GET request, without its query.
@@ -32,6 +38,8 @@
   /// @return false if the endpoint cannot be bound; see lastReason().
   bool open(const core::Endpoint& endpoint);
   std::uint16_t port() const;
+  /// Sets the maximum time of one request and its response, for later requests.
+  void setExchangeTimeout(std::chrono::milliseconds timeout);
   const std::string& lastReason() const { return lastReason_; }
 
  private:
