Peer messages cost memory only as they arrive

What a daemon could lose: a connection to the peer port that announced a frame of 16 MB had that much allocated and cleared before a byte of it, or of its authenticator, had arrived, for any number of connections. An authenticated message of 1 MB whose list declares a million routes took 165 MB: the vector was resized before the first element was looked at.

Change: the buffer of an inbound frame grows to at most twice what arrived; all inbound streams together have limits (256, 32 MiB), and what is refused is counted in cobaltgauge_peer_streams_refused_total. The decoder uses the MessagePack parser with limits, and lists grow with their valid elements.

Tests: DeclaredElementsCostNoMemory measures the peak of a child process (on the code before 165,220 KB where less than 32,768 is asked); number_of_inbound_streams_is_limited and bytes_of_incomplete_inbound_frames_are_limited read the new counter, so they were not run on the code before. An entry of the largest size costs less than a quarter of 256 MB, in ten forms.

--- a/src/net/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -10,6 +10,8 @@
 #include <stdexcept>
 #include <type_traits>
 
+#include "decoding/msgpack_parser.h"
+
 namespace cobaltgauge::net {
 namespace {
 
@@ -95,9 +97,10 @@
 template <typename T>
 void unpack(const msgpack::object& object, std::vector<T>& values) {
   const msgpack::object_array& array = arrayOf(object);
-  values.resize(array.size);
+  // Grows with the valid elements: one takes up more memory than its encoding.
+  values.clear();
   for (std::uint32_t i = 0; i < array.size; ++i) {
-    unpack(array.ptr[i], values[i]);
+    unpack(array.ptr[i], values.emplace_back());
   }
 }
 
@@ -175,9 +178,9 @@
   }
 }
 
-/// Limits on nesting and sizes, which protect against memory exhaustion by malicious input.
-constexpr std::size_t kMaxElements = 1U << 20U;
-constexpr std::size_t kMaxDepth = 16;
+/// A view of 20,000 backends has 300,000 values, the largest message of all.
+constexpr decoding::DecodingLimits kMessageLimits{
+    .MaxBytes = kMaxPeerFrameBytes, .MaxDepth = 16, .MaxValues = 1U << 20U};
 constexpr std::uint32_t kEnvelopeFields = 5;
 
 }  // namespace
@@ -273,12 +276,14 @@
 }
 
 std::optional<ReceivedFrame> PeerCodec::decodeBody(ByteView body) {
+  decoding::MsgpackParser parser(kMessageLimits);
+  const std::optional<msgpack::object_handle> handle =
+      parser.Parse({reinterpret_cast<const char*>(body.data()), body.size()});
+  if (!handle) {
+    return fail(PeerCodecError::kMalformed);
+  }
   try {
-    const msgpack::unpack_limit limit(kMaxElements, kMaxElements, body.size(), body.size(),
-                                      body.size(), kMaxDepth);
-    const msgpack::object_handle handle = msgpack::unpack(
-        reinterpret_cast<const char*>(body.data()), body.size(), nullptr, nullptr, limit);
-    const msgpack::object_array& envelope = arrayOf(handle.get());
+    const msgpack::object_array& envelope = arrayOf(handle->get());
     if (envelope.size != kEnvelopeFields) {
       return fail(PeerCodecError::kMalformed);
     }
--- a/src/net/peer_codec.h
+++ b/src/net/peer_codec.h
@@ -14,6 +14,8 @@
 
 inline constexpr std::uint32_t kPeerFormatVersion = 4;
 inline constexpr std::size_t kAuthenticatorBytes = 16;
+/// Larger frames are rejected.
+inline constexpr std::size_t kMaxPeerFrameBytes = 16U << 20U;
 
 /// A frame with its authenticated sender.
 struct ReceivedFrame {
--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -1,5 +1,6 @@
 #include "net/peer_transport.h"
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
@@ -14,7 +15,12 @@
 /// Larger frames are sent over TCP, except forwarded packets.
 constexpr std::size_t kMaxDatagramBytes = 1400;
 constexpr std::size_t kReceiveBufferBytes = 65536;
-constexpr std::uint32_t kMaxStreamBytes = 16U << 20U;
+/// Inbound streams are unauthenticated until their frame is complete, so all of them together have
+/// limits. A message of 10,000 backends has 450 KB, and a daemon has at most 32 followers.
+constexpr std::size_t kMaxInboundStreams = 256;
+constexpr std::size_t kMaxInboundBytes = 32U << 20U;
+/// The buffer of an inbound frame grows from this size to at most twice the received bytes.
+constexpr std::size_t kFirstReadBytes = 16U << 10U;
 /// Size of the length prefix of a frame sent over TCP.
 constexpr std::size_t kLengthBytes = 4;
 constexpr int kSocketBufferBytes = 4 << 20;
@@ -66,10 +72,26 @@
   asio::steady_timer timer_;
 };
 
+/// What the inbound streams occupy together. Shared with the streams, which may outlive the
+/// transport.
+struct PeerTransport::InboundUsage {
+  std::size_t streams = 0;
+  std::size_t bytes = 0;  ///< Buffered for incomplete frames.
+};
+
 /// Reads one length-prefixed frame from an accepted connection.
 class PeerTransport::InboundStream : public TimedStream {
  public:
-  using TimedStream::TimedStream;
+  InboundStream(asio::ip::tcp::socket socket, PeerTransport& owner)
+      : TimedStream(std::move(socket), owner), usage_(owner.inboundUsage_) {
+    ++usage_->streams;
+  }
+  ~InboundStream() {
+    --usage_->streams;
+    usage_->bytes -= body_.size();
+  }
+  InboundStream(const InboundStream&) = delete;
+  InboundStream& operator=(const InboundStream&) = delete;
 
   void start() {
     startTimer();
@@ -85,23 +107,47 @@
 
  private:
   void readBody() {
-    const std::uint32_t length = readLength(length_);
-    if (length > kMaxStreamBytes) {
+    expected_ = readLength(length_);
+    if (expected_ > kMaxPeerFrameBytes) {
       ++owner_.counters_.rejected[PeerCodecError::kMalformed];
       cancelTimer();
       return;
     }
-    body_.resize(length);
-    asio::async_read(socket_, asio::buffer(body_),
+    readPart();
+  }
+
+  /// Reads as many bytes as have been received before, so that a sender cannot make the daemon
+  /// allocate more than it sends.
+  void readPart() {
+    const std::size_t received = body_.size();
+    const std::size_t part = std::min(std::max(received, kFirstReadBytes), expected_ - received);
+    if (usage_->bytes + part > kMaxInboundBytes) {
+      ++owner_.counters_.streamsRefused;
+      cancelTimer();
+      return;
+    }
+    usage_->bytes += part;
+    body_.resize(received + part);
+    asio::async_read(socket_, asio::buffer(body_.data() + received, part),
                      [this, self = shared_from_this()](const asio::error_code& error, std::size_t) {
-                       cancelTimer();
-                       if (!error) {
-                         owner_.deliver(body_);
-                       }
+                       onPart(error);
                      });
   }
 
+  void onPart(const asio::error_code& error) {
+    if (!error && body_.size() < expected_) {
+      readPart();
+      return;
+    }
+    cancelTimer();
+    if (!error) {
+      owner_.deliver(body_);
+    }
+  }
+
+  std::shared_ptr<InboundUsage> usage_;
   std::array<std::uint8_t, kLengthBytes> length_{};
+  std::size_t expected_ = 0;  ///< Size of the frame according to its length prefix.
   std::vector<std::uint8_t> body_;
 };
 
@@ -147,7 +193,8 @@
       handler_(std::move(handler)),
       socket_(context),
       acceptor_(context),
-      buffer_(kReceiveBufferBytes) {}
+      buffer_(kReceiveBufferBytes),
+      inboundUsage_(std::make_shared<InboundUsage>()) {}
 
 bool PeerTransport::open(const core::Endpoint& endpoint) {
   asio::error_code error;
@@ -209,8 +256,10 @@
     if (error == asio::error::operation_aborted) {
       return;
     }
-    if (!error) {
+    if (!error && inboundUsage_->streams < kMaxInboundStreams) {
       std::make_shared<InboundStream>(std::move(socket), *this)->start();
+    } else if (!error) {
+      ++counters_.streamsRefused;
     }
     acceptStream();
   });
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -28,6 +28,7 @@
   std::uint64_t bytesReceived = 0;
   std::uint64_t sendErrors = 0;
   std::uint64_t streamsTimedOut = 0;  ///< Inbound and outbound.
+  std::uint64_t streamsRefused = 0;   ///< Inbound, beyond the limits on all of them together.
   std::map<PeerCodecError, std::uint64_t> rejected;
   /// Bytes sent, indexed by message type (index in PeerFrame).
   std::array<std::uint64_t, std::variant_size_v<PeerFrame>> bytesSentByType{};
@@ -59,6 +60,7 @@
   class TimedStream;
   class InboundStream;
   class OutboundStream;
+  struct InboundUsage;
 
   void receiveDatagram();
   void acceptStream();
@@ -74,6 +76,7 @@
   asio::ip::tcp::acceptor acceptor_;
   asio::ip::udp::endpoint sender_;
   std::vector<std::uint8_t> buffer_;
+  std::shared_ptr<InboundUsage> inboundUsage_;
   std::chrono::milliseconds streamTimeout_ = kStreamTimeout;
   std::string lastReason_;
   PeerTransportCounters counters_;
--- a/tests/net/peer_codec_test.cc
+++ b/tests/net/peer_codec_test.cc
@@ -3,6 +3,9 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
+
+#include "support/peak_memory.h"
 
 using namespace cobaltgauge;
 using namespace cobaltgauge::net;
@@ -175,6 +178,28 @@
   }
 }
 
+// Guards against memory for elements that a message declares and does not hold.
+BOOST_AUTO_TEST_CASE(DeclaredElementsCostNoMemory) {
+  constexpr std::uint32_t kViewTransferType = 12;
+  constexpr std::uint32_t kViewTransferFields = 9;
+  constexpr std::uint32_t kDeclared = 1'000'000;
+  msgpack::sbuffer body;
+  msgpack::packer packer(body);
+  packer.pack_array(5).pack(kPeerFormatVersion).pack(std::string("test")).pack(9U);
+  packer.pack(kViewTransferType).pack_array(kViewTransferFields);
+  packer.pack_array(2).pack(1U).pack(1U).pack(0U).pack(0U).pack(0U).pack_array(kDeclared);
+  for (std::uint32_t i = 0; i < kDeclared; ++i) {
+    packer.pack_nil();
+  }
+  packer.pack_nil().pack_nil().pack_nil().pack_nil();  // The other fields.
+  const ByteView bytes(reinterpret_cast<const std::uint8_t*>(body.data()), body.size());
+  const auto growth = tests::peakGrowthOf([&] { codec().decodeBody(bytes); });
+  BOOST_REQUIRE(growth.has_value());
+  // Each of the values that are there takes up 24 bytes.
+  BOOST_TEST(*growth < 32 * 1024);
+  BOOST_TEST(!codec().decodeBody(bytes).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ArbitraryBytesNeverCrash) {
   const bool ok = rc::check([](const std::vector<std::uint8_t>& bytes) {
     PeerCodec receiver = codec();
--- a/tests/net/peer_transport_test.cc
+++ b/tests/net/peer_transport_test.cc
@@ -95,6 +95,49 @@
   BOOST_TEST(transport.counters().streamsTimedOut == 0U);
 }
 
+// Guards against file descriptors and memory for every connection of an unauthenticated sender.
+BOOST_AUTO_TEST_CASE(number_of_inbound_streams_is_limited) {
+  transport.setStreamTimeout(10s);
+  std::vector<asio::ip::tcp::socket> senders;
+  for (int i = 0; i < 300; ++i) {
+    senders.emplace_back(context).connect(net::toTcp(transport.localEndpoint()));
+    context.poll();
+  }
+  context.run_for(50ms);
+  BOOST_TEST(transport.counters().streamsRefused == 300U - 256U);
+}
+
+// Guards against memory for frames that their senders announced but never complete.
+BOOST_AUTO_TEST_CASE(bytes_of_incomplete_inbound_frames_are_limited) {
+  transport.setStreamTimeout(10s);
+  const std::array<std::uint8_t, 4> length{1, 0, 0, 0};  // 16 MB.
+  const std::vector<std::uint8_t> part(15U << 20U);
+  std::vector<asio::ip::tcp::socket> senders;
+  senders.reserve(3);  // A write refers to its socket.
+  for (int i = 0; i < 3; ++i) {
+    asio::ip::tcp::socket& sender = senders.emplace_back(context);
+    sender.connect(net::toTcp(transport.localEndpoint()));
+    asio::write(sender, asio::buffer(length));
+    asio::async_write(sender, asio::buffer(part), [](const asio::error_code&, std::size_t) {});
+  }
+  while (transport.counters().streamsRefused == 0) {
+    context.run_one();
+  }
+  BOOST_TEST(transport.counters().streamsRefused == 1U);
+  BOOST_TEST(received == 0);
+}
+
+BOOST_AUTO_TEST_CASE(frame_larger_than_the_first_read_is_delivered) {
+  core::ViewTransfer view;
+  view.backends.resize(20'000);
+  transport.setStreamTimeout(10s);
+  transport.send({transport.localEndpoint(), transport.localEndpoint()}, view);
+  while (received < 2) {
+    context.run_one();
+  }
+  BOOST_TEST(transport.counters().streamsRefused == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -8,6 +8,7 @@
 
 #include "platform/store_items.h"
 #include "support/nested_documents.h"
+#include "support/peak_memory.h"
 
 namespace cobaltgauge::tests {
 namespace {
@@ -101,6 +102,39 @@
   checkIsRefused(inField(longText, "1"));
 }
 
+std::string repeat(const std::string& unit, std::size_t bytes) {
+  std::string text;
+  while (text.size() < bytes) {
+    text += unit;
+  }
+  return text;
+}
+
+// Guards against the end of a daemon on a machine of 256 MB, while it reads an entry of the largest
+// size that the store accepts.
+BOOST_AUTO_TEST_CASE(entry_of_the_largest_size_costs_a_quarter_of_the_memory) {
+  constexpr std::size_t kEntryBytes = 1'000'000;
+  constexpr std::int64_t kQuarterKilobytes = 64 * 1024;
+  const std::vector<std::string> entries{
+      "[0" + repeat(",0", kEntryBytes) + "]",
+      R"({"a":[0)" + repeat(",[]", kEntryBytes) + "]}",
+      R"({"a":0)" + repeat(R"(,"":0)", kEntryBytes) + "}",
+      R"({"a":[0)" + repeat(R"(,{"":0})", kEntryBytes) + "]}",
+      R"({"a":")" + repeat("\\u00ff", kEntryBytes) + R"("})",
+      "\xdd" + std::string("\x00\x0f\x42\x40", 4) + std::string(kEntryBytes, '\x01'),
+      "\xdf" + std::string("\x00\x07\xa1\x20", 4) + std::string(kEntryBytes, '\xa0'),
+      repeat("\xdf\xff\xff\xff\xff", kEntryBytes),
+      nestedLists(kEntryBytes / 2),
+      nestedMsgpackLists(kEntryBytes)};
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    const auto growth = peakGrowthOf([&] { list("servers/i-2", entries[i]); });
+    BOOST_TEST_CONTEXT("entry " << i) {
+      BOOST_REQUIRE(growth.has_value());
+      BOOST_TEST(*growth < kQuarterKilobytes);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_item_has_the_size_of_its_value) {
   const core::StoreReply reply = list("servers/i-2", nestedLists(1000));
   BOOST_TEST(std::get<core::UnreadableItem>(reply.changes.at(1).item).size == 2000U);
