Files and responses that our programs read have limits

Error messages quote at most 60 bytes. Lines of a history have at most 64 KiB. The admin server of recorded flows takes no bodies, and libcoap prints no line for a malformed packet.

--- a/src/configuration/configuration_json.cc
+++ b/src/configuration/configuration_json.cc
@@ -6,6 +6,7 @@
 
 #include "configuration/json_reader.h"
 #include "core/hashing.h"
+#include "decoding/json_parser.h"
 #include "net/address.h"
 
 namespace cobaltgauge::configuration {
@@ -41,12 +42,13 @@
 }  // namespace
 
 std::optional<core::ConfigurationDocument> ConfigurationParser::parse(const std::string& text) {
-  const nlohmann::json root = nlohmann::json::parse(text, nullptr, false);
-  if (root.is_discarded()) {
-    lastReason_ = "configuration: not valid JSON";
+  decoding::JsonParser parser(kConfigurationLimits);
+  const std::optional<nlohmann::json> root = parser.Parse(text);
+  if (!root) {
+    lastReason_ = "configuration: " + parser.GetLastReason();
     return std::nullopt;
   }
-  JsonReader reader(root, "configuration");
+  JsonReader reader(*root, "configuration");
   reader.rejectUnknownFields({"version", "services"});
   core::ConfigurationDocument document;
   document.version = reader.number("version", 1, kMaxVersion);
@@ -92,11 +94,12 @@
 std::optional<core::Service> JsonConfigurationCompiler::compileService(
     const core::ServiceDocument& document) {
   const std::string path = "service '" + document.name + "'";
-  const nlohmann::json root = nlohmann::json::parse(document.text, nullptr, false);
-  if (root.is_discarded()) {
-    return fail(path + ": not valid JSON");
+  decoding::JsonParser parser(kConfigurationLimits);
+  const std::optional<nlohmann::json> root = parser.Parse(document.text);
+  if (!root) {
+    return fail(path + ": " + parser.GetLastReason());
   }
-  JsonReader reader(root, path);
+  JsonReader reader(*root, path);
   reader.rejectUnknownFields({"name", "address", "port", "protocol", "class", "refusal", "policy",
                               "backends", "evacuated_zones"});
   core::Service service;
--- a/src/configuration/configuration_json.h
+++ b/src/configuration/configuration_json.h
@@ -8,10 +8,17 @@
 #include <vector>
 
 #include "core/configuration.h"
+#include "decoding/decoding_limits.h"
 #include "policy/policy_evaluator.h"
 
 namespace cobaltgauge::configuration {
 
+/// Maximum size of a configuration, of the list of machines and of an admin page.
+inline constexpr std::size_t kMaxConfigurationBytes = 16U << 20U;
+/// Limits on these documents. 10,000 backends have 150,000 values.
+inline constexpr decoding::DecodingLimits kConfigurationLimits{
+    .MaxBytes = kMaxConfigurationBytes, .MaxDepth = 16, .MaxValues = 1U << 20U};
+
 /// Splits the configuration text into one document per service and keeps the last error message.
 class ConfigurationParser {
  public:
--- a/src/configuration/json_reader.cc
+++ b/src/configuration/json_reader.cc
@@ -10,12 +10,12 @@
 /// Longer values are truncated in error messages.
 constexpr std::size_t kMaxQuotedValueBytes = 60;
 
+std::string shorten(const std::string& text) {
+  return text.size() > kMaxQuotedValueBytes ? text.substr(0, kMaxQuotedValueBytes) + "..." : text;
+}
+
 std::string formatValue(const nlohmann::json& value) {
-  std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  if (text.size() > kMaxQuotedValueBytes) {
-    text = text.substr(0, kMaxQuotedValueBytes) + "...";
-  }
-  return text;
+  return shorten(value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace
@@ -35,7 +35,7 @@
   }
   for (const nlohmann::json& item : array(field)) {
     if (!item.is_string() || item.get<std::string>().empty()) {
-      fail(field, "must be an array of non-empty strings, got " + item.dump());
+      fail(field, "must be an array of non-empty strings, got " + formatValue(item));
       return {};
     }
     names.insert(item.get<std::string>());
@@ -45,7 +45,7 @@
 
 void JsonReader::fail(const std::string& field, const std::string& problem) {
   if (!error_) {
-    error_ = path_ + "." + field + ": " + problem;
+    error_ = path_ + "." + shorten(field) + ": " + problem;
   }
 }
 
@@ -116,7 +116,7 @@
   const std::string value = text(field);
   const std::optional<core::IpAddress> parsed = net::parseAddress(value);
   if (!parsed && ok()) {
-    fail(field, "must be an IPv4 or IPv6 address, got \"" + value + "\"");
+    fail(field, "must be an IPv4 or IPv6 address, got \"" + shorten(value) + "\"");
   }
   return parsed.value_or(core::IpAddress{});
 }
--- a/src/configuration/platform_client.cc
+++ b/src/configuration/platform_client.cc
@@ -1,11 +1,11 @@
 #include "configuration/platform_client.h"
 
-#include <httplib.h>
-
 #include <nlohmann/json.hpp>
 
 #include "configuration/json_reader.h"
+#include "configuration/limited_get.h"
 #include "core/hashing.h"
+#include "decoding/json_parser.h"
 #include "net/address.h"
 
 namespace cobaltgauge::configuration {
@@ -31,13 +31,14 @@
   if (etag != nullptr && !etag->empty()) {
     headers.emplace("If-None-Match", *etag);
   }
-  const httplib::Result result = client.Get(path, headers);
+  std::string reason;
+  const std::optional<httplib::Response> result = getLimited(client, path, headers, reason);
   unchanged = result && result->status == kStatusNotModified;
   if (unchanged) {
     return std::nullopt;
   }
   if (!result) {
-    lastReason_ = "platform " + path + ": " + httplib::to_string(result.error());
+    lastReason_ = "platform " + path + ": " + reason;
     return std::nullopt;
   }
   if (result->status != kStatusOk) {
@@ -71,13 +72,14 @@
   if (!body) {
     return std::nullopt;
   }
-  const nlohmann::json root = nlohmann::json::parse(*body, nullptr, false);
-  if (root.is_discarded()) {
-    lastReason_ = "machines: not valid JSON";
+  decoding::JsonParser parser(kConfigurationLimits);
+  const std::optional<nlohmann::json> root = parser.Parse(*body);
+  if (!root) {
+    lastReason_ = "machines: " + parser.GetLastReason();
     return std::nullopt;
   }
   MachineList list;
-  JsonReader reader(root, "machines");
+  JsonReader reader(*root, "machines");
   for (const nlohmann::json& item : reader.array("machines")) {
     JsonReader machine(item, "machines[" + std::to_string(list.machines.size()) + "]");
     core::MemberIdentity identity;
--- a/src/ctl/admin_client.cc
+++ b/src/ctl/admin_client.cc
@@ -1,7 +1,6 @@
 #include "ctl/admin_client.h"
 
-#include <httplib.h>
-
+#include "configuration/limited_get.h"
 #include "net/address.h"
 
 namespace cobaltgauge::ctl {
@@ -20,9 +19,11 @@
   if (!flow.empty()) {
     parameters.emplace("flow", flow);
   }
-  const httplib::Result result = client.Get(path, parameters, httplib::Headers{});
+  std::string reason;
+  const std::optional<httplib::Response> result = configuration::getLimited(
+      client, httplib::append_query_params(path, parameters), httplib::Headers{}, reason);
   if (!result) {
-    lastReason_ = net::formatEndpoint(daemon_) + path + ": " + httplib::to_string(result.error());
+    lastReason_ = net::formatEndpoint(daemon_) + path + ": " + reason;
     return std::nullopt;
   }
   if (result->status != kStatusOk) {
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,15 +1,14 @@
 /// @file
 /// Entry point of cobaltgaugectl.
-#include <fstream>
 #include <iostream>
-#include <nlohmann/json.hpp>
-#include <sstream>
 #include <string>
 #include <vector>
 
+#include "configuration/configuration_json.h"
 #include "ctl/admin_client.h"
 #include "ctl/command_options.h"
 #include "ctl/offline_commands.h"
+#include "decoding/file_reader.h"
 
 namespace {
 
@@ -32,17 +31,6 @@
     "  zones                                evacuated zones (token steering)\n"
     "Settings of a daemon are checked by: cobaltgauged --settings FILE --check\n";
 
-std::optional<std::string> readFile(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) {
-    std::cerr << "cobaltgaugectl: cannot open " << path << "\n";
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
 int finish(const CommandResult& result) {
   (result.ok ? std::cout : std::cerr) << result.output;
   return result.ok ? 0 : 1;
@@ -50,9 +38,11 @@
 
 std::optional<std::vector<std::string>> readFiles(const std::vector<std::string>& paths) {
   std::vector<std::string> texts;
+  cobaltgauge::decoding::FileReader reader(cobaltgauge::configuration::kMaxConfigurationBytes);
   for (const std::string& path : paths) {
-    std::optional<std::string> text = readFile(path);
+    std::optional<std::string> text = reader.Read(path);
     if (!text) {
+      std::cerr << "cobaltgaugectl: " << reader.GetLastReason() << "\n";
       return std::nullopt;
     }
     texts.push_back(std::move(*text));
@@ -60,26 +50,6 @@
   return texts;
 }
 
-/// Prints whether a backend still gets new flows, according to the daemon's /services page.
-int printDrainStatus(const std::string& page, const std::string& backendName) {
-  const nlohmann::json services = nlohmann::json::parse(page, nullptr, false);
-  for (const nlohmann::json& service : services) {
-    for (const nlohmann::json& backend : service.at("backends")) {
-      if (backend.at("name") == backendName) {
-        const auto buckets = backend.at("buckets").get<std::size_t>();
-        std::cout << backendName << " of " << service.at("name").get<std::string>() << " is "
-                  << backend.at("state").get<std::string>() << " and "
-                  << (buckets == 0 ? "gets no new flow"
-                                   : "gets new flows from " + std::to_string(buckets) + " buckets")
-                  << "\n";
-        return 0;
-      }
-    }
-  }
-  std::cout << backendName << " is not in the configuration of this daemon\n";
-  return 1;
-}
-
 int queryDaemon(int argc, const char* const* argv) {
   const std::string command = argv[0];
   const auto options = CommandOptions::parse(
@@ -104,7 +74,7 @@
     return 1;
   }
   if (command == "drain-status") {
-    return printDrainStatus(*body, arguments[0]);
+    return finish(drainStatus(*body, arguments[0]));
   }
   std::cout << *body;
   return 0;
--- a/src/ctl/offline_commands.cc
+++ b/src/ctl/offline_commands.cc
@@ -9,6 +9,7 @@
 #include "configuration/configuration_json.h"
 #include "core/constants.h"
 #include "core/service_placement.h"
+#include "decoding/json_parser.h"
 #include "net/address.h"
 
 namespace cobaltgauge::ctl {
@@ -121,6 +122,17 @@
   }
 }
 
+/// Throws nlohmann::json::exception if a field is missing or has another type.
+std::string describeDrain(const std::string& backendName, const nlohmann::json& service,
+                          const nlohmann::json& backend) {
+  const auto buckets = backend.at("buckets").get<std::size_t>();
+  const std::string flows = buckets == 0
+                                ? "gets no new flow"
+                                : "gets new flows from " + std::to_string(buckets) + " buckets";
+  return backendName + " of " + service.at("name").get<std::string>() + " is " +
+         backend.at("state").get<std::string>() + " and " + flows + "\n";
+}
+
 }  // namespace
 
 CommandResult checkConfiguration(const std::string& text) {
@@ -150,18 +162,42 @@
 
 CommandResult testPolicy(const std::string& text, const std::string& serviceName,
                          const std::string& policy) {
-  nlohmann::json root = nlohmann::json::parse(text, nullptr, false);
-  if (!root.is_object() || !root.contains("services") || !root["services"].is_array()) {
+  decoding::JsonParser parser(configuration::kConfigurationLimits);
+  std::optional<nlohmann::json> root = parser.Parse(text);
+  if (!root) {
+    return failure("configuration: " + parser.GetLastReason());
+  }
+  if (!root->is_object() || !root->contains("services") || !(*root)["services"].is_array()) {
     return failure("configuration: not a JSON object with services");
   }
   bool found = false;
-  for (nlohmann::json& service : root["services"]) {
+  for (nlohmann::json& service : (*root)["services"]) {
     if (service.is_object() && service.value("name", "") == serviceName) {
       service["policy"] = policy;
       found = true;
     }
   }
-  return found ? testPolicies(root.dump()) : failure("no service '" + serviceName + "'");
+  return found ? testPolicies(root->dump()) : failure("no service '" + serviceName + "'");
+}
+
+CommandResult drainStatus(const std::string& page, const std::string& backendName) {
+  decoding::JsonParser parser(configuration::kConfigurationLimits);
+  const std::optional<nlohmann::json> services = parser.Parse(page);
+  if (!services) {
+    return failure("/services: " + parser.GetLastReason());
+  }
+  try {
+    for (const nlohmann::json& service : *services) {
+      for (const nlohmann::json& backend : service.at("backends")) {
+        if (backend.at("name") == backendName) {
+          return {describeDrain(backendName, service, backend), true};
+        }
+      }
+    }
+  } catch (const nlohmann::json::exception&) {
+    return failure("/services: not the page of a daemon");
+  }
+  return failure(backendName + " is not in the configuration of this daemon");
 }
 
 CommandResult compareConfigurations(const std::string& before, const std::string& after) {
--- a/src/ctl/offline_commands.h
+++ b/src/ctl/offline_commands.h
@@ -28,6 +28,10 @@
 CommandResult testPolicy(const std::string& text, const std::string& serviceName,
                          const std::string& policy);
 
+/// Tells whether a backend still gets new flows.
+/// @param page the daemon's page /services.
+CommandResult drainStatus(const std::string& page, const std::string& backendName);
+
 /// Prints the differences between two configurations: services, backends, weights and the number of
 /// buckets that move.
 CommandResult compareConfigurations(const std::string& before, const std::string& after);
--- a/src/daemon/admin_server.cc
+++ b/src/daemon/admin_server.cc
@@ -2,12 +2,23 @@
 
 #include <httplib.h>
 
+#include <chrono>
+
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
+namespace {
+
+/// Requests have no use for a body.
+constexpr std::size_t kMaxRequestBytes = 4096;
+constexpr auto kReadTimeout = std::chrono::seconds(2);
+
+}  // namespace
 
 AdminServer::AdminServer(std::function<AdminResponse(const AdminRequest&)> handler)
     : handler_(std::move(handler)), server_(std::make_unique<httplib::Server>()) {
+  server_->set_payload_max_length(kMaxRequestBytes);
+  server_->set_read_timeout(kReadTimeout);
   server_->new_task_queue = [] { return new httplib::ThreadPool(1); };
   server_->Get(".*", [this](const httplib::Request& request, httplib::Response& response) {
     const AdminResponse adminResponse = handler_({request.path, request.get_param_value("flow")});
--- a/src/net/coap_message.cc
+++ b/src/net/coap_message.cc
@@ -51,6 +51,9 @@
 }
 
 std::optional<CoapMessage> decodeCoap(ByteView bytes) {
+  // The library would print a line for each malformed packet.
+  static const bool isQuiet = (coap_set_log_level(LOG_EMERG), true);
+  static_cast<void>(isQuiet);
   const std::unique_ptr<coap_pdu_t, DeletePdu> pdu(
       coap_pdu_init(COAP_MESSAGE_CON, static_cast<coap_pdu_code_t>(0), 0, bytes.size()));
   if (!pdu || bytes.size() < kHeaderBytes ||
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -3,9 +3,16 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "decoding/excerpt.h"
+#include "decoding/json_parser.h"
+
 namespace cobaltgauge::sim {
 namespace {
 
+/// Limits on a line of a history. Events have at most seven fields.
+constexpr decoding::DecodingLimits kLineLimits{
+    .MaxBytes = 64U << 10U, .MaxDepth = 4, .MaxValues = 64};
+
 constexpr std::array<const char*, 17> kKindNames{"session_opened",
                                                  "session_at_backend",
                                                  "session_unknown",
@@ -60,26 +67,27 @@
 void HistoryWriter::write(const Event& event) { out_ << toLine(event) << std::endl; }
 
 std::optional<Event> HistoryReader::parseLine(const std::string& line) {
-  const nlohmann::json object = nlohmann::json::parse(line, nullptr, false);
-  if (!object.is_object()) {
-    lastReason_ = "expected a JSON object";
+  decoding::JsonParser parser(kLineLimits);
+  const std::optional<nlohmann::json> object = parser.Parse(line);
+  if (!object || !object->is_object()) {
+    lastReason_ = object ? "expected a JSON object" : parser.GetLastReason();
     return std::nullopt;
   }
   Event event;
-  for (const auto& [key, value] : object.items()) {
+  for (const auto& [key, value] : object->items()) {
     if (key == "t" && value.is_number_integer()) {
       event.timeMs = value.get<std::int64_t>();
       continue;
     }
     if (!value.is_string()) {
-      lastReason_ = "field '" + key + "' has an invalid type";
+      lastReason_ = "field '" + decoding::Excerpt(key) + "' has an invalid type";
       return std::nullopt;
     }
     const auto text = value.get<std::string>();
     if (key == "kind") {
       const std::optional<EventKind> kind = kindFromName(text);
       if (!kind) {
-        lastReason_ = "unknown event kind '" + text + "'";
+        lastReason_ = "unknown event kind '" + decoding::Excerpt(text) + "'";
         return std::nullopt;
       }
       event.kind = *kind;
@@ -94,11 +102,11 @@
     } else if (key == "detail") {
       event.detail = text;
     } else {
-      lastReason_ = "unknown field '" + key + "'";
+      lastReason_ = "unknown field '" + decoding::Excerpt(key) + "'";
       return std::nullopt;
     }
   }
-  if (!object.contains("t") || !object.contains("kind")) {
+  if (!object->contains("t") || !object->contains("kind")) {
     lastReason_ = "fields 't' and 'kind' are required";
     return std::nullopt;
   }
@@ -112,17 +120,21 @@
     return std::nullopt;
   }
   std::vector<Event> events;
-  std::string line;
+  std::string line(kLineLimits.MaxBytes + 1, '\0');
   std::size_t number = 0;
-  while (std::getline(in, line)) {
+  while (in.getline(line.data(), static_cast<std::streamsize>(line.size()))) {
     ++number;
-    std::optional<Event> event = parseLine(line);
+    std::optional<Event> event = parseLine(line.c_str());
     if (!event) {
       lastReason_ = path + ":" + std::to_string(number) + ": " + lastReason_;
       return std::nullopt;
     }
     events.push_back(std::move(*event));
   }
+  if (!in.eof()) {
+    lastReason_ = path + ":" + std::to_string(number + 1) + ": line is too long or unreadable";
+    return std::nullopt;
+  }
   return events;
 }
 
--- a/src/standin/fabric.cc
+++ b/src/standin/fabric.cc
@@ -1,9 +1,10 @@
 #include "standin/fabric.h"
 
 #include <asio/buffer.hpp>
-#include <fstream>
 #include <memory>
+#include <sstream>
 
+#include "decoding/file_reader.h"
 #include "net/address.h"
 
 namespace cobaltgauge::standin {
@@ -13,6 +14,7 @@
 constexpr std::uint64_t kPermille = 1000;
 /// Interval between reads of the list of daemons.
 constexpr auto kFileInterval = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxFileBytes = 1U << 20U;
 
 const std::vector<ctl::OptionSpec>& fabricOptions() {
   static const std::vector<ctl::OptionSpec> kOptions{
@@ -45,7 +47,7 @@
 }
 
 void Fabric::readDaemons() {
-  std::ifstream in(daemonsFile_);
+  std::istringstream in(decoding::FileReader(kMaxFileBytes).Read(daemonsFile_).value_or(""));
   std::vector<asio::ip::udp::endpoint> daemons;
   std::string line;
   while (std::getline(in, line)) {
--- a/src/standin/platform_server.cc
+++ b/src/standin/platform_server.cc
@@ -3,13 +3,13 @@
 #include <httplib.h>
 
 #include <deque>
-#include <fstream>
 #include <iostream>
 #include <mutex>
-#include <sstream>
 
+#include "configuration/configuration_json.h"
 #include "core/hashing.h"
 #include "ctl/command_options.h"
+#include "decoding/file_reader.h"
 #include "net/address.h"
 #include "standin/geneve_port.h"
 
@@ -26,10 +26,7 @@
 }
 
 std::string readFile(const std::string& path) {
-  std::ifstream in(path);
-  std::ostringstream content;
-  content << in.rdbuf();
-  return content.str();
+  return decoding::FileReader(configuration::kMaxConfigurationBytes).Read(path).value_or("");
 }
 
 /// Returns the content of a file with a delay of lagMs.
--- a/tests/configuration/configuration_json_test.cc
+++ b/tests/configuration/configuration_json_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "support/nested_documents.h"
+
 using namespace cobaltgauge;
 using namespace cobaltgauge::configuration;
 using nlohmann::json;
@@ -132,4 +134,35 @@
   BOOST_TEST(compileError(root).find("evacuated_zones") != std::string::npos);
 }
 
+// Guards against the end of cobaltgaugectl and of the daemon by a stack overflow, when a part of
+// the configuration is printed.
+BOOST_AUTO_TEST_CASE(DeeplyNestedConfigurationIsRefused) {
+  const std::string nested = tests::nestedLists(250'000);
+  ConfigurationParser parser;
+  for (const std::string& text :
+       {nested, R"({"version":1,"services":[{"name":"a","address":)" + nested + "}]}",
+        R"({"version":1,"services":)" + nested + "}", tests::nestedTables(100'000)}) {
+    BOOST_TEST(!parser.parse(text).has_value());
+    BOOST_TEST(parser.lastReason() == "configuration: more than 16 levels");
+  }
+  JsonConfigurationCompiler compiler;
+  const core::ConfigurationDocument document{1, {{"a", nested, 0}}};
+  BOOST_TEST(!compiler.compile(document).has_value());
+  BOOST_TEST(compiler.lastReason() == "service 'a': more than 16 levels");
+}
+
+// Guards against messages as long as the configuration.
+BOOST_AUTO_TEST_CASE(ErrorMessagesAreShort) {
+  const std::string longText(900'000, 'x');
+  json root = makeRoot();
+  root["services"][0][longText] = 1;
+  BOOST_TEST(compileError(root).size() < 500U);
+  root = makeRoot();
+  root["services"][0]["address"] = longText;
+  BOOST_TEST(compileError(root).size() < 500U);
+  root = makeRoot();
+  root["services"][0]["evacuated_zones"] = json::array({json::array({longText})});
+  BOOST_TEST(compileError(root).size() < 500U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/ctl/offline_commands_test.cc
+++ b/tests/ctl/offline_commands_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "support/nested_documents.h"
+
 using namespace cobaltgauge::ctl;
 using nlohmann::json;
 
@@ -72,4 +74,33 @@
   BOOST_TEST(contains(result, "does not rise"));
 }
 
+// Guards against the end of the program by a stack overflow.
+BOOST_AUTO_TEST_CASE(DeeplyNestedFilesAreRefused) {
+  const std::string nested = cobaltgauge::tests::nestedLists(250'000);
+  const std::string text = R"({"version":1,"services":[{"name":"desk","policy":)" + nested + "}]}";
+  for (const CommandResult& result :
+       {checkConfiguration(text), testPolicies(text), testPolicy(text, "desk", "x = 1"),
+        compareConfigurations(text, text), drainStatus(nested, "b1")}) {
+    BOOST_TEST(!result.ok);
+    BOOST_TEST(contains(result, "more than 16 levels"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DrainStatusReadsTheServicesPage) {
+  const std::string page =
+      R"([{"name":"desk","backends":[{"name":"b1","state":"leaving","buckets":0},)"
+      R"({"name":"b2","state":"active","buckets":7}]}])";
+  BOOST_TEST(drainStatus(page, "b1").output == "b1 of desk is leaving and gets no new flow\n");
+  BOOST_TEST(contains(drainStatus(page, "b2"), "gets new flows from 7 buckets"));
+  BOOST_TEST(!drainStatus(page, "b3").ok);
+}
+
+// Guards against an exception that nobody catches.
+BOOST_AUTO_TEST_CASE(OtherPagesHaveNoDrainStatus) {
+  for (const char* page : {"", "1", "{}", "[1]", R"([{"backends":[{}]}])",
+                           R"([{"backends":[{"name":"b1","buckets":"many"}]}])"}) {
+    BOOST_TEST(!drainStatus(page, "b1").ok);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/sim/history_checker_test.cc
+++ b/tests/sim/history_checker_test.cc
@@ -2,9 +2,13 @@
 /// Tests each invariant with a history that violates it and one at the limit that does not.
 #include "sim/history_checker.h"
 
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
 
+#include "support/nested_documents.h"
+
 using namespace cobaltgauge::sim;
 
 namespace {
@@ -136,4 +140,26 @@
   }
 }
 
+// Guards against memory for a line of any length, and messages as long as the line.
+BOOST_AUTO_TEST_CASE(LongOrNestedLinesAreRefused) {
+  HistoryReader reader;
+  BOOST_TEST(!reader
+                  .parseLine(R"({"t":1,"kind":"fault","detail":)" +
+                             cobaltgauge::tests::nestedLists(20'000) + "}")
+                  .has_value());
+  BOOST_TEST(reader.lastReason() == "more than 4 levels");
+  const std::string longText(60'000, 'x');
+  BOOST_TEST(!reader.parseLine("{\"" + longText + "\":\"\"}").has_value());
+  BOOST_TEST(reader.lastReason().size() < 500U);
+  BOOST_TEST(!reader.parseLine(R"({"t":1,"kind":")" + longText + "\"}").has_value());
+  BOOST_TEST(reader.lastReason().size() < 500U);
+  const std::string path = "history_checker_test." + std::to_string(getpid());
+  std::ofstream(path) << R"({"t":1,"kind":"fault"})"
+                      << "\n"
+                      << std::string(5'000'000, 'x') << "\n";
+  BOOST_TEST(!reader.readFile(path).has_value());
+  BOOST_TEST(reader.lastReason() == path + ":2: line is too long or unreadable");
+  std::remove(path.c_str());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
