Dotted keys of TOML files have a limit

Operators saw: cobaltgauged and cobaltgauge-sim ended by SIGSEGV (status 139) on a file with a key of 200,000 parts, "a.a.a..."; for a running daemon a SIGHUP with such a settings file was enough. Cause: toml++ 3.3 limits the nesting of values to 256, but makes one table for each part of a key, and frees them by a destructor that calls itself once for each.

Change: TomlParser refuses more than 31 dots in a row before it parses. The count does not tell strings and comments from keys, since what looks like the begin of one may stand in a quoted key. Settings and scenario files have at most 1 MiB, and error messages quote at most 60 bytes of them.

--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -1,7 +1,6 @@
 /// @file
 /// Reads settings from TOML files (toml++) and command-line flags (popt).
 #include <popt.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
 #include <array>
@@ -10,6 +9,9 @@
 #include <sstream>
 
 #include "daemon/settings.h"
+#include "decoding/excerpt.h"
+#include "decoding/file_reader.h"
+#include "decoding/toml_parser.h"
 
 namespace cobaltgauge::daemon {
 namespace {
@@ -80,7 +82,7 @@
   const bool isSecret = std::string_view(field.key) == "key";
   return std::string(field.section) + "." + field.key + ": got " +
          (isSecret ? "a value of " + std::to_string(value.size()) + " bytes"
-                   : "\"" + value + "\"") +
+                   : "\"" + decoding::Excerpt(value) + "\"") +
          "; allowed is " + field.allowedValues;
 }
 
@@ -143,36 +145,41 @@
     }
   }
   if (option < -1) {
-    return fail(std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
+    return fail(decoding::Excerpt(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": " +
                 poptStrerror(option) + "; see --help");
   }
   if (const char* argument = poptGetArg(context.get())) {
-    return fail(std::string(argument) + ": unexpected argument; see --help");
+    return fail(decoding::Excerpt(argument) + ": unexpected argument; see --help");
   }
   return commandLine;
 }
 
 bool SettingsLoader::readFile(const std::string& path, Settings& settings,
                               std::vector<std::string>& givenFlags) {
-  toml::table root;
-  try {
-    root = toml::parse_file(path);
-  } catch (const toml::parse_error& error) {
-    fail(path + ":" + std::to_string(error.source().begin.line) + ": " +
-         std::string(error.description()));
+  decoding::FileReader file(decoding::kMaxTomlBytes);
+  const std::optional<std::string> text = file.Read(path);
+  if (!text) {
+    fail(file.GetLastReason());
     return false;
   }
-  for (const auto& [sectionKey, sectionNode] : root) {
+  decoding::TomlParser parser;
+  const std::optional<toml::table> root = parser.Parse(*text);
+  if (!root) {
+    fail(path + ":" + std::to_string(parser.GetLastLine()) + ": " + parser.GetLastReason());
+    return false;
+  }
+  for (const auto& [sectionKey, sectionNode] : *root) {
     const std::string section(sectionKey.str());
     const toml::table* table = sectionNode.as_table();
     if (table == nullptr || !hasSection(section)) {
-      fail(formatPosition(path, sectionNode) + ": " + section + ": unknown section; see --help");
+      fail(formatPosition(path, sectionNode) + ": " + decoding::Excerpt(section) +
+           ": unknown section; see --help");
       return false;
     }
     for (const auto& [key, node] : *table) {
       const SettingField* field = findField(section, key.str());
       if (field == nullptr) {
-        fail(formatPosition(path, node) + ": " + section + "." + std::string(key.str()) +
+        fail(formatPosition(path, node) + ": " + section + "." + decoding::Excerpt(key.str()) +
              ": unknown field; see --help");
         return false;
       }
--- a/src/sim/scenario_loader.cc
+++ b/src/sim/scenario_loader.cc
@@ -1,10 +1,10 @@
 #include "sim/scenario_loader.h"
 
-#include <toml++/toml.h>
-
-#include <fstream>
 #include <set>
-#include <sstream>
+
+#include "decoding/excerpt.h"
+#include "decoding/file_reader.h"
+#include "decoding/toml_parser.h"
 
 namespace cobaltgauge::sim {
 namespace {
@@ -86,8 +86,8 @@
 
   void fail(const toml::node& node, const std::string& key, const std::string& problem) {
     if (error_.empty()) {
-      error_ =
-          "line " + std::to_string(node.source().begin.line) + ": " + path_ + key + ": " + problem;
+      error_ = "line " + std::to_string(node.source().begin.line) + ": " + path_ +
+               decoding::Excerpt(key) + ": " + problem;
     }
   }
 
@@ -165,7 +165,8 @@
   reader.text("target", fault.target);
   const std::optional<FaultKind> known = faultKindFromName(kind);
   if (!known) {
-    reader.reject("kind", "\"" + kind + "\" is not a fault kind; see docs/SIMULATOR.md");
+    reader.reject("kind",
+                  "\"" + decoding::Excerpt(kind) + "\" is not a fault kind; see docs/SIMULATOR.md");
   }
   fault.kind = known.value_or(FaultKind::kKillDaemon);
   return fault;
@@ -233,12 +234,11 @@
 std::optional<Scenario> ScenarioLoader::loadText(const std::string& text, const std::string& name) {
   Scenario scenario;
   std::string error;
-  try {
-    const toml::table root = toml::parse(text);
-    readScenario(root, scenario, error);
-  } catch (const toml::parse_error& failure) {
-    error = "line " + std::to_string(failure.source().begin.line) + ": " +
-            std::string(failure.description());
+  decoding::TomlParser parser;
+  if (const std::optional<toml::table> root = parser.Parse(text)) {
+    readScenario(*root, scenario, error);
+  } else {
+    error = "line " + std::to_string(parser.GetLastLine()) + ": " + parser.GetLastReason();
   }
   if (!error.empty()) {
     lastReason_ = name + ": " + error;
@@ -248,14 +248,13 @@
 }
 
 std::optional<Scenario> ScenarioLoader::loadFile(const std::string& path) {
-  std::ifstream in(path);
-  if (!in) {
-    lastReason_ = path + ": cannot open file";
+  decoding::FileReader file(decoding::kMaxTomlBytes);
+  const std::optional<std::string> text = file.Read(path);
+  if (!text) {
+    lastReason_ = file.GetLastReason();
     return std::nullopt;
   }
-  std::ostringstream text;
-  text << in.rdbuf();
-  return loadText(text.str(), path);
+  return loadText(*text, path);
 }
 
 }  // namespace cobaltgauge::sim
--- a/tests/daemon/settings_test.cc
+++ b/tests/daemon/settings_test.cc
@@ -223,4 +223,24 @@
   }
 }
 
+// Guards against the end of a daemon by a stack overflow, at its start or when it reads its changed
+// settings again.
+BOOST_AUTO_TEST_CASE(LongDottedKeyIsRefused) {
+  std::string key = "a";
+  for (int i = 0; i < 200'000; ++i) {
+    key += ".a";
+  }
+  BOOST_TEST(load("[" + key + "]\n").reason == "FILE:1: more than 31 dots without a separator");
+  BOOST_TEST(load(key + " = 1\n").reason == "FILE:1: more than 31 dots without a separator");
+}
+
+// Guards against messages and log lines as long as the file.
+BOOST_AUTO_TEST_CASE(ErrorMessagesAreShort) {
+  const std::string longText(900'000, 'x');
+  BOOST_TEST(load("[daemon]\nname = \"" + longText + "\"\n").reason.size() < 500U);
+  BOOST_TEST(load("[" + longText + "]\na = 1\n").reason.size() < 500U);
+  BOOST_TEST(load("[daemon]\n" + longText + " = 1\n").reason.size() < 500U);
+  BOOST_TEST(load(std::string(2U << 20U, ' ')).reason == "FILE: more than 1048576 bytes");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
