Settings: build the message for a wrong value in two steps

With -O3 the compiler takes the concatenation for overlapping copies (-Werror=restrict in settings_loader.cc), so that the build of the deploy file failed since dotted keys got a limit. The message is the same.

--- a/src/daemon/settings_loader.cc
+++ b/src/daemon/settings_loader.cc
@@ -80,10 +80,10 @@
 std::string invalidValueMessage(const SettingField& field, const std::string& value) {
   // The cluster key must not appear in error messages.
   const bool isSecret = std::string_view(field.key) == "key";
-  return std::string(field.section) + "." + field.key + ": got " +
-         (isSecret ? "a value of " + std::to_string(value.size()) + " bytes"
-                   : "\"" + decoding::Excerpt(value) + "\"") +
-         "; allowed is " + field.allowedValues;
+  const std::string shown = isSecret ? "a value of " + std::to_string(value.size()) + " bytes"
+                                     : std::string("\"").append(decoding::Excerpt(value)) + "\"";
+  return std::string(field.section) + "." + field.key + ": got " + shown + "; allowed is " +
+         field.allowedValues;
 }
 
 /// @return the missing setting that the steering mode requires, or null.
