No page of the HTTP servers can end the process

Operators saw: with an item of another writer whose zone is not valid UTF-8, a GET of /load ended the daemon, once a request; /zones did so with such an evacuation. Cause: JSON output throws on invalid text, and nothing between the page and the event loop caught it.

Change: pages replace invalid bytes. An exception of a handler is a response with status 500, a log line page_failed and cobaltgauge_pages_failed_total.

--- a/src/daemon/admin_pages.cc
+++ b/src/daemon/admin_pages.cc
@@ -1,8 +1,8 @@
 #include "daemon/admin_pages.h"
 
-#include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "daemon/json_page.h"
 #include "net/address.h"
 
 namespace cobaltgauge::daemon {
@@ -32,7 +32,7 @@
 }
 
 AdminResponse errorResponse(int status, const std::string& message) {
-  return {status, "application/json", Json{{"error", message}}.dump(2) + "\n"};
+  return {status, "application/json", renderJson(Json{{"error", message}})};
 }
 
 Json statusPage(const MetricSources& sources) {
@@ -162,11 +162,11 @@
     return {response.status, "text/plain; version=0.0.4", metricsText(sources)};
   }
   if (request.path == "/status") {
-    response.body = statusPage(sources).dump(2) + "\n";
+    response.body = renderJson(statusPage(sources));
   } else if (request.path == "/members") {
-    response.body = membersPage(sources.balancer).dump(2) + "\n";
+    response.body = renderJson(membersPage(sources.balancer));
   } else if (request.path == "/services") {
-    response.body = servicesPage(sources.balancer).dump(2) + "\n";
+    response.body = renderJson(servicesPage(sources.balancer));
   } else if (request.path == "/explain") {
     const std::optional<core::FlowKey> flow = parseFlow(request.flow);
     if (!flow) {
@@ -176,7 +176,7 @@
     if (!explanation) {
       return errorResponse(kNotFound, "no service matches this destination and protocol");
     }
-    response.body = explainJson(sources.balancer, *explanation).dump(2) + "\n";
+    response.body = renderJson(explainJson(sources.balancer, *explanation));
   } else {
     return errorResponse(
         kNotFound,
--- a/src/daemon/load_page.cc
+++ b/src/daemon/load_page.cc
@@ -1,6 +1,6 @@
 #include "daemon/load_page.h"
 
-#include <nlohmann/json.hpp>
+#include "daemon/json_page.h"
 
 namespace cobaltgauge::daemon {
 
@@ -26,7 +26,7 @@
       {"daemons", load.CountDaemons()},
       {"age_ms", age ? nlohmann::json(*age / std::chrono::milliseconds(1)) : nlohmann::json()},
       {"load", std::move(zones)}};
-  return page.dump(2) + "\n";
+  return renderJson(page);
 }
 
 }  // namespace cobaltgauge::daemon
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -108,6 +108,11 @@
     lastReason_ = peers_.GetLastReason();
     return false;
   }
+  for (net::HttpServer* server : {&readiness_, &admin_}) {
+    server->setFailureListener([](const std::string& path, const char* reason) {
+      logEvent(LogLevel::kError, "page_failed", {{"path", path}, {"reason", reason}});
+    });
+  }
   if (!admin_.open(settings_.adminListen)) {
     // Forwarding works without the admin interface.
     logEvent(LogLevel::kError, "metrics_unavailable", {{"reason", admin_.lastReason()}});
@@ -213,8 +218,10 @@
   if (path != "/metrics") {
     return {kNotFound, "text/plain", "only /metrics, /zones and /load are here\n"};
   }
-  const TokenMetricSources sources{steering_,  reader_,    updater_,  peers_,    packets_,
-                                   latencies_, admission_, isReady(), bootTime()};
+  const TokenMetricSources sources{
+      steering_, reader_,    updater_,   peers_,
+      packets_,  latencies_, admission_, admin_.failures() + readiness_.failures(),
+      isReady(), bootTime()};
   return {200, "text/plain; version=0.0.4", tokenMetricsText(sources)};
 }
 
--- a/src/daemon/token_metrics.cc
+++ b/src/daemon/token_metrics.cc
@@ -294,6 +294,8 @@
       {"cobaltgauge_peer_message_bytes_sent_total", "Bytes sent to peers, by message kind", "kind",
        MetricType::Counter,
        [](const Sources& s) { return messageBytes(s.peers.GetTransportCounters()); }},
+      {"cobaltgauge_pages_failed_total", "Admin pages that could not be built", nullptr,
+       MetricType::Counter, [](const Sources& s) { return single(s.failedPages); }},
       {"cobaltgauge_log_lines_dropped_total", "Log lines dropped because the buffer was full",
        nullptr, MetricType::Counter, [](const Sources&) { return single(droppedLogLines()); }},
       {"cobaltgauge_ready", "1 if this daemon is ready to receive packets", nullptr,
--- a/src/daemon/token_metrics.h
+++ b/src/daemon/token_metrics.h
@@ -43,6 +43,7 @@
   const PacketPort& packets;
   const LatencyHistograms& latencies;
   const core::PriorityAdmission& admission;
+  std::uint64_t failedPages = 0;
   bool ready = false;
   core::Time now{};
 };
--- a/src/daemon/zone_page.cc
+++ b/src/daemon/zone_page.cc
@@ -1,6 +1,6 @@
 #include "daemon/zone_page.h"
 
-#include <nlohmann/json.hpp>
+#include "daemon/json_page.h"
 
 namespace cobaltgauge::daemon {
 
@@ -17,7 +17,7 @@
                             {"ready", ready},
                             {"serving", serving.IsServing()},
                             {"serving_reason", core::ToString(serving.GetReason())}};
-  return page.dump(2) + "\n";
+  return renderJson(page);
 }
 
 }  // namespace cobaltgauge::daemon
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -21,6 +21,7 @@
 constexpr std::size_t kMaxBodyBytes = 4096;
 constexpr std::size_t kMaxConnections = 64;
 constexpr int kMethodNotAllowed = 405;
+constexpr int kInternalServerError = 500;
 
 const char* reasonPhrase(int status) {
   switch (status) {
@@ -30,6 +31,8 @@
       return "Not Found";
     case kMethodNotAllowed:
       return "Method Not Allowed";
+    case kInternalServerError:
+      return "Internal Server Error";
     default:
       return "Service Unavailable";
   }
@@ -46,6 +49,8 @@
 
 struct HttpServer::Shared {
   Handler handler;
+  FailureListener onFailure;
+  std::uint64_t failures = 0;
   std::list<Connection*> connections;  ///< Oldest first.
   std::chrono::milliseconds exchangeTimeout = kExchangeTimeout;
   bool closed = false;
@@ -132,7 +137,7 @@
     const bool keepAlive = http_should_keep_alive(&parser_) != 0;
     const std::string path = target_.substr(0, target_.find('?'));
     const HttpResponse response = parser_.method == HTTP_GET
-                                      ? shared_->handler(path)
+                                      ? handle(path)
                                       : HttpResponse{kMethodNotAllowed, "text/plain", "GET only\n"};
     output_ = render(response, keepAlive);
     asio::async_write(
@@ -147,6 +152,19 @@
         });
   }
 
+  /// A page that cannot be built is an error of the request, not of the process.
+  HttpResponse handle(const std::string& path) {
+    try {
+      return shared_->handler(path);
+    } catch (const std::exception& error) {
+      ++shared_->failures;
+      if (shared_->onFailure) {
+        shared_->onFailure(path, error.what());
+      }
+      return {kInternalServerError, "text/plain", "the page could not be built\n"};
+    }
+  }
+
   void reset() {
     complete_ = false;
     target_.clear();
@@ -196,6 +214,12 @@
   return true;
 }
 
+void HttpServer::setFailureListener(FailureListener listener) {
+  shared_->onFailure = std::move(listener);
+}
+
+std::uint64_t HttpServer::failures() const { return shared_->failures; }
+
 void HttpServer::setExchangeTimeout(std::chrono::milliseconds timeout) {
   shared_->exchangeTimeout = timeout;
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,6 +7,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,6 +31,10 @@
   /// Called with the path of each GET request, without its query.
   using Handler = std::function<HttpResponse(const std::string& path)>;
 
+  /// Called with the path and the reason if the handler throws.
+  using FailureListener = std::function<void(const std::string& path, const char* reason)>;
+
+  /// @param handler may throw std::exception; the response is then status 500.
   HttpServer(asio::io_context& context, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -38,6 +43,9 @@
   /// @return false if the endpoint cannot be bound; see lastReason().
   bool open(const core::Endpoint& endpoint);
   std::uint16_t port() const;
+  void setFailureListener(FailureListener listener);
+  /// @return the number of requests whose handler threw.
+  std::uint64_t failures() const;
   /// Sets the maximum time of one request and its response, for later requests.
   void setExchangeTimeout(std::chrono::milliseconds timeout);
   const std::string& lastReason() const { return lastReason_; }
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -7,6 +7,7 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <stdexcept>
 #include <vector>
 
 #include "net/address.h"
@@ -61,6 +62,9 @@
 struct HttpServerFixture {
   asio::io_context context;
   net::HttpServer server{context, [](const std::string& path) {
+                           if (path == "/broken") {
+                             throw std::runtime_error("no page");
+                           }
                            return net::HttpResponse{200, "text/plain", path + "\n"};
                          }};
 
@@ -95,6 +99,21 @@
   BOOST_TEST(!connection->closed);
 }
 
+// Guards against the end of the process by an exception of a page.
+BOOST_AUTO_TEST_CASE(page_that_throws_is_an_internal_server_error) {
+  std::string failure;
+  server.setFailureListener(
+      [&failure](const std::string& path, const char* reason) { failure = path + ": " + reason; });
+  const auto connection = connect();
+  connection->send("GET /broken HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(runUntil([&] { return connection->received.ends_with("built\n"); }));
+  BOOST_TEST(connection->received.starts_with("HTTP/1.1 500 Internal Server Error\r\n"));
+  BOOST_TEST(failure == "/broken: no page");
+  BOOST_TEST(server.failures() == 1U);
+  connection->send(kRequest);
+  BOOST_TEST(runUntil([&] { return connection->received.ends_with("/metrics\n"); }));
+}
+
 // Guards against connections that last as long as their clients send a byte now and then.
 BOOST_AUTO_TEST_CASE(request_that_arrives_slowly_is_closed) {
   server.setExchangeTimeout(200ms);
