Names of services, zones and versions are checked where they enter

Operators saw: an item of another writer with a zone of 900,000 bytes made /metrics 3.6 MB; one with bytes that are no text went to every page and log line that names it.

Change: a registration whose service, zone or version is not valid UTF-8, holds control characters or has more than 200 bytes (the largest key, which may contain a zone) cannot be read, like one with a wrong type; so does an evacuation of such a zone. Configurations are not checked: the store accepts only valid ones.

--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -3,6 +3,7 @@
 #include <openssl/evp.h>
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
@@ -135,6 +136,39 @@
   }
 }
 
+// Guards against text that a page, a metric or a log could not show.
+BOOST_AUTO_TEST_CASE(text_that_is_no_name_is_refused) {
+  const auto entry = [](const std::string& field, const std::string& text) {
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    std::map<std::string, std::string> texts{{"service", "web"},
+                                             {"address", "10.128.0.9:8080"},
+                                             {"zone", "a"},
+                                             {"version", "v1"},
+                                             {"state", "ready"}};
+    texts[field] = text;
+    packer.pack_map(static_cast<std::uint32_t>(texts.size()) + 1);
+    for (const auto& [name, value] : texts) {
+      packer.pack(name).pack(value);
+    }
+    packer.pack(std::string("capacity")).pack(2);
+    return std::string(buffer.data(), buffer.size());
+  };
+  const core::StoreReply valid = list("servers/i-2", entry("zone", "P\xc3\xb5hja"));
+  BOOST_TEST(std::holds_alternative<core::Registration>(valid.changes.at(1).item));
+  for (const char* field : {"service", "zone", "version"}) {
+    checkIsRefused(entry(field, "\xff\xfe\xff\xfe"));
+    checkIsRefused(entry(field, "a\nlevel=info"));
+    checkIsRefused(entry(field, std::string(201, 'x')));
+    checkIsRefused(entry(field, std::string(900'000, 'x')));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(evacuation_of_a_zone_that_is_no_name_is_refused) {
+  checkIsRefused("{}", "op/evacuate/a\nb");
+  checkIsRefused("{}", "op/evacuate/a\x7f");
+}
+
 BOOST_AUTO_TEST_CASE(unreadable_item_has_the_size_of_its_value) {
   const core::StoreReply reply = list("servers/i-2", nestedLists(1000));
   BOOST_TEST(std::get<core::UnreadableItem>(reply.changes.at(1).item).size == 2000U);
