A watch whose changes are too large is followed by a listing

Change: such a response is an outcome of its own (too_large). A listing follows instead, as where the history is gone: its pages are small, whatever the history holds, and the first one has what operators wrote. A response that announces too many bytes is refused at its header.

--- a/src/core/store_read.cc
+++ b/src/core/store_read.cc
@@ -18,6 +18,8 @@
       return "connection_lost";
     case ReadOutcome::kMalformed:
       return "malformed";
+    case ReadOutcome::kTooLarge:
+      return "too_large";
     case ReadOutcome::kOutdatedEra:
       return "era_over";
   }
--- a/src/core/store_read.h
+++ b/src/core/store_read.h
@@ -46,6 +46,7 @@
   kTimedOut,        ///< No response in time.
   kConnectionLost,  ///< Refused, reset or closed.
   kMalformed,       ///< The response as a whole cannot be parsed.
+  kTooLarge,        ///< The response has more bytes than a daemon accepts.
   kOutdatedEra,     ///< The response is of an earlier era than one seen before.
 };
 
--- a/src/core/store_reader.cc
+++ b/src/core/store_reader.cc
@@ -108,7 +108,15 @@
   const ReadOutcome outcome = classifyReply(reply, answered);
   storeEra_ = std::max(storeEra_, reply.revision.era);
   if (outcome == ReadOutcome::kHistoryGone) {
-    onHistoryGone(now);
+    ++counters_.historyGone;
+    listAgain(now);
+    return outcome;
+  }
+  if (outcome == ReadOutcome::kTooLarge && answered == PendingRead::kWatch) {
+    // The same watch would get the same changes. Pages of a listing are small, and the first one
+    // holds what operators wrote.
+    ++counters_.tooLarge;
+    listAgain(now);
     return outcome;
   }
   if (outcome != ReadOutcome::kSucceeded) {
@@ -127,10 +135,9 @@
   return outcome;
 }
 
-void StoreReader::onHistoryGone(Time now) {
-  ++counters_.historyGone;
+void StoreReader::listAgain(Time now) {
   lastReplyAt_ = now;
-  historyGoneAt_ = now;
+  relistedAt_ = now;
   beginListing();
   if (synchronized_) {
     nextReadAt_ = now + randomDelay(maxRelistDelay_);
@@ -324,7 +331,7 @@
 void StoreReader::confirm(Time at) {
   // Earlier confirmations may come from daemons that lost the same history and have not listed
   // again.
-  if (at > historyGoneAt_) {
+  if (at > relistedAt_) {
     abandonListing();
   }
   if (listing_ || revision_ == 0) {
--- a/src/core/store_reader.h
+++ b/src/core/store_reader.h
@@ -63,6 +63,7 @@
   std::uint64_t watches = 0;
   std::uint64_t failures = 0;
   std::uint64_t historyGone = 0;
+  std::uint64_t tooLarge = 0;  ///< Watches whose changes exceeded the largest response.
   std::uint64_t events = 0;
 };
 
@@ -208,7 +209,7 @@
 
   /// @return the effective outcome of a response, see onReply().
   ReadOutcome classifyReply(const StoreReply& reply, PendingRead answered) const;
-  void onHistoryGone(Time now);
+  void listAgain(Time now);
   void onPage(const StoreReply& reply, Time now);
   void onBackfillPage(const StoreReply& reply, Time now);
   /// Records that a listing replaces changes that are unknown.
@@ -261,7 +262,7 @@
   Time nextReadAt_{};
   Time deferredReadAt_{};  ///< Lower bound if other daemons read as well and nothing is urgent.
   Time lastReplyAt_{};
-  Time historyGoneAt_{};
+  Time relistedAt_{};
   Time rejectedAt_{};
   Time confirmedAt_{};
   Time lastChangeAt_{};
--- a/src/daemon/store_link.cc
+++ b/src/daemon/store_link.cc
@@ -65,6 +65,9 @@
     case net::HttpFailure::kConnectionLost:
       reply.outcome = core::ReadOutcome::kConnectionLost;
       break;
+    case net::HttpFailure::kTooLarge:
+      reply.outcome = core::ReadOutcome::kTooLarge;
+      break;
     case net::HttpFailure::kMalformed:
       reply.outcome = core::ReadOutcome::kMalformed;
       break;
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -315,7 +315,8 @@
     latencies_.onStoreReply(latency);
   }
   const bool reachable = reply.outcome == core::ReadOutcome::kSucceeded ||
-                         reply.outcome == core::ReadOutcome::kHistoryGone;
+                         reply.outcome == core::ReadOutcome::kHistoryGone ||
+                         reply.outcome == core::ReadOutcome::kTooLarge;
   if (reachable == storeReachable_) {
     return;
   }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -11,6 +11,7 @@
 #include <asio/write.hpp>
 #include <cctype>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "net/address.h"
@@ -19,8 +20,6 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16U << 10U;
-/// Larger responses are rejected.
-constexpr std::size_t kMaxBodyBytes = 8U << 20U;
 /// Shorter than the initial TCP retransmission timeout of one second (RFC 6298), so that a lost SYN
 /// is retried sooner by a new connection attempt.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(200);
@@ -51,6 +50,9 @@
     settings_.on_header_value = [](http_parser* parser, const char* data, std::size_t size) {
       return static_cast<Exchange*>(parser->data)->onHeaderValue(data, size);
     };
+    settings_.on_headers_complete = [](http_parser* parser) {
+      return static_cast<Exchange*>(parser->data)->onHeadersComplete();
+    };
     settings_.on_body = [](http_parser* parser, const char* data, std::size_t size) {
       return static_cast<Exchange*>(parser->data)->onBody(data, size);
     };
@@ -69,6 +71,7 @@
     headerName_.clear();
     inHeaderValue_ = false;
     complete_ = false;
+    tooLarge_ = false;
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
     timeout_ = timeout;
@@ -119,9 +122,20 @@
     return 0;
   }
 
+  /// @return 0 to continue. 1 would mean that the response has no body.
+  int onHeadersComplete() {
+    constexpr std::uint64_t kUnknown = std::numeric_limits<std::uint64_t>::max();
+    const std::uint64_t length = parser_.content_length;
+    tooLarge_ = length != kUnknown && length > kMaxResponseBytes;
+    return tooLarge_ ? -1 : 0;
+  }
+
   int onBody(const char* data, std::size_t size) {
-    result_.body.append(data, size);
-    return result_.body.size() > kMaxBodyBytes ? 1 : 0;
+    tooLarge_ = result_.body.size() + size > kMaxResponseBytes;
+    if (!tooLarge_) {
+      result_.body.append(data, size);
+    }
+    return tooLarge_ ? 1 : 0;
   }
 
   void connect() {
@@ -185,6 +199,9 @@
       finish(HttpFailure::kNone, "");
     } else if (error) {
       finish(HttpFailure::kConnectionLost, error.message());
+    } else if (tooLarge_) {
+      finish(HttpFailure::kTooLarge,
+             "the response has more than " + std::to_string(kMaxResponseBytes) + " bytes");
     } else if (parsed != length || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
       finish(HttpFailure::kMalformed, http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
     } else {
@@ -234,6 +251,7 @@
   http_parser_settings settings_{};
   bool connected_ = false;
   bool complete_ = false;
+  bool tooLarge_ = false;
 };
 
 HttpClient::HttpClient(asio::io_context& context, const core::Endpoint& server)
--- a/src/net/http_result.h
+++ b/src/net/http_result.h
@@ -2,6 +2,7 @@
 /// Result of an HTTP request.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -9,7 +10,16 @@
 
 namespace cobaltgauge::net {
 
-enum class HttpFailure : std::uint8_t { kNone, kTimedOut, kConnectionLost, kMalformed };
+/// Maximum size of the body of a response.
+inline constexpr std::size_t kMaxResponseBytes = 8U << 20U;
+
+enum class HttpFailure : std::uint8_t {
+  kNone,
+  kTimedOut,
+  kConnectionLost,
+  kMalformed,
+  kTooLarge,  ///< The body exceeds kMaxResponseBytes.
+};
 
 /// Response or failure of a request; on failure only `failure` and `reason` are valid.
 struct HttpResult {
--- a/tests/core/store_reader_test.cc
+++ b/tests/core/store_reader_test.cc
@@ -302,6 +302,26 @@
   BOOST_TEST(routes.version() == 7U);
 }
 
+// Guards against a version that stays out of effect while large items of another writer stand
+// before it in the history.
+BOOST_AUTO_TEST_CASE(watch_with_too_large_response_is_followed_by_listing) {
+  begin();
+  store.put("op/config", makeRoutes(8, {{1, "web"}}));
+  const StoreRead watch = nextRead();
+  BOOST_TEST((watch.kind == StoreRead::Kind::kWatch));
+  reader.onReply(failedRead(ReadOutcome::kTooLarge), now);
+  BOOST_TEST(reader.isSynchronized());
+  const StoreRead listing = nextRead();
+  BOOST_TEST((listing.kind == StoreRead::Kind::kList));
+  BOOST_TEST((listing.cause == StoreRead::Cause::kRelist));
+  BOOST_TEST(listing.afterKey.empty());
+  BOOST_TEST(!listing.stale);
+  reader.onReply(store.replyTo(listing), now);
+  BOOST_TEST(routes.version() == 8U);
+  BOOST_TEST(reader.counters().tooLarge == 1U);
+  BOOST_TEST(reader.counters().failures == 0U);
+}
+
 // Guards against a long watch that the store does not answer after the previous one was lost.
 BOOST_AUTO_TEST_CASE(lost_watch_is_followed_by_short_watch) {
   begin();
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -126,6 +126,34 @@
   BOOST_TEST(accepted.size() == 2U);
 }
 
+// Guards against reading a response that is refused in the end, and against taking it for a broken
+// one.
+BOOST_AUTO_TEST_CASE(response_that_announces_too_much_is_refused_at_once) {
+  SlowServer server(context, net::kMaxResponseBytes + 1, 0, 1ms);
+  get(server.endpoint(), 1000ms);
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result->failure == net::HttpFailure::kTooLarge));
+  BOOST_TEST(result->reason == "the response has more than 8388608 bytes");
+}
+
+BOOST_AUTO_TEST_CASE(response_without_length_is_refused_at_the_limit) {
+  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::tcp::acceptor acceptor(context, any);
+  asio::ip::tcp::socket accepted(context);
+  const std::string response =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(net::kMaxResponseBytes + 1, 'x');
+  acceptor.async_accept(accepted, [&](const asio::error_code& error) {
+    if (!error) {
+      asio::async_write(accepted, asio::buffer(response),
+                        [](const asio::error_code&, std::size_t) {});
+    }
+  });
+  get({{{127, 0, 0, 1}, false}, acceptor.local_endpoint().port()}, 1000ms);
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result->failure == net::HttpFailure::kTooLarge));
+  BOOST_TEST(result->body.size() <= net::kMaxResponseBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
