Soak: items of another writer that name no backend

The test store compares the bytes of an item where it writes lost items again, since such an item is no JSON.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -6,7 +6,8 @@
 proxy that delays, resets, stalls or blocks the connection in one direction. The store is busy,
 throttling or unresponsive, loses its history or is restored from an older snapshot. Backends start,
 drain, crash and become unresponsive, overloaded or slow; addresses are reused while the store
-applies a delayed write of the previous backend; zones and routes change. The guarantees are checked
+applies a delayed write of the previous backend; another writer puts in items that name no backend;
+zones and routes change. The guarantees are checked
 from the view of clients and backends. After each round of faults, all faults end and the fleet must
 recover. The exit status is 0 if no guarantee was violated.
 """
@@ -20,6 +21,7 @@
 import threading
 import time
 
+from foreign_entries import foreign_entries
 from store_proxy import Proxy
 from token_fleet import Client, TokenFleet, wait_until
 
@@ -37,6 +39,8 @@
 WARM_UP_MS = 2000
 MIN_BACKENDS_IN_ZONE = 3  # Backends kept active in zone "a".
 ADDRESS_REUSE_SECONDS = 2.1  # From a crash until another backend starts at the address.
+FOREIGN_ENTRIES = foreign_entries()
+MAX_FOREIGN_ENTRIES = 8  # Items of other writers at once.
 EXPIRY_SECONDS = 3.6  # From the last write of a backend until its item expires.
 MAX_WRITE_DELAY_SECONDS = 6.0
 FAULT_FREE_SECONDS = 4.0  # The time limits apply after this long without faults.
@@ -245,6 +249,14 @@
                 (late + EXPIRY_SECONDS, end, ())]:
             threading.Timer(delay, action, arguments).start()
 
+    def foreign_entry(self):
+        """Another writer puts in an item that names no backend, for up to 5 s."""
+        name, data = self.random.choice(list(FOREIGN_ENTRIES.items()))
+        key = f"servers/i-f{self.random.randrange(MAX_FOREIGN_ENTRIES):04x}"
+        self.log_event(f"item of another writer: {name}")
+        self.fleet.store.put_bytes(key, data)
+        threading.Timer(self.random.uniform(0.5, 5.0), self.fleet.store.remove, (key,)).start()
+
     def impair_temporarily(self, backends, attribute):
         """Sets an attribute (unresponsive, overloaded, slow) of backends for up to 3 s."""
         for backend in backends:
@@ -423,7 +435,7 @@
                     next_fault = time.monotonic() + self.random.uniform(0.2, 1.5)
                     self.random.choice([self.daemon_fault, self.daemon_fault, self.store_fault,
                                         self.backend_change, self.route_change,
-                                        self.reuse_address,
+                                        self.reuse_address, self.foreign_entry,
                                         self.zone_change, self.zone_crash, self.overload])()
                 self.check_misrouted_packets()
                 self.check_draining()
--- a/scripts/token_fleet.py
+++ b/scripts/token_fleet.py
@@ -134,10 +134,10 @@
         for key, value in last_written.items():
             with self.lock:
                 item = self.items.get(key)
-                stored = None if item is None else json.loads(base64.b64decode(item["value"]))
+                stored = None if item is None else base64.b64decode(item["value"])
             if value is None and stored is not None:
                 self.remove(key)
-            elif value is not None and stored != value:
+            elif value is not None and stored != json.dumps(value).encode():
                 self.put(key, value)
 
     def set_mode(self, mode):
--- a/src/sim/history.cc
+++ b/src/sim/history.cc
@@ -124,7 +124,7 @@
   std::size_t number = 0;
   while (in.getline(line.data(), static_cast<std::streamsize>(line.size()))) {
     ++number;
-    std::optional<Event> event = parseLine(line.c_str());
+    std::optional<Event> event = parseLine(line.substr(0, line.find('\0')));
     if (!event) {
       lastReason_ = path + ":" + std::to_string(number) + ": " + lastReason_;
       return std::nullopt;
