View log, base64 and fleet checks each in one place

The daemon hands changes of the view to ViewLog, which holds both limits on their lines. Tests share the encoding of the store's values, and the smoke tests the frame around their checks. No behaviour changes.

--- a/scripts/foreign_entries.py
+++ b/scripts/foreign_entries.py
@@ -5,13 +5,11 @@
 """
 
 import http.client
-import os
 import struct
 import sys
-import tempfile
 
-from token_fleet import Client, TokenFleet, wait_until
-from token_smoke import ROUTE, Checks, open_flows, send_on_all
+from token_fleet import Client, wait_until
+from token_smoke import ROUTE, open_flows, run_checks, send_on_all
 
 LEVELS = 200_000
 LONG = 900_000
@@ -138,22 +136,5 @@
     check_log(checks, (first, second), entries)
 
 
-def main():
-    policy = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "deploy",
-                          "placement.lua")
-    checks = Checks()
-    with tempfile.TemporaryDirectory() as directory:
-        fleet = TokenFleet(os.path.abspath(sys.argv[1]), directory, os.path.abspath(policy))
-        try:
-            run(fleet, checks)
-        finally:
-            fleet.stop()
-            if checks.failed:
-                for daemon in fleet.daemons:
-                    with open(daemon.log, encoding="utf-8", errors="replace") as log:
-                        print(log.read()[-4000:])
-    return 1 if checks.failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(run))
--- a/scripts/token_smoke.py
+++ b/scripts/token_smoke.py
@@ -128,7 +128,10 @@
                   not any(backend.misrouted_flows for backend in backends))
 
 
-def main():
+def run_checks(run):
+    """Runs checks against a fleet of the given build, and prints the logs if any failed.
+
+    Returns the exit status."""
     policy = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "deploy",
                           "placement.lua")
     checks = Checks()
@@ -140,10 +143,10 @@
             fleet.stop()
             if checks.failed:
                 for daemon in fleet.daemons:
-                    with open(daemon.log, encoding="utf-8") as log:
+                    with open(daemon.log, encoding="utf-8", errors="replace") as log:
                         print(log.read()[-4000:])
     return 1 if checks.failed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_checks(run))
--- a/src/daemon/token_daemon.cc
+++ b/src/daemon/token_daemon.cc
@@ -65,14 +65,7 @@
       weights_(settings_.zone),
       admission_(settings_.admission),
       steering_(steeringOptions(settings_), weights_, random_),
-      changeLogger_(
-          static_cast<std::uint64_t>(core::memberIdOf(settings_.name)),
-          [](const core::ViewChange& change) { logViewChange(change, core::Duration{0}); },
-          &logChangeSummary),
-      unreadableLogger_(
-          static_cast<std::uint64_t>(core::memberIdOf(settings_.name)),
-          [](const core::ViewChange& change) { logViewChange(change, core::Duration{0}); },
-          &logUnreadableSummary),
+      viewLog_(static_cast<std::uint64_t>(core::memberIdOf(settings_.name))),
       updater_(
           steering_.backends(), steering_.routes(),
           [this](const core::ViewChange& change) { onViewChange(change); }, &changes_),
@@ -87,7 +80,6 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
 bool TokenDaemon::open() {
-  unreadableLogger_.disableSampling();
   packets_.setBatchListener([this](core::Time now) { onBatch(now); });
   packets_.setDrainedListener([this](core::Time now) { onDrained(now); });
   packets_.setVerdictListener([this](const core::PacketSummary& packet,
@@ -269,9 +261,8 @@
   peers_.OnTick(now);
   const std::uint32_t fleetSize = peers_.GetRelay().GetFleetSize(now);
   steering_.setFleetSize(fleetSize);
-  changeLogger_.setFleetSize(fleetSize);
-  changeLogger_.onTick(now);
-  unreadableLogger_.onTick(now);
+  viewLog_.setFleetSize(fleetSize);
+  viewLog_.onTick(now);
   for (const core::AdmissionState& change : admission_.TakeChanges(now)) {
     logAdmission(change);
   }
@@ -351,13 +342,7 @@
 
 void TokenDaemon::onViewChange(const core::ViewChange& change) {
   const core::Time now = bootTime();
-  if (change.kind == core::ViewChange::Kind::kBackend) {
-    changeLogger_.add(change, now);
-  } else if (change.kind == core::ViewChange::Kind::kUnreadable) {
-    unreadableLogger_.add(change, now);
-  } else {
-    logViewChange(change, now - reader_.confirmedAt());
-  }
+  viewLog_.add(change, now - reader_.confirmedAt(), now);
 }
 
 void TokenDaemon::onSignal(int signal) {
--- a/src/daemon/token_daemon.h
+++ b/src/daemon/token_daemon.h
@@ -23,7 +23,7 @@
 #include "daemon/store_link.h"
 #include "daemon/system_random.h"
 #include "daemon/token_metrics.h"
-#include "daemon/view_change_logger.h"
+#include "daemon/view_log.h"
 #include "net/http_server.h"
 #include "net/store_protocol.h"
 
@@ -78,8 +78,7 @@
   core::TokenSteering steering_;
   core::LocalCapacityEstimator localCapacity_;
   core::ChangeLog changes_;
-  ViewChangeLogger changeLogger_;
-  ViewChangeLogger unreadableLogger_;
+  ViewLog viewLog_;
   core::ViewUpdater updater_;
   core::StoreReader reader_;
   PeerLink peers_;
--- a/tests/fuzz/fuzz_store_entry.cc
+++ b/tests/fuzz/fuzz_store_entry.cc
@@ -1,25 +1,16 @@
 /// @file
 /// libFuzzer target: the value of an item of the store, as another writer may put it there. It must
 /// not affect the other items of the response.
-#include <openssl/evp.h>
-
 #include <cstdlib>
 #include <msgpack.hpp>
 
 #include "platform/store_items.h"
+#include "support/base64.h"
 
 namespace {
 
 using namespace cobaltgauge;
 
-std::string encodeBase64(const std::uint8_t* data, std::size_t size) {
-  std::string encoded((size + 2) / 3 * 4 + 1, '\0');
-  const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()), data,
-                                     static_cast<int>(size));
-  encoded.resize(static_cast<std::size_t>(length));
-  return encoded;
-}
-
 void packItem(msgpack::packer<msgpack::sbuffer>& packer, const std::string& key,
               const std::string& value, std::uint64_t revision) {
   packer.pack_map(3);
@@ -32,7 +23,6 @@
 std::string makeListing(const std::string& value) {
   const std::string valid =
       R"({"service":"web","address":"10.0.0.9:80","zone":"a","capacity":2,"state":"ready"})";
-  const auto* validBytes = reinterpret_cast<const std::uint8_t*>(valid.data());
   msgpack::sbuffer buffer;
   msgpack::packer packer(buffer);
   packer.pack_map(2);
@@ -40,7 +30,7 @@
   packer.pack(std::string("items")).pack_array(3);
   packItem(packer, "op/config", value, 1);
   packItem(packer, "servers/i-1", value, 2);
-  packItem(packer, "servers/i-2", encodeBase64(validBytes, valid.size()), 3);
+  packItem(packer, "servers/i-2", tests::encodeBase64(valid), 3);
   return {buffer.data(), buffer.size()};
 }
 
@@ -51,7 +41,10 @@
   constexpr int kOk = 200;
   constexpr std::size_t kMaxReasonBytes = 500;
   const core::StoreReply reply = platform::StoreItems().parse(
-      {net::HttpFailure::kNone, kOk, {}, makeListing(encodeBase64(data, size))});
+      {net::HttpFailure::kNone,
+       kOk,
+       {},
+       makeListing(tests::encodeBase64({reinterpret_cast<const char*>(data), size}))});
   const bool isWhole = reply.outcome == core::ReadOutcome::kSucceeded &&
                        reply.changes.size() == 3 &&
                        std::holds_alternative<core::Registration>(reply.changes[2].item);
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -1,13 +1,12 @@
 /// Entries that another writer may put into the store. Each names no backend and leaves the other
 /// entries of the response in effect.
-#include <openssl/evp.h>
-
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <msgpack.hpp>
 #include <nlohmann/json.hpp>
 
 #include "platform/store_items.h"
+#include "support/base64.h"
 #include "support/nested_documents.h"
 #include "support/peak_memory.h"
 
@@ -16,15 +15,6 @@
 
 constexpr std::size_t kMaxReasonBytes = 500;
 
-std::string encodeBase64(const std::string& bytes) {
-  std::string encoded((bytes.size() + 2) / 3 * 4 + 1, '\0');
-  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
-                                   reinterpret_cast<const unsigned char*>(bytes.data()),
-                                   static_cast<int>(bytes.size()));
-  encoded.resize(static_cast<std::size_t>(size));
-  return encoded;
-}
-
 nlohmann::json item(const std::string& key, const std::string& value, std::uint64_t revision) {
   return {{"key", key}, {"value", encodeBase64(value)}, {"revision", revision}};
 }
--- a/tests/platform/store_items_test.cc
+++ b/tests/platform/store_items_test.cc
@@ -1,11 +1,10 @@
 #include "platform/store_items.h"
 
-#include <openssl/evp.h>
-
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
 #include "net/address.h"
+#include "support/base64.h"
 
 namespace cobaltgauge::tests {
 namespace {
@@ -99,15 +98,6 @@
   BOOST_TEST((registration.state == core::BackendState::kActive));
 }
 
-std::string encode(const std::string& text) {
-  std::string encoded((text.size() + 2) / 3 * 4 + 1, '\0');
-  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(encoded.data()),
-                                   reinterpret_cast<const unsigned char*>(text.data()),
-                                   static_cast<int>(text.size()));
-  encoded.resize(static_cast<std::size_t>(size));
-  return encoded;
-}
-
 /// @return a server item as base64-encoded JSON; the given fields are replaced, or removed if null.
 std::string server(const nlohmann::json& changes) {
   nlohmann::json entry = {{"service", "web"}, {"address", "10.128.0.9:8080"},
@@ -115,7 +105,7 @@
                           {"capacity", 2},    {"state", "ready"},
                           {"sequence", 4},    {"warmup-left-ms", 0}};
   entry.merge_patch(changes);
-  return encode(entry.dump());
+  return encodeBase64(entry.dump());
 }
 
 BOOST_AUTO_TEST_CASE(start_time_is_read) {
